--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test check bench capacity thrift
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m examples.demo
+
+check: $(VENV)/.ready
+	$(BIN)/ruff format --check arbutuscleat tests benchmarks examples
+	$(BIN)/ruff check arbutuscleat tests benchmarks examples
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+test: check
+	$(BIN)/python -m pytest -q
+
+bench: $(VENV)/.ready
+	$(BIN)/python -m benchmarks.request_path
+	$(BIN)/python -m benchmarks.change_rollout
+
+capacity: $(VENV)/.ready
+	$(BIN)/python -m benchmarks.capacity
+
+thrift:
+	thrift -r --gen py -out . arbutuscleat/wire/arbutuscleat.thrift
+	rm -f __init__.py arbutuscleat/wire/gen/*-remote
--- /dev/null
+++ b/arbutuscleat/__init__.py
@@ -0,0 +1,10 @@
+"""Arbutuscleat: a fleet capacity and maintenance manager.
+
+A library of coordination parts with thin daemons.  Packages import downwards
+only, in this order: `daemons` and `cli`, `http`, `maintenance`, `routing`,
+`membership`, `state`, `consensus`, `wire`, `telemetry`, `settings`, `core`.
+"""
+
+__version__ = "0.1.0"
+
+__all__ = ["__version__"]
--- /dev/null
+++ b/arbutuscleat/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line."""
+
+from .main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/arbutuscleat/consensus/__init__.py
@@ -0,0 +1,35 @@
+"""Consensus: a replicated log that knows nothing of pools."""
+
+from .config import ReplicaConfig
+from .disk import Disk, FolderDisk
+from .frames import DamagedFileError
+from .identity import (
+    FOUNDER_INCARNATION,
+    AlreadyInitialisedError,
+    initialise,
+    open_identity,
+)
+from .peer import Peer, ThriftPeer
+from .proposal import ProposalError, ProposalErrorKind
+from .replica import Replica, ReplicaStatus
+from .role import Role
+from .state_machine import StateMachine
+
+__all__ = [
+    "FOUNDER_INCARNATION",
+    "AlreadyInitialisedError",
+    "DamagedFileError",
+    "Disk",
+    "FolderDisk",
+    "Peer",
+    "ProposalError",
+    "ProposalErrorKind",
+    "Replica",
+    "ReplicaConfig",
+    "ReplicaStatus",
+    "Role",
+    "StateMachine",
+    "ThriftPeer",
+    "initialise",
+    "open_identity",
+]
--- /dev/null
+++ b/arbutuscleat/consensus/config.py
@@ -0,0 +1,42 @@
+"""Timing and size limits of a replica."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ReplicaConfig:
+    """Timing and size limits of a replica.
+
+    Parameters
+    ----------
+    heartbeat_seconds : float
+        Longest silence of a leader towards a peer.
+    election_seconds : float
+        Shortest silence after which a replica asks for votes; the longest is
+        `election_spread` times as long.
+    election_spread : float
+        At least 1.
+    call_seconds : float
+        Time limit of one call to a peer.
+    tick_seconds : float
+        How often timers are looked at.
+    max_batch_entries, max_batch_bytes : int
+        Bounds of one append request.
+    snapshot_entries : int
+        Applied entries after which a snapshot is written.
+    kept_entries : int
+        Entries kept in front of a snapshot for followers that lag a little.
+    snapshot_chunk_bytes : int
+        Size of the pieces in which a snapshot is sent.
+    """
+
+    heartbeat_seconds: float = 0.5
+    election_seconds: float = 1.5
+    election_spread: float = 1.5
+    call_seconds: float = 1.0
+    tick_seconds: float = 0.05
+    max_batch_entries: int = 1024
+    max_batch_bytes: int = 1024 * 1024
+    snapshot_entries: int = 4096
+    kept_entries: int = 512
+    snapshot_chunk_bytes: int = 256 * 1024
--- /dev/null
+++ b/arbutuscleat/consensus/disk.py
@@ -0,0 +1,108 @@
+"""Disks: where a replica keeps what must survive.
+
+A write lasts only once it is synced.  Every method raises `OSError` when the
+disk fails; a failed sync is final and is never tried again.
+"""
+
+import os
+from abc import ABC, abstractmethod
+from pathlib import Path
+
+
+class Disk(ABC):
+    """One data folder with flat file names."""
+
+    @abstractmethod
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file, or None when there is none."""
+
+    @abstractmethod
+    def append(self, name: str, data: bytes) -> None:
+        """Add `data` to the end of a file and sync it."""
+
+    @abstractmethod
+    def replace(self, name: str, data: bytes) -> None:
+        """Set the content of a file, all of it or nothing, and sync it."""
+
+    @abstractmethod
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes and sync it."""
+
+
+class FolderDisk(Disk):
+    """A data folder of the file system.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder; made when it does not exist.
+    """
+
+    def __init__(self, folder: Path):
+        self._folder = folder
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._open_files: dict[str, int] = {}
+
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file, or None when there is none."""
+        try:
+            return (self._folder / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add `data` to the end of a file and sync it."""
+        descriptor = self._descriptor(name)
+        _write_all(descriptor, data)
+        os.fdatasync(descriptor)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Set the content of a file, all of it or nothing, and sync it."""
+        temporary = self._folder / f"{name}.new"
+        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        self._forget(name)
+        os.rename(temporary, self._folder / name)
+        self._sync_folder()
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes and sync it."""
+        descriptor = self._descriptor(name)
+        os.ftruncate(descriptor, size)
+        os.fsync(descriptor)
+
+    def close(self) -> None:
+        """Close the files that are open."""
+        for name in list(self._open_files):
+            self._forget(name)
+
+    def _descriptor(self, name: str) -> int:
+        descriptor = self._open_files.get(name)
+        if descriptor is None:
+            path = self._folder / name
+            descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+            self._open_files[name] = descriptor
+            self._sync_folder()
+        return descriptor
+
+    def _forget(self, name: str) -> None:
+        descriptor = self._open_files.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
--- /dev/null
+++ b/arbutuscleat/consensus/log.py
@@ -0,0 +1,167 @@
+"""The log: entries in memory, and their durable copy.
+
+Entries up to the base are covered by the snapshot.  An entry is *synced* once it
+is on the disk; a replica answers only for synced entries.
+"""
+
+from collections.abc import Sequence
+
+from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire.gen.ttypes import LogBatch, LogEntry
+
+from .disk import Disk
+from .frames import DamagedFileError, frame, read_frames
+
+LOG_FILE = "log"
+
+
+class Log:
+    """The entries of one replica.
+
+    Parameters
+    ----------
+    disk : Disk
+        The data folder.
+    base_index, base_term : int
+        The last entry covered by the snapshot.
+    """
+
+    def __init__(self, disk: Disk, base_index: int, base_term: int):
+        self._disk = disk
+        self._base_index = base_index
+        self._base_term = base_term
+        self._entries: list[LogEntry] = []
+        self._load(base_index, base_term)
+        self._synced = self.last_index
+
+    @property
+    def base_index(self) -> int:
+        """Index of the last entry that is no longer held."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in memory."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def synced_index(self) -> int:
+        """Index of the last entry on the disk."""
+        return self._synced
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry in memory."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when it is not held."""
+        if index == self._base_index:
+            return self._base_term
+        entry = self.entry(index)
+        return None if entry is None else entry.term
+
+    def entry(self, index: int) -> LogEntry | None:
+        """Return an entry, or None when it is not held."""
+        offset = index - self._base_index - 1
+        if 0 <= offset < len(self._entries):
+            return self._entries[offset]
+        return None
+
+    def slice(self, first: int, limit: int, max_bytes: int) -> list[LogEntry]:
+        """Return entries from `first` on, bounded in number and bytes."""
+        offset = first - self._base_index - 1
+        chosen: list[LogEntry] = []
+        size = 0
+        for entry in self._entries[offset : offset + limit]:
+            size += len(entry.payload)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def append(self, entry: LogEntry) -> None:
+        """Add one entry in memory; `write_unsynced` makes it durable."""
+        self._entries.append(entry)
+
+    def unsynced(self) -> LogBatch | None:
+        """Return the batch that would make all entries durable, if any."""
+        if self._synced >= self.last_index:
+            return None
+        return self._batch_after(self._synced)
+
+    def replace_after(self, base: int, entries: Sequence[LogEntry]) -> None:
+        """Put `entries` behind index `base` in memory."""
+        del self._entries[base - self._base_index :]
+        self._entries.extend(entries)
+        self._synced = min(self._synced, base)
+
+    def write(self, batch: LogBatch) -> None:
+        """Write and sync a batch."""
+        self._disk.append(LOG_FILE, frame(encode(batch)))
+
+    def mark_synced(self, batch: LogBatch) -> None:
+        """Note that a batch is on the disk."""
+        self._synced = max(self._synced, batch.base_index + len(batch.entries))
+
+    def compact(self, base_index: int) -> LogBatch:
+        """Drop the entries up to `base_index` in memory; return what remains.
+
+        The caller writes the batch with `rewrite`; until then the file holds
+        more than is needed, which is harmless.
+        """
+        base_term = self.term_at(base_index)
+        assert base_term is not None
+        del self._entries[: base_index - self._base_index]
+        self._base_index = base_index
+        self._base_term = base_term
+        return self._batch_after(base_index)
+
+    def rewrite(self, batch: LogBatch) -> None:
+        """Replace the file by one batch."""
+        self._disk.replace(LOG_FILE, frame(encode(batch)))
+
+    def reset(self, base_index: int, base_term: int) -> LogBatch:
+        """Forget every entry; the log starts behind a snapshot."""
+        self._entries.clear()
+        self._base_index = base_index
+        self._base_term = base_term
+        self._synced = base_index
+        return self._batch_after(base_index)
+
+    def _batch_after(self, base: int) -> LogBatch:
+        entries = self._entries[base - self._base_index :]
+        base_term = self.term_at(base)
+        return LogBatch(base_index=base, base_term=base_term, entries=list(entries))
+
+    def _load(self, base_index: int, base_term: int) -> None:
+        data = self._disk.read(LOG_FILE)
+        if data is None:
+            return
+        payloads, good = read_frames(data, LOG_FILE)
+        if good < len(data):
+            self._disk.truncate(LOG_FILE, good)
+        for position, payload in enumerate(payloads):
+            self._replay(decode(LogBatch, payload), first=position == 0)
+        self._join_snapshot(base_index, base_term)
+
+    def _replay(self, batch: LogBatch, first: bool) -> None:
+        if first:
+            self._base_index = batch.base_index
+            self._base_term = batch.base_term
+        if not self._base_index <= batch.base_index <= self.last_index:
+            raise DamagedFileError(
+                f"{LOG_FILE}: a batch behind entry {batch.base_index} follows entry "
+                f"{self.last_index}"
+            )
+        del self._entries[batch.base_index - self._base_index :]
+        self._entries.extend(batch.entries)
+
+    def _join_snapshot(self, base_index: int, base_term: int) -> None:
+        if self._base_index > base_index:
+            raise DamagedFileError(
+                f"{LOG_FILE}: starts behind {self._base_index}, the snapshot ends at "
+                f"{base_index}"
+            )
+        if self.term_at(base_index) != base_term:
+            self.rewrite(self.reset(base_index, base_term))
--- /dev/null
+++ b/arbutuscleat/consensus/replica.py
@@ -0,0 +1,300 @@
+"""A replica of the group: its tasks and what others may ask of it.
+
+One task talks to each peer, one writes to the disk, one looks at the timers.
+The steps that the tasks take are methods of their own, so a test can take them
+without any task.
+"""
+
+import random
+import threading
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from arbutuscleat.core import Clock, Deadline, InvariantError
+from arbutuscleat.wire.gen.ttypes import (
+    AppendAnswer,
+    AppendRequest,
+    EntryKind,
+    IdentityRecord,
+    SnapshotAnswer,
+    SnapshotChunk,
+    VoteAnswer,
+    VoteRequest,
+)
+
+from .config import ReplicaConfig
+from .disk import Disk
+from .elections import Elections
+from .peer import Peer, PeerAnswer, PeerRequest
+from .progress import Progress
+from .proposal import ProposalError, ProposalErrorKind, Waiter
+from .replica_state import ReplicaState
+from .replication import Replication
+from .role import Role
+from .roster import Roster
+from .snapshots import Snapshots
+from .state_machine import StateMachine
+
+
+@dataclass(frozen=True)
+class ReplicaStatus:
+    """What a replica says about itself."""
+
+    node_id: str
+    incarnation: str
+    role: Role
+    term: int
+    leader: str
+    commit_index: int
+    voter: bool
+    failure: str
+
+
+class Replica:
+    """One member of the consensus group.
+
+    Parameters
+    ----------
+    identity : IdentityRecord
+        Who the replica is, from its data folder.
+    cfg : ReplicaConfig
+        Timing and size limits.
+    disk : Disk
+        The data folder.
+    peers : sequence of Peer
+        The other replicas.
+    machine : StateMachine
+        What the committed commands act upon.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of election timeouts.
+    """
+
+    def __init__(
+        self,
+        identity: IdentityRecord,
+        cfg: ReplicaConfig,
+        disk: Disk,
+        peers: Sequence[Peer],
+        machine: StateMachine,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._state = ReplicaState(
+            identity.node_id, identity.incarnation, cfg, disk, machine, clock, rng
+        )
+        self._peers = {peer.node_id: peer for peer in peers}
+        self._state.progress = {name: Progress() for name in self._peers}
+        self._elections = Elections(self._state)
+        self._replication = Replication(self._state)
+        self._snapshots = Snapshots(self._state, self._replication)
+        self._roster = Roster(self._state)
+        self._threads: list[threading.Thread] = []
+
+    # ---- life ----
+
+    def start(self) -> None:
+        """Start the tasks."""
+        self._spawn("replica-timers", self._watch_timers)
+        self._spawn("replica-writer", self._write_entries)
+        for name, peer in self._peers.items():
+            self._spawn(f"replica-peer-{name}", self._converse, peer)
+
+    def stop(self) -> None:
+        """Stop the tasks and wait for them."""
+        self._state.stopping.set()
+        with self._state.lock:
+            self._state.changed.notify_all()
+        for peer in self._peers.values():
+            peer.close()
+        for thread in self._threads:
+            thread.join()
+
+    # ---- for clients ----
+
+    def propose(self, payload: bytes, timeout: float) -> Result[object, ProposalError]:
+        """Put a command through the log and return the machine's result."""
+        state = self._state
+        with state.lock:
+            if state.role is not Role.LEADER:
+                return Failure(self._error(ProposalErrorKind.NOT_LEADER))
+            if not state.leads():
+                return Failure(self._error(ProposalErrorKind.NO_QUORUM))
+            entry = state.append(EntryKind.COMMAND, payload)
+            waiter = Waiter(entry.term)
+            state.waiters[entry.index] = waiter
+        if not state.clock.sleep(waiter.done, timeout):
+            with state.lock:
+                if state.waiters.get(entry.index) is waiter:
+                    del state.waiters[entry.index]
+        with state.lock:
+            return self._verdict(waiter)
+
+    def read_barrier(self, timeout: float) -> Result[int, ProposalError]:
+        """Return the commit index once a quorum has confirmed the leadership."""
+        state = self._state
+        deadline = Deadline.after(state.clock, timeout)
+        asked_at = state.clock.monotonic()
+        with state.lock:
+            for progress in state.progress.values():
+                progress.send_at = asked_at
+            state.changed.notify_all()
+            while state.role is Role.LEADER:
+                if self._is_settled() and state.quorum_heard_since(asked_at):
+                    return Success(state.commit_index)
+                if deadline.expired():
+                    return Failure(self._error(ProposalErrorKind.NO_QUORUM))
+                state.clock.wait(state.changed, deadline.remaining())
+            return Failure(self._error(ProposalErrorKind.NOT_LEADER))
+
+    def leads(self) -> bool:
+        """Return whether this replica leads, hears a quorum and is up to date."""
+        with self._state.lock:
+            return self._state.leads() and self._is_settled()
+
+    def led_since(self) -> float:
+        """Return the monotonic time at which this replica last became leader."""
+        with self._state.lock:
+            return self._state.led_since
+
+    def status(self) -> ReplicaStatus:
+        """Return what the replica says about itself."""
+        state = self._state
+        with state.lock:
+            return ReplicaStatus(
+                node_id=state.node_id,
+                incarnation=state.incarnation,
+                role=state.role,
+                term=state.term,
+                leader=state.leader,
+                commit_index=state.commit_index,
+                voter=state.is_voter(),
+                failure=state.failure,
+            )
+
+    # ---- for peers ----
+
+    def handle_vote(self, request: VoteRequest) -> VoteAnswer:
+        """Answer a replica that asks for a vote."""
+        return self._elections.handle(request)
+
+    def handle_append(self, request: AppendRequest) -> AppendAnswer:
+        """Answer a leader that sends entries or a heartbeat."""
+        return self._replication.handle(request)
+
+    def handle_install(self, request: SnapshotChunk) -> SnapshotAnswer:
+        """Answer a leader that sends a piece of a snapshot."""
+        return self._snapshots.handle(request)
+
+    # ---- steps of the tasks ----
+
+    def tick(self) -> None:
+        """Look at the timers once."""
+        self._step_down_without_quorum()
+        self._elections.tick()
+        self._roster.tick()
+        if self._snapshots.is_due():
+            self._snapshots.write()
+
+    def write_unsynced(self) -> bool:
+        """Write and sync the entries that wait; return whether there were any."""
+        return self._replication.write_unsynced()
+
+    def next_request(self, peer: str) -> PeerRequest | None:
+        """Return what is to be sent to `peer` now, if anything."""
+        with self._state.lock:
+            return self._next_request(peer)
+
+    def take_answer(
+        self, peer: str, request: PeerRequest, answer: PeerAnswer, sent_at: float
+    ) -> None:
+        """Take the answer of `peer` to a request sent at `sent_at`."""
+        match request, answer:
+            case VoteRequest(), VoteAnswer():
+                self._elections.take_answer(peer, request, answer)
+            case AppendRequest(), AppendAnswer():
+                self._replication.take_answer(peer, request, answer, sent_at)
+            case SnapshotChunk(), SnapshotAnswer():
+                self._snapshots.take_answer(peer, request, answer, sent_at)
+            case _:
+                raise InvariantError(f"{type(answer)} answers {type(request)}")
+
+    # ---- tasks ----
+
+    def _spawn(self, name: str, target, *args) -> None:
+        thread = threading.Thread(target=target, args=args, name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _watch_timers(self) -> None:
+        state = self._state
+        while not state.clock.sleep(state.stopping, state.cfg.tick_seconds):
+            self.tick()
+
+    def _write_entries(self) -> None:
+        state = self._state
+        while not state.stopping.is_set():
+            if self.write_unsynced():
+                continue
+            with state.lock:
+                waiting = state.log.unsynced() is not None and state.role is Role.LEADER
+                if not waiting and not state.stopping.is_set():
+                    state.clock.wait(state.changed, 1.0)
+
+    def _converse(self, peer: Peer) -> None:
+        state = self._state
+        while not state.stopping.is_set():
+            with state.lock:
+                request = self._next_request(peer.node_id)
+                if request is None:
+                    state.clock.wait(state.changed, self._idle_seconds(peer.node_id))
+                    continue
+                sent_at = state.clock.monotonic()
+            answer = peer.send(request, state.cfg.call_seconds)
+            if isinstance(answer, Success):
+                self.take_answer(peer.node_id, request, answer.unwrap(), sent_at)
+
+    # ---- details ----
+
+    def _next_request(self, peer: str) -> PeerRequest | None:
+        state = self._state
+        if state.role is not Role.LEADER:
+            return self._elections.next_request(peer)
+        progress = state.progress[peer]
+        request: PeerRequest | None = self._replication.next_request(peer)
+        behind_base = state.log.term_at(progress.next_index - 1) is None
+        if request is None and behind_base and self._replication.may_send(progress):
+            request = self._snapshots.next_request(peer)
+        if request is not None:
+            progress.send_at = state.clock.monotonic() + state.cfg.heartbeat_seconds
+        return request
+
+    def _idle_seconds(self, peer: str) -> float:
+        state = self._state
+        if state.role is not Role.LEADER:
+            return 1.0
+        due = state.progress[peer].send_at - state.clock.monotonic()
+        return max(0.001, due)
+
+    def _step_down_without_quorum(self) -> None:
+        state = self._state
+        with state.lock:
+            if state.role is Role.LEADER and not state.leads():
+                state.become_follower("")
+
+    def _is_settled(self) -> bool:
+        state = self._state
+        return state.log.term_at(state.commit_index) == state.term
+
+    def _verdict(self, waiter: Waiter) -> Result[object, ProposalError]:
+        if waiter.applied:
+            return Success(waiter.result)
+        if waiter.done.is_set() and waiter.overwritten:
+            return Failure(self._error(ProposalErrorKind.LOST))
+        return Failure(self._error(ProposalErrorKind.UNKNOWN))
+
+    def _error(self, kind: ProposalErrorKind) -> ProposalError:
+        return ProposalError(kind, self._state.leader)
--- /dev/null
+++ b/arbutuscleat/consensus/replication.py
@@ -0,0 +1,217 @@
+"""Replication: how the entries of the leader reach the others.
+
+An answer is given for entries only once they are synced.  The leader counts an
+answer only from the incarnation that the log lists.
+"""
+
+from collections.abc import Sequence
+
+from arbutuscleat.core import InvariantError
+from arbutuscleat.wire.gen.ttypes import (
+    AppendAnswer,
+    AppendRequest,
+    LogBatch,
+    LogEntry,
+)
+
+from .progress import Progress
+from .replica_state import ReplicaState
+from .role import Role
+
+
+class Replication:
+    """Sends entries as leader and takes them as follower.
+
+    Parameters
+    ----------
+    state : ReplicaState
+        The replica.
+    """
+
+    def __init__(self, state: ReplicaState):
+        self._state = state
+
+    # ---- leader ----
+
+    def next_request(self, peer: str) -> AppendRequest | None:
+        """Return entries or a heartbeat for `peer`; `lock` is held.
+
+        None is returned when nothing is due, or when the peer needs entries
+        that only the snapshot still covers.
+        """
+        state = self._state
+        progress = state.progress[peer]
+        previous = progress.next_index - 1
+        previous_term = state.log.term_at(previous)
+        if previous_term is None:
+            return None
+        behind = progress.next_index <= state.log.last_index
+        if not self.is_due(progress) and not (behind and self.may_send(progress)):
+            return None
+        return AppendRequest(
+            term=state.term,
+            leader=state.node_id,
+            previous_index=previous,
+            previous_term=previous_term,
+            entries=state.log.slice(
+                progress.next_index,
+                state.cfg.max_batch_entries,
+                state.cfg.max_batch_bytes,
+            ),
+            commit_index=state.commit_index,
+        )
+
+    def take_answer(
+        self, peer: str, request: AppendRequest, answer: AppendAnswer, sent_at: float
+    ) -> None:
+        """Take note of what `peer` holds and commit what a majority holds."""
+        state = self._state
+        with state.disk_lock, state.lock:
+            if state.role is Role.FAILED:
+                return
+            if answer.term > state.term:
+                state.adopt_term(answer.term)
+                return
+            if state.role is not Role.LEADER or request.term != state.term:
+                return
+            progress = state.progress[peer]
+            if not self.is_listed(peer, answer.incarnation, progress):
+                return
+            progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+            if answer.accepted:
+                progress.match_index = max(progress.match_index, answer.last_index)
+                progress.next_index = progress.match_index + 1
+                state.advance_commit()
+            else:
+                self._step_back(progress, answer.last_index)
+            state.changed.notify_all()
+
+    def is_due(self, progress: Progress) -> bool:
+        """Return whether the next heartbeat or retry is due."""
+        return self._state.clock.monotonic() >= progress.send_at
+
+    def may_send(self, progress: Progress) -> bool:
+        """Return whether data may be sent at once.
+
+        A peer that does not answer is tried at the pace of heartbeats only.
+        """
+        silence = self._state.clock.monotonic() - progress.acknowledged_at
+        answers = silence < 2 * self._state.cfg.heartbeat_seconds
+        return answers or self.is_due(progress)
+
+    def is_listed(self, peer: str, incarnation: str, progress: Progress) -> bool:
+        """Return whether the log lists `peer` under this incarnation."""
+        record = self._state.membership.record(peer)
+        if record is None or record.incarnation != incarnation:
+            progress.stranger = incarnation
+            return False
+        progress.stranger = ""
+        return True
+
+    def write_unsynced(self) -> bool:
+        """Make the entries that wait durable by one sync; return whether any did."""
+        state = self._state
+        with state.disk_lock:
+            with state.lock:
+                batch = state.log.unsynced()
+                if batch is None or state.role is not Role.LEADER:
+                    return False
+            if not self._write(batch):
+                return False
+            with state.lock:
+                state.log.mark_synced(batch)
+                if state.role is Role.LEADER:
+                    state.advance_commit()
+            return True
+
+    # ---- follower ----
+
+    def handle(self, request: AppendRequest) -> AppendAnswer:
+        """Take entries or a heartbeat of a leader."""
+        state = self._state
+        with state.disk_lock:
+            with state.lock:
+                if not self.follow(request.term, request.leader):
+                    return self._answer(request, False, 0)
+                mismatch = self._mismatch(request)
+                if mismatch is not None:
+                    return self._answer(request, False, mismatch)
+                self._take_entries(request.entries)
+                # A former leader may also hold entries that it never synced.
+                batch = state.log.unsynced()
+            if batch is not None and not self._write(batch):
+                return self._answer(request, False, 0)
+            with state.lock:
+                if batch is not None:
+                    state.log.mark_synced(batch)
+                last = request.previous_index + len(request.entries)
+                state.commit_to(min(request.commit_index, last))
+                return self._answer(request, True, last)
+
+    def follow(self, term: int, leader: str) -> bool:
+        """Accept `leader` for `term`, unless it is outdated; both locks are held."""
+        state = self._state
+        if state.role is Role.FAILED or term < state.term:
+            return False
+        if term > state.term and not state.adopt_term(term):
+            return False
+        if state.role is Role.LEADER:
+            raise InvariantError(f"two leaders in term {term}")
+        if state.role is not Role.FOLLOWER or state.leader != leader:
+            state.become_follower(leader)
+        state.last_heard = state.clock.monotonic()
+        state.reset_election_timer()
+        return True
+
+    def _step_back(self, progress: Progress, hint: int) -> None:
+        progress.next_index = max(1, min(progress.next_index - 1, hint + 1))
+
+    def _mismatch(self, request: AppendRequest) -> int | None:
+        """Return where the leader should try next, or None when entries fit."""
+        log = self._state.log
+        if request.previous_index > log.last_index:
+            return log.last_index
+        if request.previous_index < log.base_index:
+            return None  # Covered by the snapshot, hence committed and equal.
+        if log.term_at(request.previous_index) == request.previous_term:
+            return None
+        return min(self._state.commit_index, request.previous_index - 1)
+
+    def _take_entries(self, entries: Sequence[LogEntry]) -> None:
+        state = self._state
+        fresh = [entry for entry in entries if not self._holds(entry)]
+        if not fresh:
+            return
+        base = fresh[0].index - 1
+        if base < state.commit_index:
+            raise InvariantError(f"entry {base + 1} contradicts a committed one")
+        first = next(i for i, entry in enumerate(entries) if entry.index == base + 1)
+        state.membership.cut(base)
+        state.log.replace_after(base, entries[first:])
+        state.membership.add(entries[first:])
+
+    def _holds(self, entry: LogEntry) -> bool:
+        log = self._state.log
+        return entry.index <= log.base_index or log.term_at(entry.index) == entry.term
+
+    def _write(self, batch: LogBatch) -> bool:
+        state = self._state
+        try:
+            state.log.write(batch)
+        except OSError as exc:
+            with state.lock:
+                state.fail(exc)
+            return False
+        return True
+
+    def _answer(
+        self, request: AppendRequest, accepted: bool, last: int
+    ) -> AppendAnswer:
+        state = self._state
+        return AppendAnswer(
+            request_id=request.request_id,
+            term=state.term,
+            accepted=accepted,
+            last_index=last,
+            incarnation=state.incarnation,
+        )
--- /dev/null
+++ b/arbutuscleat/consensus/snapshots.py
@@ -0,0 +1,187 @@
+"""Snapshots: they bound the log, and carry a replica that lags too far behind."""
+
+from arbutuscleat.wire.gen.ttypes import (
+    LogBatch,
+    SnapshotAnswer,
+    SnapshotChunk,
+    SnapshotRecord,
+)
+
+from .membership_log import MembershipLog
+from .progress import Progress
+from .replica_state import ReplicaState
+from .replication import Replication
+from .role import Role
+from .stores import save_snapshot
+
+
+class Snapshots:
+    """Writes snapshots, sends them in chunks and installs those received.
+
+    Parameters
+    ----------
+    state : ReplicaState
+        The replica.
+    replication : Replication
+        Decides which leader is followed and which answers count.
+    """
+
+    def __init__(self, state: ReplicaState, replication: Replication):
+        self._state = state
+        self._replication = replication
+        self._incoming = b""
+
+    def is_due(self) -> bool:
+        """Return whether enough entries were applied since the last snapshot."""
+        state = self._state
+        grown = state.applied_index - state.snapshot.last_index
+        return grown >= state.cfg.snapshot_entries and state.role is not Role.FAILED
+
+    def write(self) -> None:
+        """Write a snapshot of the applied state and shorten the log."""
+        state = self._state
+        with state.disk_lock:
+            with state.lock:
+                if not self.is_due():
+                    return
+                record = self._capture()
+            try:
+                save_snapshot(state.disk, record)
+                with state.lock:
+                    state.snapshot = record
+                    kept_from = record.last_index - state.cfg.kept_entries
+                    batch = state.log.compact(max(state.log.base_index, kept_from))
+                state.log.rewrite(batch)
+            except OSError as exc:
+                with state.lock:
+                    state.fail(exc)
+                return
+            with state.lock:
+                state.log.mark_synced(batch)
+
+    def next_request(self, peer: str) -> SnapshotChunk:
+        """Return the next chunk for `peer`; `lock` is held."""
+        state = self._state
+        progress = state.progress[peer]
+        record = state.snapshot
+        if progress.snapshot_index != record.last_index:
+            progress.snapshot_index = record.last_index
+            progress.snapshot_offset = 0
+        start = progress.snapshot_offset
+        data = record.data[start : start + state.cfg.snapshot_chunk_bytes]
+        return SnapshotChunk(
+            term=state.term,
+            leader=state.node_id,
+            last_index=record.last_index,
+            last_term=record.last_term,
+            replicas=record.replicas,
+            offset=start,
+            data=data,
+            done=start + len(data) >= len(record.data),
+        )
+
+    def take_answer(
+        self, peer: str, request: SnapshotChunk, answer: SnapshotAnswer, sent_at: float
+    ) -> None:
+        """Go on behind the chunk that `peer` has taken."""
+        state = self._state
+        with state.disk_lock, state.lock:
+            if state.role is Role.FAILED:
+                return
+            if answer.term > state.term:
+                state.adopt_term(answer.term)
+                return
+            if state.role is not Role.LEADER or request.term != state.term:
+                return
+            progress = state.progress[peer]
+            if not self._replication.is_listed(peer, answer.incarnation, progress):
+                return
+            progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+            self._go_on(progress, request, answer.accepted)
+            state.changed.notify_all()
+
+    def handle(self, request: SnapshotChunk) -> SnapshotAnswer:
+        """Take a chunk; the last one puts the snapshot in place."""
+        state = self._state
+        with state.disk_lock:
+            with state.lock:
+                if not self._replication.follow(request.term, request.leader):
+                    return self._answer(request, False)
+            if request.offset == 0:
+                self._incoming = b""
+            if request.offset != len(self._incoming):
+                return self._answer(request, False)
+            self._incoming += request.data
+            if request.done and not self._install(request):
+                return self._answer(request, False)
+            return self._answer(request, True)
+
+    def _capture(self) -> SnapshotRecord:
+        state = self._state
+        index = state.applied_index
+        return SnapshotRecord(
+            last_index=index,
+            last_term=state.log.term_at(index),
+            replicas=state.membership.at(index),
+            data=state.machine.image(),
+        )
+
+    def _go_on(
+        self, progress: Progress, request: SnapshotChunk, accepted: bool
+    ) -> None:
+        if not accepted:
+            progress.snapshot_offset = 0
+        elif request.done:
+            progress.match_index = max(progress.match_index, request.last_index)
+            progress.next_index = progress.match_index + 1
+            progress.snapshot_index = 0
+            self._state.advance_commit()
+        else:
+            progress.snapshot_offset = request.offset + len(request.data)
+
+    def _install(self, request: SnapshotChunk) -> bool:
+        state = self._state
+        data, self._incoming = self._incoming, b""
+        if request.last_index <= state.commit_index:
+            return True
+        record = SnapshotRecord(
+            last_index=request.last_index,
+            last_term=request.last_term,
+            replicas=request.replicas,
+            data=data,
+        )
+        try:
+            save_snapshot(state.disk, record)
+            with state.lock:
+                batch = self._put_in_place(record)
+            state.log.rewrite(batch)
+        except OSError as exc:
+            with state.lock:
+                state.fail(exc)
+            return False
+        return True
+
+    def _put_in_place(self, record: SnapshotRecord) -> LogBatch:
+        state = self._state
+        if state.log.term_at(record.last_index) == record.last_term:
+            batch = state.log.compact(record.last_index)
+        else:
+            batch = state.log.reset(record.last_index, record.last_term)
+        state.machine.restore(record.data)
+        state.snapshot = record
+        state.membership = MembershipLog(record.replicas, record.last_index)
+        state.membership.add(batch.entries)
+        state.commit_index = record.last_index
+        state.applied_index = record.last_index
+        # What waited for the entries covered here cannot learn its result.
+        for index in [i for i in state.waiters if i <= record.last_index]:
+            state.waiters.pop(index).done.set()
+        return batch
+
+    def _answer(self, request: SnapshotChunk, accepted: bool) -> SnapshotAnswer:
+        return SnapshotAnswer(
+            request_id=request.request_id,
+            term=self._state.term,
+            accepted=accepted,
+            incarnation=self._state.incarnation,
+        )
--- /dev/null
+++ b/arbutuscleat/consensus/stores.py
@@ -0,0 +1,65 @@
+"""The small durable records of a replica: identity, vote and snapshot."""
+
+from typing import TypeVar
+
+from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire.gen.ttypes import IdentityRecord, SnapshotRecord, VoteRecord
+
+from .disk import Disk
+from .frames import DamagedFileError, frame, read_frames
+
+IDENTITY_FILE = "identity"
+VOTE_FILE = "vote"
+SNAPSHOT_FILE = "snapshot"
+
+T = TypeVar("T", IdentityRecord, VoteRecord, SnapshotRecord)
+
+
+def load_identity(disk: Disk) -> IdentityRecord | None:
+    """Return the identity in the data folder, or None when it is empty."""
+    return _load(disk, IDENTITY_FILE, IdentityRecord)
+
+
+def save_identity(disk: Disk, record: IdentityRecord) -> None:
+    """Write and sync the identity."""
+    disk.replace(IDENTITY_FILE, frame(encode(record)))
+
+
+def load_vote(disk: Disk) -> VoteRecord:
+    """Return the durable term and vote.
+
+    Raises
+    ------
+    DamagedFileError
+        If the file is missing: a replica must not forget its votes.
+    """
+    record = _load(disk, VOTE_FILE, VoteRecord)
+    if record is None:
+        raise DamagedFileError(f"{VOTE_FILE}: missing beside an identity")
+    return record
+
+
+def save_vote(disk: Disk, record: VoteRecord) -> None:
+    """Write and sync term and vote."""
+    disk.replace(VOTE_FILE, frame(encode(record)))
+
+
+def load_snapshot(disk: Disk) -> SnapshotRecord | None:
+    """Return the newest snapshot, or None."""
+    return _load(disk, SNAPSHOT_FILE, SnapshotRecord)
+
+
+def save_snapshot(disk: Disk, record: SnapshotRecord) -> None:
+    """Write and sync a snapshot in place of the former one."""
+    disk.replace(SNAPSHOT_FILE, frame(encode(record)))
+
+
+def _load(disk: Disk, name: str, kind: type[T]) -> T | None:
+    data = disk.read(name)
+    if data is None:
+        return None
+    payloads, good = read_frames(data, name)
+    if len(payloads) != 1 or good != len(data):
+        # These files are replaced as a whole, so a torn one is damage.
+        raise DamagedFileError(f"{name}: not one whole record")
+    return decode(kind, payloads[0])
--- /dev/null
+++ b/arbutuscleat/core/__init__.py
@@ -0,0 +1,40 @@
+"""The nouns of arbutuscleat: small immutable values and their validation."""
+
+from .clock import Clock, SystemClock
+from .deadline import Deadline
+from .errors import InvariantError, ValidationError
+from .instance import Assignment, AssignmentPhase, Instance, InstanceState
+from .labels import Labels, is_name, parse_labels, validate_labels
+from .outcome import Outcome
+from .pool import Pool, validate_pool
+from .refusal import Refusal, RefusalReason
+from .selector import Selector, SelectorSyntaxError, parse_selector, validate_selector
+from .selector_rule import SelectorPurpose, SelectorRule, validate_selector_rule
+
+__all__ = [
+    "Assignment",
+    "AssignmentPhase",
+    "Clock",
+    "Deadline",
+    "Instance",
+    "InstanceState",
+    "InvariantError",
+    "Labels",
+    "Outcome",
+    "Pool",
+    "Refusal",
+    "RefusalReason",
+    "Selector",
+    "SelectorPurpose",
+    "SelectorRule",
+    "SelectorSyntaxError",
+    "SystemClock",
+    "ValidationError",
+    "is_name",
+    "parse_labels",
+    "parse_selector",
+    "validate_labels",
+    "validate_pool",
+    "validate_selector",
+    "validate_selector_rule",
+]
--- /dev/null
+++ b/arbutuscleat/core/clock.py
@@ -0,0 +1,50 @@
+"""Time as an interface, so that tests decide how it passes.
+
+Monotonic time measures leases and deadlines; wall-clock time is only shown to
+people and written into logs.
+"""
+
+import threading
+import time
+from abc import ABC, abstractmethod
+from datetime import datetime, timezone
+
+
+class Clock(ABC):
+    """Source of time and the only way to wait."""
+
+    @abstractmethod
+    def monotonic(self) -> float:
+        """Return seconds that never go backwards, from an arbitrary origin."""
+
+    @abstractmethod
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+
+    @abstractmethod
+    def wait(self, condition: threading.Condition, timeout: float) -> bool:
+        """Wait on a held `condition` for at most `timeout` seconds."""
+
+    @abstractmethod
+    def sleep(self, event: threading.Event, timeout: float) -> bool:
+        """Sleep `timeout` seconds; return True as soon as `event` is set."""
+
+
+class SystemClock(Clock):
+    """The machine's own clocks."""
+
+    def monotonic(self) -> float:
+        """Return the monotonic clock in seconds."""
+        return time.monotonic()
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+        return datetime.now(timezone.utc)
+
+    def wait(self, condition: threading.Condition, timeout: float) -> bool:
+        """Wait on a held `condition` for at most `timeout` seconds."""
+        return condition.wait(timeout)
+
+    def sleep(self, event: threading.Event, timeout: float) -> bool:
+        """Sleep `timeout` seconds; return True as soon as `event` is set."""
+        return event.wait(timeout)
--- /dev/null
+++ b/arbutuscleat/daemons/control.py
@@ -0,0 +1,151 @@
+"""``arbutuscleat-control``: one member of the consensus group."""
+
+import random
+import uuid
+
+from absl import logging
+
+from arbutuscleat.consensus import (
+    FolderDisk,
+    Replica,
+    ReplicaConfig,
+    ThriftPeer,
+    initialise,
+    open_identity,
+)
+from arbutuscleat.core import SystemClock
+from arbutuscleat.http import (
+    Application,
+    ChangesFront,
+    ConfigurationFront,
+    HealthFront,
+    HttpServer,
+    MetricsFront,
+    StatusFront,
+)
+from arbutuscleat.membership import ControlClient, ControlService
+from arbutuscleat.settings import ControlSettings
+from arbutuscleat.state import ControlMachine
+from arbutuscleat.telemetry import Metrics
+from arbutuscleat.wire import Address, ChannelPool, Credentials, ThriftServer
+from arbutuscleat.wire.gen import Control
+
+
+class ControlDaemon:
+    """Wires the parts of a control instance.
+
+    Parameters
+    ----------
+    cfg : ControlSettings
+        The validated settings.
+    """
+
+    def __init__(self, cfg: ControlSettings):
+        self._cfg = cfg
+        self._clock = SystemClock()
+        self._metrics = Metrics()
+        self._machine = ControlMachine()
+        disk = FolderDisk(cfg.data_folder)
+        identity = open_identity(disk, cfg.node_id, uuid.uuid4().hex)
+        credentials = Credentials(
+            cfg.cluster, cfg.shared_key, cfg.node_id, identity.incarnation
+        )
+        peers = [
+            ThriftPeer(node.node_id, Address(str(node.host), node.port), credentials)
+            for node in cfg.replicas
+            if node.node_id != cfg.node_id
+        ]
+        self._replica = Replica(
+            identity,
+            _replica_config(cfg),
+            disk,
+            peers,
+            self._machine,
+            self._clock,
+            random.Random(),
+        )
+        service = ControlService(
+            self._replica, self._machine, self._clock, cfg.lease_ms
+        )
+        self._thrift = ThriftServer(
+            Control.Processor(service),
+            Address(str(cfg.peer.host), cfg.peer.port),
+            credentials,
+        )
+        self._control = ControlClient(_channels(cfg, credentials), self._clock)
+        self._http = self._make_http()
+
+    @property
+    def http_address(self) -> Address:
+        """Where operators reach the daemon."""
+        return self._http.address
+
+    def start(self) -> None:
+        """Start every task."""
+        self._thrift.start()
+        self._replica.start()
+        self._http.start()
+        logging.info("control instance listens on %s", self._http.address)
+
+    def stop(self) -> None:
+        """Stop every task; operators' requests in progress end first."""
+        self._http.stop()
+        self._replica.stop()
+        self._thrift.stop()
+        self._control.close()
+
+    def _make_http(self) -> HttpServer:
+        cfg = self._cfg
+        configuration = ConfigurationFront(
+            cfg.operators,
+            self._control,
+            self._machine.changed,
+            lambda: self._machine.configuration,
+        )
+        self._metrics.gauge("claims", lambda: float(len(self._machine.claims)))
+        self._metrics.gauge(
+            "commit_index", lambda: float(self._replica.status().commit_index)
+        )
+        application = Application(
+            {
+                "changes": ChangesFront(cfg.operators, self._control),
+                "status": StatusFront(cfg.operators, self._control),
+                "pools": configuration,
+                "labels": configuration,
+                "selectors": configuration,
+                "instances": configuration,
+                "health": HealthFront(lambda: self._replica.status().failure),
+                "metrics": MetricsFront(self._metrics),
+            }
+        )
+        return HttpServer(
+            Address(str(cfg.http.host), cfg.http.port),
+            application,
+            cfg.http_threads,
+            cfg.max_header_bytes,
+            cfg.max_body_bytes,
+        )
+
+
+def initialise_data_folder(cfg: ControlSettings) -> None:
+    """Make the data folder of a founder: the first start ever of the group."""
+    founders = [replica.node_id for replica in cfg.replicas]
+    initialise(FolderDisk(cfg.data_folder), cfg.node_id, founders)
+
+
+def _replica_config(cfg: ControlSettings) -> ReplicaConfig:
+    return ReplicaConfig(
+        heartbeat_seconds=cfg.consensus.heartbeat_ms / 1000.0,
+        election_seconds=cfg.consensus.election_ms / 1000.0,
+        election_spread=cfg.consensus.election_spread,
+        snapshot_entries=cfg.consensus.snapshot_entries,
+    )
+
+
+def _channels(cfg: ControlSettings, credentials: Credentials) -> dict[str, ChannelPool]:
+    return {
+        node.node_id: ChannelPool(
+            Control.Client, Address(str(node.host), node.port), credentials
+        )
+        for node in cfg.replicas
+    }
--- /dev/null
+++ b/arbutuscleat/daemons/entry.py
@@ -0,0 +1,258 @@
+"""``arbutuscleat-entry``: the fronts of one entry instance."""
+
+import random
+import threading
+import uuid
+
+from absl import logging
+
+from arbutuscleat.core import Instance, SystemClock
+from arbutuscleat.http import (
+    Application,
+    CallerFront,
+    ChangesFront,
+    ConfigurationFront,
+    EndpointFront,
+    HealthFront,
+    HttpServer,
+    MetricsFront,
+    StatusFront,
+    UrllibEndpointClient,
+)
+from arbutuscleat.membership import (
+    AnnouncementTable,
+    ConfigurationView,
+    ControlClient,
+    PeerExchange,
+    Reporter,
+    Subscription,
+)
+from arbutuscleat.routing import (
+    Admission,
+    LogClaimRegistry,
+    Router,
+    RouterParts,
+    RoutingTableHolder,
+    RunTimes,
+)
+from arbutuscleat.settings import EntrySettings
+from arbutuscleat.telemetry import Metrics, Tracing
+from arbutuscleat.wire import Address, Channel, ChannelPool, Credentials, ThriftServer
+from arbutuscleat.wire.gen import Control, Entry
+
+DRAIN_SECONDS = 30.0
+RECHECK_SECONDS = 0.2
+
+
+class EntryDaemon:
+    """Wires the parts of an entry instance.
+
+    Parameters
+    ----------
+    cfg : EntrySettings
+        The validated settings.
+    """
+
+    def __init__(self, cfg: EntrySettings):
+        self._cfg = cfg
+        self._clock = SystemClock()
+        self._metrics = Metrics()
+        self._draining = threading.Event()
+        self._stopping = threading.Event()
+        incarnation = uuid.uuid4().hex
+        self._credentials = Credentials(
+            cfg.cluster, cfg.shared_key, cfg.node_id, incarnation
+        )
+        self._tracing = Tracing(cfg.node_id, cfg.traces.file, cfg.traces.sample_ratio)
+        self._view = ConfigurationView()
+        self._tables = RoutingTableHolder(self._view)
+        self._table = AnnouncementTable(
+            self._clock, cfg.announcements.expiry_ms / 1000.0
+        )
+        self._control = ControlClient(self._control_pools(), self._clock)
+        self._reporter = Reporter(self._table, self._view, self._control, self._clock)
+        self._exchange = PeerExchange(
+            self._credentials,
+            cfg.data_centre,
+            self._peer_channels(),
+            self._table,
+            self._view,
+            self._control,
+            self._clock,
+        )
+        self._thrift = ThriftServer(
+            Entry.Processor(self._exchange),
+            Address(str(cfg.peer.host), cfg.peer.port),
+            self._credentials,
+        )
+        self._subscription = Subscription(
+            cfg.node_id,
+            incarnation,
+            self._control_channels(),
+            self._view,
+            self._clock,
+            self._exchange.note_control,
+        )
+        self._admission = Admission(
+            self._clock,
+            RunTimes(),
+            cfg.limits.queue_length,
+            self._table.is_ready,
+            random.Random().random,
+        )
+        self._endpoints = UrllibEndpointClient(
+            cfg.limits.connect_timeout_ms / 1000.0, cfg.limits.max_answer_bytes
+        )
+        self._callers = self._make_caller_front()
+        self._http = self._make_http()
+        self._rechecker = threading.Thread(
+            target=self._recheck, name="admission-recheck", daemon=True
+        )
+
+    @property
+    def http_address(self) -> Address:
+        """Where callers, endpoints and operators reach the daemon."""
+        return self._http.address
+
+    def start(self) -> None:
+        """Start every task."""
+        self._thrift.start()
+        self._exchange.start(self._thrift.address)
+        self._subscription.start()
+        self._reporter.start()
+        self._rechecker.start()
+        self._http.start()
+        logging.info("entry instance listens on %s", self._http.address)
+
+    def stop(self) -> None:
+        """Refuse new work, let everything in progress end, then stop."""
+        self._draining.set()
+        if not self._callers.wait_idle(DRAIN_SECONDS):
+            logging.warning("requests were still in progress after %s s", DRAIN_SECONDS)
+        self._stopping.set()
+        self._http.stop()
+        self._subscription.stop()
+        self._reporter.stop()
+        self._exchange.stop()
+        self._thrift.stop()
+        self._control.close()
+        self._endpoints.close()
+        self._tracing.stop()
+
+    # ---- wiring ----
+
+    def _make_caller_front(self) -> CallerFront:
+        cfg = self._cfg
+        parts = RouterParts(
+            node_id=cfg.node_id,
+            data_centre=cfg.data_centre,
+            table=self._tables.current,
+            may_dispatch=self._exchange.may_dispatch,
+            is_ready=self._table.is_ready,
+            admission=self._admission,
+            claims=LogClaimRegistry(
+                self._control, cfg.node_id, self._credentials.incarnation
+            ),
+            endpoints=self._endpoints,
+            run_times=self._admission.run_times,
+            is_idempotent=self._is_idempotent,
+        )
+        router = Router(parts, self._clock, self._tracing, self._metrics)
+        return CallerFront(
+            router,
+            self._clock,
+            self._tracing,
+            self._metrics,
+            cfg.limits.default_timeout_ms / 1000.0,
+            cfg.limits.max_timeout_ms / 1000.0,
+            self._draining.is_set,
+        )
+
+    def _make_http(self) -> HttpServer:
+        cfg = self._cfg
+        configuration = ConfigurationFront(
+            cfg.operators,
+            self._control,
+            self._view.changed,
+            lambda: self._view.configuration,
+        )
+        self._metrics.gauge("configuration_version", lambda: float(self._view.version))
+        self._metrics.gauge(
+            "slots_in_use", lambda: float(self._admission.total_in_use())
+        )
+        application = Application(
+            {
+                "services": self._callers,
+                "announcements": EndpointFront(
+                    self._table,
+                    self._view,
+                    cfg.data_centre,
+                    cfg.endpoint_token,
+                    cfg.announcements.interval_ms,
+                    self._take_news,
+                ),
+                "changes": ChangesFront(cfg.operators, self._control),
+                "status": StatusFront(cfg.operators, self._control),
+                "pools": configuration,
+                "labels": configuration,
+                "selectors": configuration,
+                "instances": configuration,
+                "health": HealthFront(self._health_problem),
+                "metrics": MetricsFront(self._metrics),
+            }
+        )
+        return HttpServer(
+            Address(str(cfg.http.host), cfg.http.port),
+            application,
+            cfg.http_threads,
+            cfg.max_header_bytes,
+            cfg.max_body_bytes,
+        )
+
+    def _control_pools(self) -> dict[str, ChannelPool]:
+        return {
+            node.node_id: ChannelPool(
+                Control.Client, Address(str(node.host), node.port), self._credentials
+            )
+            for node in self._cfg.control
+        }
+
+    def _control_channels(self) -> dict[str, Channel]:
+        return {
+            node.node_id: Channel(
+                Control.Client, Address(str(node.host), node.port), self._credentials
+            )
+            for node in self._cfg.control
+        }
+
+    def _peer_channels(self) -> dict[str, Channel]:
+        return {
+            node.node_id: Channel(
+                Entry.Client, Address(str(node.host), node.port), self._credentials
+            )
+            for node in self._cfg.peers
+            if node.data_centre == self._cfg.data_centre
+        }
+
+    # ---- decisions ----
+
+    def _is_idempotent(self, service: str, method: str) -> bool:
+        settings = self._cfg.services.get(service)
+        if settings is None:
+            return method in ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+        return method in settings.idempotent_methods
+
+    def _health_problem(self) -> str:
+        if self._draining.is_set():
+            return "draining"
+        if self._view.version < 0:
+            return "no configuration is held yet"
+        return ""
+
+    def _take_news(self, instance: Instance) -> None:
+        self._exchange.wake()
+        self._reporter.wake()
+
+    def _recheck(self) -> None:
+        while not self._clock.sleep(self._stopping, RECHECK_SECONDS):
+            self._admission.recheck()
--- /dev/null
+++ b/arbutuscleat/daemons/running.py
@@ -0,0 +1,69 @@
+"""What both daemons do around their parts: options, signals, exit codes."""
+
+import argparse
+import signal
+import sys
+import threading
+from pathlib import Path
+from typing import Protocol, TypeVar
+
+from absl import logging
+from returns.result import Failure
+
+from arbutuscleat.settings import ProcessSettings, load_settings
+from arbutuscleat.telemetry import configure_logs
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+S = TypeVar("S", bound=ProcessSettings)
+
+
+class Daemon(Protocol):
+    """A daemon that can be started and stopped."""
+
+    def start(self) -> None:
+        """Start every task."""
+
+    def stop(self) -> None:
+        """Stop gracefully."""
+
+
+def make_parser(program: str, description: str) -> argparse.ArgumentParser:
+    """Return the parser of the options that both daemons have."""
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog="exit codes: 0 stopped gracefully, 1 failed, 2 wrong settings",
+    )
+    parser.add_argument("settings", type=Path, help="settings file, JSON with comments")
+    parser.add_argument(
+        "--check-settings", action="store_true", help="validate the settings and end"
+    )
+    return parser
+
+
+def read_settings(file: Path, model: type[S]) -> S | None:
+    """Return the settings; when they are wrong, print each fault and return None."""
+    result = load_settings(file, model)
+    if isinstance(result, Failure):
+        for error in result.failure():
+            print(error, file=sys.stderr)
+        return None
+    cfg = result.unwrap()
+    configure_logs(cfg.node_id, cfg.logs.level)
+    return cfg
+
+
+def run_until_stopped(daemon: Daemon) -> int:
+    """Run a daemon until SIGTERM or SIGINT; return the exit code."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    daemon.start()
+    stop.wait()
+    logging.info("stopping")
+    daemon.stop()
+    logging.info("stopped")
+    return EXIT_OK
--- /dev/null
+++ b/arbutuscleat/emulator/__init__.py
@@ -0,0 +1,22 @@
+"""Stand-ins for endpoints, the platform and callers, and a fleet on loopback."""
+
+from .local_fleet import (
+    ENDPOINT_TOKEN,
+    OPERATOR_TOKEN,
+    EndpointPlan,
+    FleetPlan,
+    LocalFleet,
+    LocalProcess,
+)
+from .ports import LOOPBACK, free_ports
+
+__all__ = [
+    "ENDPOINT_TOKEN",
+    "LOOPBACK",
+    "OPERATOR_TOKEN",
+    "EndpointPlan",
+    "FleetPlan",
+    "LocalFleet",
+    "LocalProcess",
+    "free_ports",
+]
--- /dev/null
+++ b/arbutuscleat/emulator/local_fleet.py
@@ -0,0 +1,270 @@
+"""A whole fleet as processes on loopback, for the demo, tests and benchmarks."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+from .ports import LOOPBACK, free_ports
+
+SHARED_KEY = "loopback-shared-key"
+ENDPOINT_TOKEN = "loopback-endpoint-token"
+OPERATOR_TOKEN = "loopback-operator-token"
+START_SECONDS = 20.0
+STOP_SECONDS = 40.0
+POLL_SECONDS = 0.05
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """Which processes a fleet has.
+
+    Parameters
+    ----------
+    data_centres : tuple of str
+        Names of the data centres.
+    entries_per_data_centre : int
+        Entry instances in each.
+    controls : int
+        Control instances, spread over the data centres.
+    """
+
+    data_centres: tuple[str, ...] = ("karachi", "qasim")
+    entries_per_data_centre: int = 2
+    controls: int = 3
+
+
+@dataclass(frozen=True)
+class EndpointPlan:
+    """One stand-in endpoint."""
+
+    instance_id: str
+    data_centre: str
+    service: str
+    rack: str = "rack-1"
+    labels: Sequence[str] = ()
+    run_ms: float = 0.0
+    slots: int = 8
+
+
+@dataclass
+class LocalProcess:
+    """One process that this fleet has started."""
+
+    name: str
+    popen: subprocess.Popen
+    log: Path
+
+    def stop(self) -> int:
+        """Ask the process to stop and return its exit code."""
+        self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(STOP_SECONDS)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+
+@dataclass
+class LocalFleet:
+    """Starts and stops the processes of a fleet.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings, data folders, traces and logs go.
+    plan : FleetPlan
+        Which processes there are.
+    """
+
+    folder: Path
+    plan: FleetPlan = FleetPlan()
+    processes: dict[str, LocalProcess] = field(default_factory=dict)
+    http_urls: dict[str, str] = field(default_factory=dict)
+    _settings: dict[str, Path] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Choose ports and write the settings of every daemon."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._http = urllib3.PoolManager(retries=False)
+        controls = [f"control-{i + 1}" for i in range(self.plan.controls)]
+        entries = [
+            (f"entry-{name}-{i + 1}", name)
+            for name in self.plan.data_centres
+            for i in range(self.plan.entries_per_data_centre)
+        ]
+        ports = iter(free_ports(2 * (len(controls) + len(entries))))
+        control_nodes = [_node(name, next(ports)) for name in controls]
+        entry_nodes = [
+            {**_node(name, next(ports)), "data_centre": data_centre}
+            for name, data_centre in entries
+        ]
+        for position, node in enumerate(control_nodes):
+            data_centre = self.plan.data_centres[position % len(self.plan.data_centres)]
+            self._write_control(node, data_centre, next(ports), control_nodes)
+        for node in entry_nodes:
+            self._write_entry(node, next(ports), control_nodes, entry_nodes)
+
+    # ---- daemons ----
+
+    def start(self) -> None:
+        """Make the founders' data folders, start every daemon, wait until well."""
+        controls = [name for name in self._settings if name.startswith("control-")]
+        for name in controls:
+            self._run_control(name, "--initialise")
+        for name in self._settings:
+            self.start_daemon(name)
+        for name in self._settings:
+            self.wait_healthy(name)
+
+    def start_daemon(self, name: str) -> None:
+        """Start one daemon, without waiting for it."""
+        kind = "control" if name.startswith("control-") else "entry"
+        module = f"arbutuscleat.daemons.{kind}_main"
+        self._start(name, [module, str(self._settings[name])])
+
+    def wait_healthy(self, name: str) -> None:
+        """Wait until the health check of a daemon answers 200."""
+        self.wait_for(lambda: self._is_healthy(name), f"{name} to be healthy")
+
+    def stop(self) -> dict[str, int]:
+        """Stop everything gracefully; return the exit codes by process."""
+        codes = {}
+        for name in reversed(list(self.processes)):
+            process = self.processes.pop(name)
+            if process.popen.poll() is None:
+                codes[name] = process.stop()
+            else:
+                codes[name] = process.popen.returncode
+        return codes
+
+    def kill(self) -> None:
+        """End everything that is left, by its process id."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.kill()
+        self.processes.clear()
+
+    def entries(self, data_centre: str) -> list[str]:
+        """Return the addresses of the entry instances of a data centre."""
+        prefix = f"entry-{data_centre}-"
+        return [url for name, url in self.http_urls.items() if name.startswith(prefix)]
+
+    # ---- endpoints ----
+
+    def start_endpoint(self, plan: EndpointPlan) -> str:
+        """Start a stand-in endpoint and return its base address."""
+        arguments = [
+            "arbutuscleat.emulator.endpoint",
+            f"--instance={plan.instance_id}",
+            f"--data-centre={plan.data_centre}",
+            f"--rack={plan.rack}",
+            f"--service={plan.service}",
+            f"--token={ENDPOINT_TOKEN}",
+            f"--slots={plan.slots}",
+            f"--run-ms={plan.run_ms}",
+        ]
+        arguments += [f"--label={label}" for label in plan.labels]
+        arguments += [f"--entry={url}" for url in self.entries(plan.data_centre)]
+        self._start(plan.instance_id, arguments, stdout=subprocess.PIPE)
+        stdout = self.processes[plan.instance_id].popen.stdout
+        assert stdout is not None
+        port = int(stdout.readline().split()[1])
+        return f"http://{LOOPBACK}:{port}"
+
+    # ---- asking ----
+
+    def request(
+        self, method: str, url: str, headers: dict[str, str], body: bytes = b""
+    ) -> urllib3.BaseHTTPResponse:
+        """Send one HTTP request and return the whole answer."""
+        return self._http.request(
+            method, url, headers=headers, body=body or None, timeout=30.0
+        )
+
+    def wait_for(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait until `condition` holds.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not hold in time.
+        """
+        end = time.monotonic() + START_SECONDS
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(f"waited {START_SECONDS:g} s for {what}")
+            time.sleep(POLL_SECONDS)
+
+    # ---- details ----
+
+    def _start(self, name: str, arguments: list[str], stdout=None) -> None:
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as stream:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=stdout or stream,
+                stderr=stream,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        self.processes[name] = LocalProcess(name, popen, log)
+
+    def _run_control(self, name: str, option: str) -> None:
+        module = "arbutuscleat.daemons.control_main"
+        command = [sys.executable, "-m", module, option, str(self._settings[name])]
+        subprocess.run(command, check=True)
+
+    def _is_healthy(self, name: str) -> bool:
+        try:
+            url = f"{self.http_urls[name]}/v1/health"
+            return self._http.request("GET", url, timeout=1.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _write_control(self, node, data_centre, http_port, replicas) -> None:
+        name = node["node_id"]
+        settings = _common(name, data_centre, http_port, node["port"])
+        settings["data_folder"] = str(self.folder / "data" / name)
+        settings["replicas"] = replicas
+        self._write(name, http_port, settings)
+
+    def _write_entry(self, node, http_port, control, entries) -> None:
+        name = node["node_id"]
+        settings = _common(name, node["data_centre"], http_port, node["port"])
+        settings["endpoint_token"] = ENDPOINT_TOKEN
+        settings["control"] = control
+        settings["peers"] = [item for item in entries if item["node_id"] != name]
+        settings["traces"] = {"file": str(self.folder / "traces" / f"{name}.jsonl")}
+        self._write(name, http_port, settings)
+
+    def _write(self, name: str, http_port: int, settings: dict) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        self._settings[name] = path
+        self.http_urls[name] = f"http://{LOOPBACK}:{http_port}"
+
+
+def _node(name: str, port: int) -> dict:
+    return {"node_id": name, "host": LOOPBACK, "port": port}
+
+
+def _common(name: str, data_centre: str, http_port: int, peer_port: int) -> dict:
+    return {
+        "cluster": "loopback",
+        "node_id": name,
+        "data_centre": data_centre,
+        "http": {"host": LOOPBACK, "port": http_port},
+        "peer": {"host": LOOPBACK, "port": peer_port},
+        "shared_key": SHARED_KEY,
+        "operators": {"demo": OPERATOR_TOKEN},
+    }
--- /dev/null
+++ b/arbutuscleat/http/caller_front.py
@@ -0,0 +1,183 @@
+"""The callers' front: ``ANY /v1/services/{service}/{path}``."""
+
+import threading
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+
+from arbutuscleat.core import (
+    Clock,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    is_name,
+    parse_labels,
+    validate_labels,
+)
+from arbutuscleat.routing import Answer, Request, Router
+from arbutuscleat.telemetry import TRACEPARENT, Metrics, Tracing, current_trace_id
+
+from .front import Front
+from .http_request import HttpRequest
+from .http_response import HttpResponse
+from .problem import OUTCOME_HEADER, problem_response, refuse
+
+KEY_HEADER = "idempotency-key"
+LABELS_HEADER = "arbutuscleat-labels"
+TIMEOUT_HEADER = "arbutuscleat-timeout-ms"
+INSTANCE_HEADER = "Arbutuscleat-Instance"
+TRACE_HEADER = "Arbutuscleat-Trace"
+MAX_KEY_LENGTH = 255
+
+_OWN_HEADERS = frozenset({LABELS_HEADER, TIMEOUT_HEADER, TRACEPARENT})
+
+
+class RequestError(ValueError):
+    """A caller's request that cannot be understood."""
+
+
+class CallerFront(Front):
+    """Takes the requests of callers.
+
+    Parameters
+    ----------
+    router : Router
+        Serves the requests.
+    clock : Clock
+        Source of time.
+    tracing : Tracing
+        Spans.
+    metrics : Metrics
+        Counters and latencies.
+    default_timeout, max_timeout : float
+        Seconds that a caller waits when it does not say, and at most.
+    is_draining : callable
+        Tells whether the process is about to stop.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        clock: Clock,
+        tracing: Tracing,
+        metrics: Metrics,
+        default_timeout: float,
+        max_timeout: float,
+        is_draining: Callable[[], bool],
+    ):
+        self._router = router
+        self._clock = clock
+        self._tracing = tracing
+        self._metrics = metrics
+        self._default_timeout = default_timeout
+        self._max_timeout = max_timeout
+        self._is_draining = is_draining
+        self._idle = threading.Condition()
+        self._in_progress = 0
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one caller."""
+        with self._idle:
+            self._in_progress += 1
+        try:
+            return self._handle_traced(request)
+        finally:
+            with self._idle:
+                self._in_progress -= 1
+                self._idle.notify_all()
+
+    def wait_idle(self, timeout: float) -> bool:
+        """Wait until no request is in progress; return whether that was reached."""
+        with self._idle:
+            return self._idle.wait_for(lambda: self._in_progress == 0, timeout)
+
+    def _handle_traced(self, request: HttpRequest) -> HttpResponse:
+        started = self._clock.monotonic()
+        with self._tracing.span(
+            "receive", request.headers.get(TRACEPARENT, "")
+        ) as span:
+            response = self._answer(request)
+            outcome = _header(response, OUTCOME_HEADER)
+            span.set_attribute("outcome", outcome)
+            span.set_attribute("status", response.status)
+            trace = ((TRACE_HEADER, current_trace_id()),)
+        self._metrics.count("requests", outcome=outcome, status=str(response.status))
+        self._metrics.observe("request", self._clock.monotonic() - started)
+        return HttpResponse(response.status, response.headers + trace, response.body)
+
+    def _answer(self, request: HttpRequest) -> HttpResponse:
+        if self._is_draining():
+            detail = "this entry instance is about to stop"
+            outcome = (
+                Outcome.UNKNOWN if KEY_HEADER in request.headers else Outcome.NOT_RUN
+            )
+            return problem_response(
+                Refusal(RefusalReason.DRAINING, outcome, detail, 0.0)
+            )
+        try:
+            req = self._parse(request)
+        except ValueError as exc:
+            return refuse(RefusalReason.BAD_REQUEST, str(exc))
+        result = self._router.serve(req)
+        if isinstance(result, Failure):
+            refusal = result.failure()
+            self._metrics.count("refusals", reason=refusal.reason.value)
+            return problem_response(refusal)
+        assert isinstance(result, Success)
+        return _answer_response(result.unwrap())
+
+    def _parse(self, request: HttpRequest) -> Request:
+        segments = request.segments
+        if len(segments) < 3 or not is_name(segments[2]):
+            raise RequestError("the path lacks the name of a service")
+        service = segments[2]
+        key = request.headers.get(KEY_HEADER, "")
+        if len(key) > MAX_KEY_LENGTH:
+            raise RequestError(f"the key is longer than {MAX_KEY_LENGTH} characters")
+        labels = parse_labels(request.headers.get(LABELS_HEADER, ""))
+        errors = validate_labels(labels, LABELS_HEADER)
+        if errors:
+            raise RequestError("; ".join(str(error) for error in errors))
+        headers = tuple(
+            item for item in request.end_to_end_headers() if item[0] not in _OWN_HEADERS
+        )
+        return Request(
+            service=service,
+            method=request.method,
+            path=_path_below_service(request.target),
+            headers=headers,
+            body=request.body,
+            labels=labels,
+            key=key,
+            timeout_seconds=self._timeout(request),
+        )
+
+    def _timeout(self, request: HttpRequest) -> float:
+        text = request.headers.get(TIMEOUT_HEADER)
+        if text is None:
+            return self._default_timeout
+        if not text.isdecimal() or not int(text):
+            raise RequestError(f"{TIMEOUT_HEADER}: {text!r} is not a number above 0")
+        return min(int(text) / 1000.0, self._max_timeout)
+
+
+def _path_below_service(target: str) -> str:
+    # "/v1/services/{service}/{path}" -> "/{path}", undecoded.
+    parts = target.split("/", 4)
+    if len(parts) == 5:
+        return "/" + parts[4]
+    query = target.partition("?")[2]
+    return "/?" + query if query else "/"
+
+
+def _answer_response(answer: Answer) -> HttpResponse:
+    headers = (
+        *answer.headers,
+        (OUTCOME_HEADER, Outcome.RAN.value),
+        (INSTANCE_HEADER, answer.instance_id),
+    )
+    return HttpResponse(answer.status, headers, answer.body)
+
+
+def _header(response: HttpResponse, name: str) -> str:
+    return next((value for key, value in response.headers if key == name), "")
--- /dev/null
+++ b/arbutuscleat/http/change_body.py
@@ -0,0 +1,130 @@
+"""The body of an operator's change, validated at the border."""
+
+import hashlib
+import json
+from typing import Annotated, Literal
+
+from pydantic import Field, TypeAdapter
+
+from arbutuscleat.core import SelectorPurpose
+from arbutuscleat.settings.fields import Name, Section
+from arbutuscleat.state import LabelKind
+from arbutuscleat.wire.gen.ttypes import (
+    Change,
+    ConfigObject,
+    LabelsRecord,
+    PoolRecord,
+    SelectorRecord,
+)
+
+SelectorText = Annotated[str, Field(max_length=1024)]
+
+
+class PoolContent(Section):
+    """A pool as operators write it."""
+
+    name: Name
+    service: Name
+    min_available: Annotated[int, Field(ge=0, le=1_000_000)]
+    spare: bool = False
+    membership: SelectorText
+
+
+class LabelsContent(Section):
+    """Labels of one instance or service as operators write them."""
+
+    target: LabelKind
+    name: Name
+    labels: dict[str, str]
+
+
+class SelectorContent(Section):
+    """A stored selector as operators write it."""
+
+    name: Name
+    purpose: SelectorPurpose
+    jobs: SelectorText = ""
+    instances: SelectorText = ""
+    pool: str = ""
+
+
+class _BodyBase(Section):
+    expected_version: Annotated[int, Field(ge=0)]
+
+
+class PoolBody(_BodyBase):
+    """A change of a pool."""
+
+    kind: Literal["pool"]
+    content: PoolContent
+
+    def to_object(self) -> ConfigObject:
+        """Return the object that the change puts in place."""
+        content = self.content
+        return ConfigObject(
+            pool=PoolRecord(
+                name=content.name,
+                service_name=content.service,
+                min_available=content.min_available,
+                spare=content.spare,
+                membership=content.membership,
+            )
+        )
+
+
+class LabelsBody(_BodyBase):
+    """A change of labels."""
+
+    kind: Literal["labels"]
+    content: LabelsContent
+
+    def to_object(self) -> ConfigObject:
+        """Return the object that the change puts in place."""
+        content = self.content
+        return ConfigObject(
+            labels=LabelsRecord(
+                kind=content.target.value, name=content.name, labels=content.labels
+            )
+        )
+
+
+class SelectorBody(_BodyBase):
+    """A change of a stored selector."""
+
+    kind: Literal["selector"]
+    content: SelectorContent
+
+    def to_object(self) -> ConfigObject:
+        """Return the object that the change puts in place."""
+        content = self.content
+        return ConfigObject(
+            selector=SelectorRecord(
+                name=content.name,
+                purpose=content.purpose.value,
+                jobs=content.jobs,
+                instances=content.instances,
+                pool=content.pool,
+            )
+        )
+
+
+ChangeBody = Annotated[
+    PoolBody | LabelsBody | SelectorBody, Field(discriminator="kind")
+]
+
+CHANGE_BODY: TypeAdapter = TypeAdapter(ChangeBody)
+
+
+def to_change(
+    change_id: str, operator: str, body: PoolBody | LabelsBody | SelectorBody
+) -> Change:
+    """Return the command of a change, with the digest of its content."""
+    content = body.model_dump(mode="json")
+    canonical = json.dumps(content, sort_keys=True, separators=(",", ":"))
+    return Change(
+        change_id=change_id,
+        digest=hashlib.sha256(canonical.encode()).hexdigest(),
+        operator_name=operator,
+        expected_version=body.expected_version,
+        content=body.to_object(),
+    )
--- /dev/null
+++ b/arbutuscleat/http/endpoint_front.py
@@ -0,0 +1,131 @@
+"""The endpoints' front: ``POST /v1/announcements``."""
+
+from collections.abc import Callable
+from typing import Annotated
+
+import pydantic
+from pydantic import Field, IPvAnyAddress
+
+from arbutuscleat.core import Instance, InstanceState, RefusalReason, validate_labels
+from arbutuscleat.membership import AnnouncementTable, ConfigurationView
+from arbutuscleat.settings.fields import Name, Section
+
+from .auth import token_owner
+from .front import Front
+from .http_request import HttpRequest
+from .http_response import HttpResponse, json_response
+from .problem import refuse
+
+ENDPOINT = "endpoint"
+
+
+class AnnouncementBody(Section):
+    """What an endpoint says about itself."""
+
+    instance_id: Name
+    incarnation: Annotated[str, Field(min_length=1, max_length=64)]
+    host: IPvAnyAddress
+    port: Annotated[int, Field(ge=1, le=65535)]
+    data_centre: Name
+    rack: Name
+    labels: dict[str, str] = Field(default_factory=dict)
+    services: Annotated[list[Name], Field(max_length=64)] = []
+    slots: Annotated[int, Field(ge=1, le=4096)]
+    connections: Annotated[int, Field(ge=1, le=4096)]
+    state: InstanceState
+    sequence: Annotated[int, Field(ge=0)]
+
+    def to_instance(self) -> Instance:
+        """Return the announced instance."""
+        return Instance(
+            instance_id=self.instance_id,
+            incarnation=self.incarnation,
+            host=str(self.host),
+            port=self.port,
+            data_centre=self.data_centre,
+            rack=self.rack,
+            labels=self.labels,
+            services=tuple(self.services),
+            slots=self.slots,
+            connections=self.connections,
+            state=self.state,
+            sequence=self.sequence,
+        )
+
+
+class EndpointFront(Front):
+    """Takes announcements.
+
+    Parameters
+    ----------
+    table : AnnouncementTable
+        Where announcements go.
+    view : ConfigurationView
+        Tells the pool of an instance.
+    data_centre : str
+        The data centre of this process.
+    token : str
+        What endpoints present.
+    interval_ms : int
+        When the next announcement is due.
+    on_news : callable
+        Called with each announcement that was newer than the one held.
+    """
+
+    def __init__(
+        self,
+        table: AnnouncementTable,
+        view: ConfigurationView,
+        data_centre: str,
+        token: str,
+        interval_ms: int,
+        on_news: Callable[[Instance], None],
+    ):
+        self._table = table
+        self._view = view
+        self._data_centre = data_centre
+        self._tokens = {ENDPOINT: token}
+        self._interval_ms = interval_ms
+        self._on_news = on_news
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one endpoint."""
+        if token_owner(request, self._tokens) is None:
+            detail = "an announcement needs the endpoints' token"
+            return refuse(RefusalReason.UNAUTHORISED, detail)
+        if request.method != "POST" or len(request.segments) != 2:
+            return refuse(RefusalReason.NOT_FOUND, "use POST /v1/announcements", 405)
+        try:
+            body = AnnouncementBody.model_validate_json(request.body)
+        except pydantic.ValidationError as exc:
+            return refuse(RefusalReason.BAD_REQUEST, _first_fault(exc))
+        return self._take(body.to_instance())
+
+    def _take(self, instance: Instance) -> HttpResponse:
+        errors = validate_labels(instance.labels, "labels")
+        if errors:
+            return refuse(RefusalReason.BAD_REQUEST, str(errors[0]))
+        if instance.data_centre != self._data_centre:
+            detail = f"this entry instance serves data centre {self._data_centre!r}"
+            return refuse(RefusalReason.BAD_REQUEST, detail)
+        if self._table.take(instance):
+            self._on_news(instance)
+        with self._view.changed:
+            configuration = self._view.configuration
+            known = None
+            if configuration is not None:
+                known = configuration.instances.get(instance.instance_id)
+        return json_response(
+            {
+                "pool": known.assignment.pool if known else "",
+                "epoch": known.assignment.epoch if known else 0,
+                "conflict": known.assignment.conflict if known else "",
+                "next_ms": self._interval_ms,
+            }
+        )
+
+
+def _first_fault(exc: pydantic.ValidationError) -> str:
+    fault = exc.errors()[0]
+    path = ".".join(str(part) for part in fault["loc"])
+    return f"{path or 'body'}: {fault['msg']}"
--- /dev/null
+++ b/arbutuscleat/http/http_response.py
@@ -0,0 +1,36 @@
+"""HTTP responses of the fronts."""
+
+import json
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+JSON_TYPE = "application/json"
+
+
+@dataclass(frozen=True)
+class HttpResponse:
+    """One HTTP response with its whole body."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def status_line(self) -> str:
+        """Return code and phrase, as WSGI wants them."""
+        try:
+            return f"{self.status} {HTTPStatus(self.status).phrase}"
+        except ValueError:
+            return f"{self.status} Unknown"
+
+
+def json_response(content: Any, status: int = 200) -> HttpResponse:
+    """Return a response that carries JSON."""
+    body = json.dumps(content, separators=(",", ":")).encode()
+    return HttpResponse(status, (("Content-Type", JSON_TYPE),), body)
+
+
+def text_response(text: str, status: int = 200) -> HttpResponse:
+    """Return a response that carries plain text."""
+    headers = (("Content-Type", "text/plain; charset=utf-8"),)
+    return HttpResponse(status, headers, text.encode())
--- /dev/null
+++ b/arbutuscleat/http/monitoring_front.py
@@ -0,0 +1,45 @@
+"""Health and metrics: ``GET /v1/health`` and ``GET /v1/metrics``."""
+
+from collections.abc import Callable
+
+from arbutuscleat.core import RefusalReason
+from arbutuscleat.telemetry import Metrics
+
+from .front import Front
+from .http_request import HttpRequest
+from .http_response import HttpResponse, json_response, text_response
+from .problem import refuse
+
+
+class HealthFront(Front):
+    """Tells the platform's balancer whether to send callers here.
+
+    Parameters
+    ----------
+    problem : callable
+        Returns why the process should get no requests; empty when it is well.
+    """
+
+    def __init__(self, problem: Callable[[], str]):
+        self._problem = problem
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer with 200 when well and 503 when not."""
+        if request.method not in ("GET", "HEAD"):
+            return refuse(RefusalReason.BAD_REQUEST, "use GET", 405)
+        problem = self._problem()
+        content = {"healthy": not problem, "problem": problem}
+        return json_response(content, 503 if problem else 200)
+
+
+class MetricsFront(Front):
+    """Shows the metrics of the process."""
+
+    def __init__(self, metrics: Metrics):
+        self._metrics = metrics
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer with the Prometheus text format."""
+        if request.method not in ("GET", "HEAD"):
+            return refuse(RefusalReason.BAD_REQUEST, "use GET", 405)
+        return text_response(self._metrics.render())
--- /dev/null
+++ b/arbutuscleat/http/operator_front.py
@@ -0,0 +1,224 @@
+"""The operators' fronts: changes, and what they have led to."""
+
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import pydantic
+from returns.result import Failure
+
+from arbutuscleat.core import Outcome, Refusal, RefusalReason, is_name
+from arbutuscleat.membership import ControlClient, ControlErrorKind
+from arbutuscleat.state import FleetConfiguration, LabelKind
+from arbutuscleat.wire.gen.ttypes import ChangeResult, Command, StatusAnswer
+
+from .auth import token_owner
+from .change_body import CHANGE_BODY, to_change
+from .front import Front
+from .http_request import HttpRequest
+from .http_response import HttpResponse, json_response
+from .problem import problem_response, refuse
+from .rendering import (
+    change_json,
+    explain_instance,
+    instance_json,
+    labels_json,
+    node_json,
+    pool_json,
+    selector_json,
+)
+
+PROPOSE_SECONDS = 8.0
+STATUS_SECONDS = 3.0
+ALIVE_MS = 10_000
+
+_CHANGE_STATUSES = {"version-conflict": 409, "id-reused": 409, "invalid": 422}
+
+
+class OperatorFront(Front):
+    """Base of the operators' fronts: asks for a token first.
+
+    Parameters
+    ----------
+    tokens : mapping of str to str
+        Token of each operator.
+    control : ControlClient
+        The way to the log.
+    """
+
+    def __init__(self, tokens: Mapping[str, str], control: ControlClient):
+        self._tokens = tokens
+        self._control = control
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer an operator whose token is known."""
+        operator = token_owner(request, self._tokens)
+        if operator is None:
+            return refuse(RefusalReason.UNAUTHORISED, "this needs an operator's token")
+        return self.answer(request, operator)
+
+    def answer(self, request: HttpRequest, operator: str) -> HttpResponse:
+        """Answer an operator; overridden by each front."""
+        raise NotImplementedError
+
+    def leader_status(self, change_id: str) -> StatusAnswer | HttpResponse:
+        """Return the leader's status, or the refusal to answer with."""
+        result = self._control.status(change_id, STATUS_SECONDS)
+        if isinstance(result, Failure):
+            return _no_quorum(result.failure().detail, Outcome.NOT_RUN)
+        return result.unwrap()
+
+
+class ChangesFront(OperatorFront):
+    """``PUT`` and ``GET /v1/changes/{change_id}``."""
+
+    def answer(self, request: HttpRequest, operator: str) -> HttpResponse:
+        """Propose a change, or tell how one went."""
+        segments = request.segments
+        if len(segments) != 3 or not is_name(segments[2]):
+            detail = "use /v1/changes/{change_id} with letters, digits, '.', '_', '-'"
+            return refuse(RefusalReason.BAD_REQUEST, detail)
+        if request.method == "PUT":
+            return self._propose(segments[2], operator, request.body)
+        if request.method == "GET":
+            return self._show(segments[2])
+        return refuse(RefusalReason.BAD_REQUEST, "use PUT or GET", 405)
+
+    def _propose(self, change_id: str, operator: str, body: bytes) -> HttpResponse:
+        try:
+            change_body = CHANGE_BODY.validate_json(body)
+        except pydantic.ValidationError as exc:
+            fault = exc.errors()[0]
+            path = ".".join(str(part) for part in fault["loc"])
+            detail = f"{path or 'body'}: {fault['msg']}"
+            return refuse(RefusalReason.BAD_REQUEST, detail)
+        command = Command(change=to_change(change_id, operator, change_body))
+        result = self._control.propose(command, PROPOSE_SECONDS)
+        if isinstance(result, Failure):
+            error = result.failure()
+            known = error.kind is ControlErrorKind.NO_QUORUM
+            outcome = Outcome.NOT_RUN if known else Outcome.UNKNOWN
+            return _no_quorum(error.detail, outcome)
+        return _change_response(result.unwrap().change)
+
+    def _show(self, change_id: str) -> HttpResponse:
+        status = self.leader_status(change_id)
+        if isinstance(status, HttpResponse):
+            return status
+        if status.change is None:
+            detail = f"no change {change_id!r} is known"
+            return refuse(RefusalReason.NOT_FOUND, detail)
+        content = change_json(status.change)
+        entries = [node_json(node) for node in status.entries]
+        alive = [node for node in entries if node["age_ms"] < ALIVE_MS]
+        content["in_force"] = {
+            node["node_id"]: node["in_force_version"] >= status.change.version
+            for node in alive
+        }
+        content["in_force_everywhere"] = status.change.accepted and all(
+            content["in_force"].values()
+        )
+        return json_response(content)
+
+
+class StatusFront(OperatorFront):
+    """``GET /v1/status``."""
+
+    def answer(self, request: HttpRequest, operator: str) -> HttpResponse:
+        """Tell who leads and where which version is in force."""
+        if request.method != "GET":
+            return refuse(RefusalReason.BAD_REQUEST, "use GET", 405)
+        status = self.leader_status("")
+        if isinstance(status, HttpResponse):
+            return status
+        return json_response(
+            {
+                "leader": status.leader,
+                "term": status.term,
+                "commit_index": status.commit_index,
+                "version": status.version,
+                "entries": [node_json(node) for node in status.entries],
+            }
+        )
+
+
+class ConfigurationFront(OperatorFront):
+    """Reads of pools, labels, selectors and instances at this process.
+
+    Parameters
+    ----------
+    tokens : mapping of str to str
+        Token of each operator.
+    control : ControlClient
+        The way to the log.
+    changed : threading.Condition
+        Guards the configuration.
+    configuration : callable
+        Returns the configuration held here, or None.
+    """
+
+    def __init__(
+        self,
+        tokens: Mapping[str, str],
+        control: ControlClient,
+        changed: threading.Condition,
+        configuration: Callable[[], FleetConfiguration | None],
+    ):
+        super().__init__(tokens, control)
+        self._changed = changed
+        self._configuration = configuration
+
+    def answer(self, request: HttpRequest, operator: str) -> HttpResponse:
+        """Show one object, or all of a kind."""
+        if request.method != "GET":
+            return refuse(RefusalReason.BAD_REQUEST, "use GET; changes go by PUT", 405)
+        with self._changed:
+            configuration = self._configuration()
+            if configuration is None:
+                detail = "no configuration is held yet"
+                return refuse(RefusalReason.NOT_READY, detail)
+            content = _show(configuration, request.segments[1:])
+        if content is None:
+            return refuse(RefusalReason.NOT_FOUND, f"nothing at {request.target!r}")
+        return json_response(content)
+
+
+def _show(configuration: FleetConfiguration, path: list[str]) -> Any:
+    """Return the JSON of what `path` names, or None."""
+    listing = _LISTINGS.get(path[0])
+    if listing is not None and len(path) == 1:
+        return {"version": configuration.version, "items": listing(configuration)}
+    if path[0] == "pools" and len(path) == 2:
+        pool = configuration.pools.get(path[1])
+        return pool and pool_json(pool, configuration)
+    if path[0] == "selectors" and len(path) == 2:
+        rule = configuration.selectors.get(path[1])
+        return rule and selector_json(rule)
+    if path[0] == "labels" and len(path) == 3 and path[1] in list(LabelKind):
+        label_set = configuration.labels.get((LabelKind(path[1]), path[2]))
+        return label_set and labels_json(label_set)
+    if path[0] == "instances" and len(path) == 2:
+        instance = configuration.instances.get(path[1])
+        return instance and explain_instance(instance, configuration)
+    return None
+
+
+_LISTINGS: dict[str, Callable[[FleetConfiguration], list[Any]]] = {
+    "pools": lambda cfg: [pool_json(item, cfg) for item in cfg.pools.values()],
+    "labels": lambda cfg: [labels_json(item) for item in cfg.labels.values()],
+    "selectors": lambda cfg: [selector_json(item) for item in cfg.selectors.values()],
+    "instances": lambda cfg: [instance_json(i, cfg) for i in cfg.instances.values()],
+}
+
+
+def _change_response(result: ChangeResult) -> HttpResponse:
+    content = change_json(result)
+    if result.accepted:
+        return json_response(content)
+    return json_response(content, _CHANGE_STATUSES.get(result.reason, 422))
+
+
+def _no_quorum(detail: str, outcome: Outcome) -> HttpResponse:
+    return problem_response(
+        Refusal(RefusalReason.NO_QUORUM, outcome, detail, retry_after=1.0)
+    )
--- /dev/null
+++ b/arbutuscleat/http/rendering.py
@@ -0,0 +1,118 @@
+"""Values of the library as JSON for operators."""
+
+from typing import Any
+
+from arbutuscleat.core import AssignmentPhase, Instance, Pool, SelectorRule
+from arbutuscleat.state import FleetConfiguration, LabelSet
+from arbutuscleat.wire.gen.ttypes import ChangeResult, NodeStatus
+
+
+def pool_json(pool: Pool, configuration: FleetConfiguration) -> dict[str, Any]:
+    """Return a pool with its members."""
+    members = sorted(
+        instance.instance_id
+        for instance in configuration.instances.values()
+        if instance.assignment.pool == pool.name
+    )
+    return {
+        "name": pool.name,
+        "service": pool.service,
+        "min_available": pool.min_available,
+        "spare": pool.spare,
+        "membership": pool.membership,
+        "version": pool.version,
+        "instances": members,
+    }
+
+
+def labels_json(label_set: LabelSet) -> dict[str, Any]:
+    """Return a label set."""
+    return {
+        "target": label_set.kind.value,
+        "name": label_set.name,
+        "labels": dict(label_set.labels),
+        "version": label_set.version,
+    }
+
+
+def selector_json(rule: SelectorRule) -> dict[str, Any]:
+    """Return a stored selector."""
+    return {
+        "name": rule.name,
+        "purpose": rule.purpose.value,
+        "jobs": rule.jobs,
+        "instances": rule.instances,
+        "pool": rule.pool,
+        "version": rule.version,
+    }
+
+
+def instance_json(
+    instance: Instance, configuration: FleetConfiguration
+) -> dict[str, Any]:
+    """Return an instance with its pool and the reason for it."""
+    assignment = instance.assignment
+    return {
+        "instance_id": instance.instance_id,
+        "incarnation": instance.incarnation,
+        "address": f"{instance.host}:{instance.port}",
+        "data_centre": instance.data_centre,
+        "rack": instance.rack,
+        "labels": configuration.instance_labels(instance),
+        "services": list(instance.services),
+        "slots": instance.slots,
+        "state": instance.state.value,
+        "pool": assignment.pool,
+        "epoch": assignment.epoch,
+        "phase": assignment.phase.value,
+        "conflict": assignment.conflict,
+    }
+
+
+def explain_instance(
+    instance: Instance, configuration: FleetConfiguration
+) -> dict[str, Any]:
+    """Return why an instance is in its pool, or in none."""
+    content = instance_json(instance, configuration)
+    matching = sorted(configuration.pools_matching(instance.instance_id))
+    content["matches"] = matching
+    content["because"] = _reason(instance, matching, configuration)
+    return content
+
+
+def change_json(result: ChangeResult) -> dict[str, Any]:
+    """Return the verdict on a change."""
+    return {
+        "change_id": result.change_id,
+        "accepted": result.accepted,
+        "version": result.version,
+        "reason": result.reason or "",
+        "detail": result.detail or "",
+        "source": result.source or "",
+    }
+
+
+def node_json(node: NodeStatus) -> dict[str, Any]:
+    """Return what is known of an entry instance."""
+    return {
+        "node_id": node.node_id,
+        "data_centre": node.data_centre,
+        "in_force_version": node.in_force_version,
+        "age_ms": node.age_ms,
+    }
+
+
+def _reason(
+    instance: Instance, matching: list[str], configuration: FleetConfiguration
+) -> str:
+    assignment = instance.assignment
+    if assignment.conflict:
+        return f"conflict: the instance {assignment.conflict}"
+    if assignment.phase is AssignmentPhase.UNASSIGNED:
+        return "no pool's membership selector matches its labels"
+    pool = configuration.pools[assignment.pool]
+    if assignment.pool in matching:
+        return f"membership selector of pool {pool.name}: {pool.membership}"
+    return (
+        f"assigned to pool {pool.name} earlier; it no longer matches {pool.membership}"
+    )
--- /dev/null
+++ b/arbutuscleat/http/server.py
@@ -0,0 +1,108 @@
+"""The HTTP server: cheroot with bounds, and problem details for its own errors."""
+
+import threading
+from collections.abc import Callable
+
+from absl import logging
+from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.wsgi import Server
+
+from arbutuscleat.core import RefusalReason
+from arbutuscleat.wire import Address
+
+from .problem import refuse
+
+IDLE_SECONDS = 30
+LISTEN_BACKLOG = 256
+STOP_SECONDS = 5
+
+_REASONS = {413: RefusalReason.TOO_LARGE, 414: RefusalReason.TOO_LARGE}
+
+
+class _ProblemRequest(HTTPRequest):
+    """Answers malformed requests with problem details."""
+
+    def simple_response(self, status, msg=""):
+        code = int(str(status)[:3])
+        if code < 400:
+            super().simple_response(status, msg)
+            return
+        detail = msg if isinstance(msg, str) and msg else str(status)[4:]
+        reason = _REASONS.get(code, RefusalReason.BAD_REQUEST)
+        response = refuse(reason, detail, code)
+        self.close_connection = True
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(response.body)}"]
+        lines += [f"{name}: {value}" for name, value in response.headers]
+        lines += ["Connection: close", "", ""]
+        try:
+            self.conn.wfile.write("\r\n".join(lines).encode() + response.body)
+        except OSError:
+            pass  # The client has gone.
+
+
+class _Connection(HTTPConnection):
+    RequestHandlerClass = _ProblemRequest
+
+
+class _LoggingServer(Server):
+    """Sends cheroot's own messages to the structured logs."""
+
+    def error_log(self, msg="", level=20, traceback=False):
+        logging.info("http server: %s", msg, exc_info=traceback)
+
+
+class HttpServer:
+    """Serves a WSGI application.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 takes any free port.
+    application : callable
+        The WSGI application.
+    threads : int
+        Requests at a time.
+    max_header_bytes, max_body_bytes : int
+        Bounds of one request.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        application: Callable,
+        threads: int,
+        max_header_bytes: int,
+        max_body_bytes: int,
+    ):
+        self._server = _LoggingServer(
+            (address.host, address.port),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=IDLE_SECONDS,
+            shutdown_timeout=STOP_SECONDS,
+        )
+        self._server.ConnectionClass = _Connection
+        self._server.max_request_header_size = max_header_bytes
+        self._server.max_request_body_size = max_body_bytes
+        self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
+
+    @property
+    def address(self) -> Address:
+        """The address actually listened on."""
+        host, port = self._server.bind_addr[:2]
+        return Address(host, port)
+
+    def start(self) -> None:
+        """Listen, and start to serve."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop to accept, finish what is being answered, and close."""
+        self._server.stop()
+        self._thread.join(STOP_SECONDS)
+
+    def _serve(self) -> None:
+        self._server.serve()
--- /dev/null
+++ b/arbutuscleat/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets, maintenance waves and moves."""
--- /dev/null
+++ b/arbutuscleat/membership/reporter.py
@@ -0,0 +1,122 @@
+"""The reporter: tells control what endpoints announced that the log lacks."""
+
+import threading
+
+from absl import logging
+from returns.result import Failure
+
+from arbutuscleat.core import Clock, Instance
+from arbutuscleat.state import instance_record
+from arbutuscleat.wire.gen.ttypes import Command, ReportInstance
+
+from .announcement_table import AnnouncementTable
+from .configuration_view import ConfigurationView
+from .control_client import ControlClient
+
+SCAN_SECONDS = 0.25
+PROPOSE_SECONDS = 2.0
+
+
+class Reporter:
+    """Proposes the announcements that differ from the log.
+
+    Parameters
+    ----------
+    table : AnnouncementTable
+        What the endpoints announced.
+    view : ConfigurationView
+        What the log holds.
+    control : ControlClient
+        Where to propose.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        table: AnnouncementTable,
+        view: ConfigurationView,
+        control: ControlClient,
+        clock: Clock,
+    ):
+        self._table = table
+        self._view = view
+        self._control = control
+        self._clock = clock
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="membership-reporter", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the task."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the task."""
+        self._stopping.set()
+        self._wake.set()
+
+    def wake(self) -> None:
+        """Look at the announcements at once."""
+        self._wake.set()
+
+    def report_once(self) -> int:
+        """Report what differs; return the number of reports accepted."""
+        reported = 0
+        for instance in self._differing():
+            command = Command(
+                instance=ReportInstance(instance=instance_record(instance))
+            )
+            result = self._control.propose(command, PROPOSE_SECONDS)
+            if isinstance(result, Failure):
+                logging.warning(
+                    "instance %s not reported: %s",
+                    instance.instance_id,
+                    result.failure().detail,
+                )
+                return reported
+            reported += 1
+        return reported
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._clock.sleep(self._wake, SCAN_SECONDS)
+            self._wake.clear()
+            if not self._stopping.is_set():
+                self.report_once()
+
+    def _differing(self) -> list[Instance]:
+        announced = [item.instance for item in self._table.all()]
+        with self._view.changed:
+            configuration = self._view.configuration
+            if configuration is None:
+                return []
+            known = configuration.instances
+            return [item for item in announced if _differs(item, known)]
+
+
+def _differs(announced: Instance, known: dict[str, Instance]) -> bool:
+    held = known.get(announced.instance_id)
+    if held is None:
+        return True
+    if announced.order() <= held.order():
+        return False
+    return _substance(announced) != _substance(held)
+
+
+def _substance(instance: Instance) -> tuple:
+    """Return what control needs to know; a higher sequence alone is no news."""
+    return (
+        instance.incarnation,
+        instance.host,
+        instance.port,
+        instance.data_centre,
+        instance.rack,
+        dict(instance.labels),
+        instance.services,
+        instance.slots,
+        instance.connections,
+        instance.state,
+    )
--- /dev/null
+++ b/arbutuscleat/routing/__init__.py
@@ -0,0 +1,36 @@
+"""The path of a request: placement, admission, claim, dispatch."""
+
+from .admission import Admission
+from .claims import Claim, ClaimRegistry, LogClaimRegistry, content_digest
+from .endpoint_client import DispatchError, DispatchErrorKind, EndpointClient
+from .request import Answer, Request
+from .router import Router, RouterParts
+from .routing_table import Placement, Route, RoutingTable, build_routing_table
+from .routing_table_holder import RoutingTableHolder
+from .run_times import RunTimes
+from .shares import slot_share
+from .slot import Slot, SlotOffer
+
+__all__ = [
+    "Admission",
+    "Answer",
+    "Claim",
+    "ClaimRegistry",
+    "DispatchError",
+    "DispatchErrorKind",
+    "EndpointClient",
+    "LogClaimRegistry",
+    "Placement",
+    "Request",
+    "Route",
+    "Router",
+    "RouterParts",
+    "RoutingTable",
+    "RoutingTableHolder",
+    "RunTimes",
+    "Slot",
+    "SlotOffer",
+    "build_routing_table",
+    "content_digest",
+    "slot_share",
+]
--- /dev/null
+++ b/arbutuscleat/routing/admission.py
@@ -0,0 +1,165 @@
+"""Admission: slots, and the bounded queue of those who wait for one.
+
+A request that finds no free slot waits in its service's queue, first come, first
+served.  It is refused at once when the queue is full or when the measured run
+times say that its turn would come after its deadline.
+"""
+
+import threading
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from arbutuscleat.core import Clock, Deadline, Outcome, Refusal, RefusalReason
+
+from .run_times import RunTimes
+from .slot import Slot, SlotOffer
+
+
+@dataclass
+class _Waiter:
+    """A request in a queue."""
+
+    offers: dict[str, SlotOffer]
+    turn: threading.Event = field(default_factory=threading.Event)
+    slot: Slot | None = None
+
+
+class Admission:
+    """Hands out slots of the instances of one data centre.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    run_times : RunTimes
+        Measured run times.
+    queue_length : int
+        Requests of one service that may wait.
+    is_usable : callable
+        Tells whether an instance may be given new work at this moment.
+    jitter : callable
+        Returns a number between 0 and 1.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        run_times: RunTimes,
+        queue_length: int,
+        is_usable: Callable[[str], bool],
+        jitter: Callable[[], float],
+    ):
+        self._clock = clock
+        self.run_times = run_times
+        self._queue_length = queue_length
+        self._is_usable = is_usable
+        self._jitter = jitter
+        self._lock = threading.Lock()
+        self._in_use: dict[str, int] = {}
+        self._queues: dict[str, deque[_Waiter]] = {}
+
+    def in_use(self, instance_id: str) -> int:
+        """Return the slots of an instance that are taken here."""
+        return self._in_use.get(instance_id, 0)
+
+    def waiting(self, service: str) -> int:
+        """Return the number of requests of a service that wait."""
+        return len(self._queues.get(service, ()))
+
+    def total_in_use(self) -> int:
+        """Return the slots taken on all instances."""
+        with self._lock:
+            return sum(self._in_use.values())
+
+    def acquire(
+        self, service: str, offers: Sequence[SlotOffer], deadline: Deadline
+    ) -> Result[Slot, Refusal]:
+        """Take a slot of one of the offered instances, waiting for it if need be."""
+        with self._lock:
+            queue = self._queues.setdefault(service, deque())
+            slot = None if queue else self._take_free(offers)
+            if slot is not None:
+                return Success(slot)
+            refusal = self._refuse_early(service, offers, queue, deadline)
+            if refusal is not None:
+                return Failure(refusal)
+            waiter = _Waiter({o.route.instance.instance_id: o for o in offers})
+            queue.append(waiter)
+        self._clock.sleep(waiter.turn, deadline.remaining())
+        return self._leave_queue(service, waiter)
+
+    def release(self, slot: Slot) -> None:
+        """Give a slot back; the first who can use it gets it."""
+        with self._lock:
+            left = self._in_use[slot.instance_id] - 1
+            self._in_use[slot.instance_id] = left
+            if not left:
+                del self._in_use[slot.instance_id]
+            self._serve_queues()
+
+    def recheck(self) -> None:
+        """Serve the queues after instances or shares have changed."""
+        with self._lock:
+            self._serve_queues()
+
+    # ---- with the lock held ----
+
+    def _take_free(self, offers: Sequence[SlotOffer]) -> Slot | None:
+        """Take a slot of the least loaded instance that has one."""
+        best: SlotOffer | None = None
+        best_load = 1.0
+        for offer in offers:
+            instance_id = offer.route.instance.instance_id
+            if offer.share <= 0:
+                continue
+            load = self._in_use.get(instance_id, 0) / offer.share
+            if load < best_load and self._is_usable(instance_id):
+                best, best_load = offer, load
+        if best is None:
+            return None
+        instance_id = best.route.instance.instance_id
+        self._in_use[instance_id] = self._in_use.get(instance_id, 0) + 1
+        return Slot(best.route)
+
+    def _serve_queues(self) -> None:
+        for queue in self._queues.values():
+            while queue:
+                slot = self._take_free(list(queue[0].offers.values()))
+                if slot is None:
+                    break
+                waiter = queue.popleft()
+                waiter.slot = slot
+                waiter.turn.set()
+
+    def _refuse_early(
+        self,
+        service: str,
+        offers: Sequence[SlotOffer],
+        queue: deque[_Waiter],
+        deadline: Deadline,
+    ) -> Refusal | None:
+        capacity = max(1, sum(offer.share for offer in offers))
+        expected = self.run_times.mean(service) * (len(queue) + 1) / capacity
+        if len(queue) >= self._queue_length:
+            detail = f"{len(queue)} requests wait already"
+            return self._refusal(RefusalReason.POOL_FULL, detail, expected)
+        if expected > deadline.remaining():
+            detail = f"the expected wait of {expected:.2f} s passes the deadline"
+            return self._refusal(RefusalReason.DEADLINE, detail, expected)
+        return None
+
+    def _refusal(self, reason: RefusalReason, detail: str, wait: float) -> Refusal:
+        retry_after = wait * (1.0 + self._jitter())
+        return Refusal(reason, Outcome.NOT_RUN, detail, retry_after)
+
+    def _leave_queue(self, service: str, waiter: _Waiter) -> Result[Slot, Refusal]:
+        with self._lock:
+            if waiter.slot is not None:
+                return Success(waiter.slot)
+            self._queues[service].remove(waiter)
+        detail = "no slot became free before the deadline"
+        wait = self.run_times.mean(service)
+        return Failure(self._refusal(RefusalReason.DEADLINE, detail, wait))
--- /dev/null
+++ b/arbutuscleat/routing/request.py
@@ -0,0 +1,47 @@
+"""Requests of callers and the answers of endpoints, inside the system."""
+
+from dataclasses import dataclass
+
+from arbutuscleat.core import Labels
+
+Header = tuple[str, str]
+
+
+@dataclass(frozen=True)
+class Request:
+    """One request of a caller.
+
+    Parameters
+    ----------
+    service, method, path : str
+        What is asked; `path` holds the query as well.
+    headers : tuple of (str, str)
+        The caller's end-to-end headers.
+    body : bytes
+        The whole body.
+    labels : mapping of str to str
+        The job's labels.
+    key : str
+        The idempotency key; empty when the caller gave none.
+    timeout_seconds : float
+        Time that the caller waits.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    labels: Labels
+    key: str
+    timeout_seconds: float
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The whole answer of one endpoint."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    instance_id: str
--- /dev/null
+++ b/arbutuscleat/settings/fields.py
@@ -0,0 +1,80 @@
+"""Field types and shared sections of the settings."""
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, IPvAnyAddress
+
+from arbutuscleat.core import is_name
+
+MIN_SECRET_LENGTH = 16
+
+
+def _check_name(text: str) -> str:
+    if not is_name(text):
+        raise ValueError("letters, digits, '.', '_', '/', '-'; at most 63 characters")
+    return text
+
+
+Name = Annotated[str, AfterValidator(_check_name)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Secret = Annotated[str, Field(min_length=MIN_SECRET_LENGTH)]
+Milliseconds = Annotated[int, Field(gt=0, le=86_400_000)]
+Bytes = Annotated[int, Field(gt=0, le=64 * 1024 * 1024)]
+
+
+class Section(BaseModel):
+    """Base of all sections: unknown keys are errors, values never change."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
+
+
+class Listen(Section):
+    """Where a process listens; port 0 takes any free port."""
+
+    host: IPvAnyAddress
+    port: Port
+
+
+class Node(Section):
+    """Another process of the system."""
+
+    node_id: Name
+    host: IPvAnyAddress
+    port: Annotated[int, Field(ge=1, le=65535)]
+
+
+class EntryNode(Node):
+    """Another entry instance."""
+
+    data_centre: Name
+
+
+class LogSettings(Section):
+    """What is logged, as JSON lines on the standard error."""
+
+    level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+class TraceSettings(Section):
+    """Where spans go, as JSON lines, and which share of traces is kept."""
+
+    file: Path | None = None
+    sample_ratio: Annotated[float, Field(ge=0.0, le=1.0)] = 1.0
+
+
+class ProcessSettings(Section):
+    """What every daemon is told."""
+
+    cluster: Name
+    node_id: Name
+    data_centre: Name
+    http: Listen
+    peer: Listen
+    shared_key: Secret
+    operators: dict[Name, Secret] = Field(default_factory=dict)
+    logs: LogSettings = LogSettings()
+    traces: TraceSettings = TraceSettings()
+    http_threads: Annotated[int, Field(ge=2, le=1024)] = 32
+    max_body_bytes: Bytes = 1024 * 1024
+    max_header_bytes: Annotated[int, Field(ge=1024, le=1024 * 1024)] = 32 * 1024
--- /dev/null
+++ b/arbutuscleat/state/__init__.py
@@ -0,0 +1,45 @@
+"""The commands that the log carries and the replicated state they change."""
+
+from .change_table import ChangeRefusal, ChangeTable
+from .claim_table import ClaimState, ClaimTable
+from .control_machine import ControlMachine
+from .fleet_configuration import FleetConfiguration
+from .label_set import LabelKind, LabelSet, validate_label_set
+from .member import Member
+from .pool_matches import PoolMatches
+from .records import (
+    instance_from,
+    instance_record,
+    label_set_from,
+    labels_record,
+    member_from,
+    member_record,
+    pool_from,
+    pool_record,
+    selector_record,
+    selector_rule_from,
+)
+
+__all__ = [
+    "ChangeRefusal",
+    "ChangeTable",
+    "ClaimState",
+    "ClaimTable",
+    "ControlMachine",
+    "FleetConfiguration",
+    "LabelKind",
+    "LabelSet",
+    "Member",
+    "PoolMatches",
+    "instance_from",
+    "instance_record",
+    "label_set_from",
+    "labels_record",
+    "member_from",
+    "member_record",
+    "pool_from",
+    "pool_record",
+    "selector_record",
+    "selector_rule_from",
+    "validate_label_set",
+]
--- /dev/null
+++ b/arbutuscleat/state/control_machine.py
@@ -0,0 +1,109 @@
+"""The state machine of the control instances, and the deltas it hands out."""
+
+import threading
+from collections import deque
+
+from arbutuscleat.consensus import StateMachine
+from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire.gen.ttypes import (
+    ChangeResult,
+    ClaimRecord,
+    Command,
+    ConfigDelta,
+    Configuration,
+    ControlImage,
+)
+
+from .change_table import ChangeTable
+from .claim_table import ClaimTable
+from .fleet_configuration import FleetConfiguration
+from .records import instance_from, member_from
+
+DELTAS_KEPT = 4_096
+
+CommandResult = ChangeResult | ClaimRecord | bool | None
+
+
+class ControlMachine(StateMachine):
+    """Configuration, verdicts and claims, changed only by committed commands.
+
+    Attributes
+    ----------
+    changed : threading.Condition
+        Guards everything; notified on every new configuration version.
+    configuration : FleetConfiguration
+        Read it with `changed` held.
+    claims : ClaimTable
+        Read it with `changed` held.
+    """
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.configuration = FleetConfiguration()
+        self.claims = ClaimTable()
+        self._changes = ChangeTable()
+        self._deltas: deque[ConfigDelta] = deque(maxlen=DELTAS_KEPT)
+
+    def apply(self, index: int, payload: bytes) -> CommandResult:
+        """Apply one command and return its result."""
+        command = decode(Command, payload)
+        with self.changed:
+            before = self.configuration.version
+            result = self._apply(command)
+            after = self.configuration.version
+            if after != before:
+                self._deltas.append(ConfigDelta(version=after, command=command))
+                self.changed.notify_all()
+            return result
+
+    def image(self) -> bytes:
+        """Return the whole state as bytes."""
+        with self.changed:
+            return encode(
+                ControlImage(
+                    configuration=self.configuration.to_record(),
+                    changes=self._changes.to_records(),
+                    claims=self.claims.to_records(),
+                )
+            )
+
+    def restore(self, image: bytes) -> None:
+        """Replace the whole state by an image."""
+        record = decode(ControlImage, image)
+        with self.changed:
+            self.configuration = FleetConfiguration.from_record(record.configuration)
+            self._changes.restore(record.changes)
+            self.claims.restore(record.claims)
+            self._deltas.clear()
+            self.changed.notify_all()
+
+    def change_result(self, change_id: str) -> ChangeResult | None:
+        """Return the verdict on a change, or None when it is not known."""
+        with self.changed:
+            return self._changes.get(change_id)
+
+    def full(self) -> Configuration:
+        """Return the whole configuration; `changed` is held."""
+        return self.configuration.to_record()
+
+    def deltas_since(self, version: int) -> list[ConfigDelta] | None:
+        """Return the deltas behind `version`, or None when some are gone."""
+        missing = self.configuration.version - version
+        if missing < 0 or missing > len(self._deltas):
+            return None
+        return list(self._deltas)[len(self._deltas) - missing :]
+
+    def _apply(self, command: Command) -> CommandResult:
+        if command.change is not None:
+            return self._changes.decide(command.change, self.configuration)
+        if command.instance is not None:
+            reported = instance_from(command.instance.instance)
+            return self.configuration.report_instance(reported)
+        if command.member is not None:
+            member = member_from(command.member.member)
+            return self.configuration.report_member(member)
+        if command.begin_claim is not None:
+            return self.claims.begin(command.begin_claim)
+        if command.end_claim is not None:
+            return self.claims.end(command.end_claim)
+        return None
--- /dev/null
+++ b/arbutuscleat/state/fleet_configuration.py
@@ -0,0 +1,238 @@
+"""The configuration of the fleet: what operators set and instances reported.
+
+The same class runs in the control instances, which apply commands from the log,
+and in the entry instances, which apply the same commands as deltas.  It must be
+deterministic: no clock, no random numbers, no dependence on the process.
+"""
+
+from dataclasses import replace
+
+from arbutuscleat.core import (
+    Assignment,
+    AssignmentPhase,
+    Instance,
+    Labels,
+    Pool,
+    SelectorRule,
+    ValidationError,
+    validate_pool,
+    validate_selector_rule,
+)
+from arbutuscleat.wire.gen.ttypes import Command, ConfigObject, Configuration
+
+from .label_set import LabelKind, LabelSet, validate_label_set
+from .member import Member
+from .pool_matches import PoolMatches
+from .records import (
+    instance_from,
+    instance_record,
+    label_set_from,
+    labels_record,
+    member_from,
+    member_record,
+    pool_from,
+    pool_record,
+    selector_record,
+    selector_rule_from,
+)
+
+MAX_CONFLICTS_LISTED = 5
+
+
+class FleetConfiguration:
+    """Pools, labels, selectors, instances and members under one version."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.pools: dict[str, Pool] = {}
+        self.labels: dict[tuple[LabelKind, str], LabelSet] = {}
+        self.selectors: dict[str, SelectorRule] = {}
+        self.instances: dict[str, Instance] = {}
+        self.members: dict[str, Member] = {}
+        self._matches = PoolMatches()
+
+    # ---- reading ----
+
+    def labels_of(self, kind: LabelKind, name: str) -> Labels:
+        """Return the labels that operators put on an instance or service."""
+        label_set = self.labels.get((kind, name))
+        return label_set.labels if label_set is not None else {}
+
+    def instance_labels(self, instance: Instance) -> dict[str, str]:
+        """Return the labels that selectors see: announced, then the operators'."""
+        overlay = self.labels_of(LabelKind.INSTANCE, instance.instance_id)
+        return {**instance.placement_labels(), **overlay}
+
+    def pools_matching(self, instance_id: str) -> frozenset[str]:
+        """Return the pools whose membership selector matches an instance."""
+        return self._matches.pools_of(instance_id)
+
+    def object_version(self, content: ConfigObject) -> int:
+        """Return the version of the object that `content` would replace; 0 if new."""
+        found: Pool | LabelSet | SelectorRule | None
+        if content.pool is not None:
+            found = self.pools.get(content.pool.name)
+        elif content.labels is not None:
+            key = (LabelKind(content.labels.kind), content.labels.name)
+            found = self.labels.get(key)
+        else:
+            found = self.selectors.get(content.selector.name)
+        return found.version if found is not None else 0
+
+    def validate(self, content: ConfigObject) -> list[ValidationError]:
+        """Return why `content` cannot be accepted."""
+        if content.pool is not None:
+            pool = pool_from(content.pool)
+            errors = validate_pool(pool)
+            return errors or self._pool_conflicts(pool)
+        if content.labels is not None:
+            label_set = label_set_from(content.labels)
+            errors = validate_label_set(label_set)
+            return errors or self._label_conflicts(label_set)
+        rule = selector_rule_from(content.selector)
+        errors = validate_selector_rule(rule)
+        if not errors and rule.pool and rule.pool not in self.pools:
+            message = f"there is no pool {rule.pool!r}"
+            errors.append(ValidationError(f"selector {rule.name}", message))
+        return errors
+
+    # ---- changing ----
+
+    def accept(self, content: ConfigObject) -> None:
+        """Put a validated object in place under the next version."""
+        self.version += 1
+        if content.pool is not None:
+            pool = replace(pool_from(content.pool), version=self.version)
+            self.pools[pool.name] = pool
+            self._matches.set_pool(pool.name, pool.membership)
+            self._assign_all()
+        elif content.labels is not None:
+            label_set = replace(label_set_from(content.labels), version=self.version)
+            self.labels[(label_set.kind, label_set.name)] = label_set
+            if label_set.kind is LabelKind.INSTANCE:
+                self._match_and_assign(label_set.name)
+        else:
+            rule = replace(selector_rule_from(content.selector), version=self.version)
+            self.selectors[rule.name] = rule
+
+    def report_instance(self, reported: Instance) -> bool:
+        """Take over what an instance announced; return whether it was new."""
+        known = self.instances.get(reported.instance_id)
+        if known is not None and reported.order() <= known.order():
+            return False
+        assignment = known.assignment if known is not None else Assignment()
+        self.version += 1
+        self.instances[reported.instance_id] = reported.assigned(assignment)
+        self._match_and_assign(reported.instance_id)
+        return True
+
+    def report_member(self, member: Member) -> bool:
+        """List a member; return whether the log listed it otherwise before."""
+        if self.members.get(member.node_id) == member:
+            return False
+        self.version += 1
+        self.members[member.node_id] = member
+        return True
+
+    def replay(self, command: Command) -> None:
+        """Apply a command that the log has already accepted."""
+        if command.change is not None:
+            self.accept(command.change.content)
+        elif command.instance is not None:
+            self.report_instance(instance_from(command.instance.instance))
+        elif command.member is not None:
+            self.report_member(member_from(command.member.member))
+
+    # ---- as a record ----
+
+    def to_record(self) -> Configuration:
+        """Return the whole configuration as a record."""
+        return Configuration(
+            version=self.version,
+            pools=[pool_record(pool) for pool in self.pools.values()],
+            labels=[labels_record(item) for item in self.labels.values()],
+            selectors=[selector_record(rule) for rule in self.selectors.values()],
+            instances=[instance_record(item) for item in self.instances.values()],
+            members=[member_record(member) for member in self.members.values()],
+        )
+
+    @classmethod
+    def from_record(cls, record: Configuration) -> "FleetConfiguration":
+        """Return the configuration of a record."""
+        found = cls()
+        found.version = record.version
+        found.pools = {item.name: pool_from(item) for item in record.pools}
+        for item in record.labels:
+            label_set = label_set_from(item)
+            found.labels[(label_set.kind, label_set.name)] = label_set
+        found.selectors = {r.name: selector_rule_from(r) for r in record.selectors}
+        found.instances = {r.instance_id: instance_from(r) for r in record.instances}
+        found.members = {r.node_id: member_from(r) for r in record.members}
+        for pool in found.pools.values():
+            found._matches.set_pool(pool.name, pool.membership)
+        for instance in found.instances.values():
+            labels = found.instance_labels(instance)
+            found._matches.set_instance(instance.instance_id, labels)
+        return found
+
+    # ---- details ----
+
+    def _match_and_assign(self, instance_id: str) -> None:
+        instance = self.instances.get(instance_id)
+        if instance is None:
+            return  # Labelled before its first announcement.
+        self._matches.set_instance(instance_id, self.instance_labels(instance))
+        self._assign(instance)
+
+    def _assign_all(self) -> None:
+        for instance in list(self.instances.values()):
+            self._assign(instance)
+
+    def _assign(self, instance: Instance) -> None:
+        """Give an unassigned instance its pool, or note the conflict."""
+        assignment = instance.assignment
+        matching = self._matches.pools_of(instance.instance_id)
+        conflict = _conflict_text(matching) if len(matching) > 1 else ""
+        if assignment.phase is AssignmentPhase.UNASSIGNED and len(matching) == 1:
+            assignment = Assignment(
+                pool=next(iter(matching)),
+                epoch=assignment.epoch + 1,
+                phase=AssignmentPhase.ASSIGNED,
+            )
+        elif assignment.conflict != conflict:
+            assignment = replace(assignment, conflict=conflict)
+        if assignment != instance.assignment:
+            self.instances[instance.instance_id] = instance.assigned(assignment)
+
+    def _pool_conflicts(self, pool: Pool) -> list[ValidationError]:
+        would_match = self._matches.with_pool(pool.name, pool.membership)
+        errors = []
+        for instance_id, found in would_match.items():
+            fresh = found != self._matches.pools_of(instance_id)
+            if len(found) > 1 and fresh:
+                message = f"instance {instance_id} {_conflict_text(found)}"
+                errors.append(ValidationError(f"pool {pool.name}", message))
+        return _bounded(errors, f"pool {pool.name}")
+
+    def _label_conflicts(self, label_set: LabelSet) -> list[ValidationError]:
+        instance = self.instances.get(label_set.name)
+        if label_set.kind is not LabelKind.INSTANCE or instance is None:
+            return []
+        labels = {**instance.placement_labels(), **label_set.labels}
+        found = self._matches.with_labels(labels)
+        if len(found) < 2:
+            return []
+        message = f"instance {label_set.name} {_conflict_text(found)}"
+        return [ValidationError(f"labels instance/{label_set.name}", message)]
+
+
+def _conflict_text(pools: frozenset[str]) -> str:
+    return f"would match {len(pools)} pools: {', '.join(sorted(pools))}"
+
+
+def _bounded(errors: list[ValidationError], source: str) -> list[ValidationError]:
+    if len(errors) <= MAX_CONFLICTS_LISTED:
+        return errors
+    hidden = len(errors) - MAX_CONFLICTS_LISTED
+    more = ValidationError(source, f"and {hidden} instances more")
+    return [*errors[:MAX_CONFLICTS_LISTED], more]
--- /dev/null
+++ b/arbutuscleat/state/records.py
@@ -0,0 +1,161 @@
+"""Between the values of the library and the records on the wire."""
+
+from arbutuscleat.core import (
+    Assignment,
+    AssignmentPhase,
+    Instance,
+    InstanceState,
+    Pool,
+    SelectorPurpose,
+    SelectorRule,
+)
+from arbutuscleat.wire.gen.ttypes import (
+    InstanceRecord,
+    LabelsRecord,
+    MemberRecord,
+    PoolRecord,
+    SelectorRecord,
+)
+
+from .label_set import LabelKind, LabelSet
+from .member import Member
+
+
+def pool_from(record: PoolRecord) -> Pool:
+    """Return the pool of a record."""
+    return Pool(
+        name=record.name,
+        service=record.service_name,
+        min_available=record.min_available,
+        spare=record.spare,
+        membership=record.membership,
+        version=record.version or 0,
+    )
+
+
+def pool_record(pool: Pool) -> PoolRecord:
+    """Return the record of a pool."""
+    return PoolRecord(
+        name=pool.name,
+        service_name=pool.service,
+        min_available=pool.min_available,
+        spare=pool.spare,
+        membership=pool.membership,
+        version=pool.version,
+    )
+
+
+def label_set_from(record: LabelsRecord) -> LabelSet:
+    """Return the label set of a record."""
+    return LabelSet(
+        kind=LabelKind(record.kind),
+        name=record.name,
+        labels=dict(record.labels or {}),
+        version=record.version or 0,
+    )
+
+
+def labels_record(label_set: LabelSet) -> LabelsRecord:
+    """Return the record of a label set."""
+    return LabelsRecord(
+        kind=label_set.kind.value,
+        name=label_set.name,
+        labels=dict(label_set.labels),
+        version=label_set.version,
+    )
+
+
+def selector_rule_from(record: SelectorRecord) -> SelectorRule:
+    """Return the selector rule of a record."""
+    return SelectorRule(
+        name=record.name,
+        purpose=SelectorPurpose(record.purpose),
+        jobs=record.jobs or "",
+        instances=record.instances or "",
+        pool=record.pool or "",
+        version=record.version or 0,
+    )
+
+
+def selector_record(rule: SelectorRule) -> SelectorRecord:
+    """Return the record of a selector rule."""
+    return SelectorRecord(
+        name=rule.name,
+        purpose=rule.purpose.value,
+        jobs=rule.jobs,
+        instances=rule.instances,
+        pool=rule.pool,
+        version=rule.version,
+    )
+
+
+def instance_from(record: InstanceRecord) -> Instance:
+    """Return the instance of a record."""
+    return Instance(
+        instance_id=record.instance_id,
+        incarnation=record.incarnation,
+        host=record.host,
+        port=record.port,
+        data_centre=record.data_centre,
+        rack=record.rack,
+        labels=dict(record.labels or {}),
+        services=tuple(record.services or ()),
+        slots=record.slots,
+        connections=record.connections,
+        state=InstanceState(record.state),
+        sequence=record.sequence,
+        assignment=Assignment(
+            pool=record.pool or "",
+            epoch=record.epoch or 0,
+            phase=AssignmentPhase(record.phase or AssignmentPhase.UNASSIGNED),
+            conflict=record.conflict or "",
+        ),
+    )
+
+
+def instance_record(instance: Instance) -> InstanceRecord:
+    """Return the record of an instance."""
+    return InstanceRecord(
+        instance_id=instance.instance_id,
+        incarnation=instance.incarnation,
+        host=instance.host,
+        port=instance.port,
+        data_centre=instance.data_centre,
+        rack=instance.rack,
+        labels=dict(instance.labels),
+        services=list(instance.services),
+        slots=instance.slots,
+        connections=instance.connections,
+        state=instance.state.value,
+        sequence=instance.sequence,
+        pool=instance.assignment.pool,
+        epoch=instance.assignment.epoch,
+        phase=instance.assignment.phase.value,
+        conflict=instance.assignment.conflict,
+    )
+
+
+def member_from(record: MemberRecord) -> Member:
+    """Return the member of a record."""
+    return Member(
+        node_id=record.node_id,
+        incarnation=record.incarnation,
+        data_centre=record.data_centre,
+        host=record.host,
+        port=record.port,
+        durable=record.durable,
+        live=record.live,
+    )
+
+
+def member_record(member: Member) -> MemberRecord:
+    """Return the record of a member."""
+    return MemberRecord(
+        node_id=member.node_id,
+        incarnation=member.incarnation,
+        data_centre=member.data_centre,
+        host=member.host,
+        port=member.port,
+        durable=member.durable,
+        live=member.live,
+    )
--- /dev/null
+++ b/arbutuscleat/telemetry/logs.py
@@ -0,0 +1,45 @@
+"""Structured logs: absl's logging, written as JSON lines with the trace id."""
+
+import logging as standard_logging
+
+from absl import flags, logging
+from opentelemetry import trace
+from pythonjsonlogger.json import JsonFormatter
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class _ContextFilter(standard_logging.Filter):
+    """Adds node and trace id to each record."""
+
+    def __init__(self, node_id: str):
+        super().__init__()
+        self._node_id = node_id
+
+    def filter(self, record: standard_logging.LogRecord) -> bool:
+        context = trace.get_current_span().get_span_context()
+        record.node_id = self._node_id
+        record.trace_id = f"{context.trace_id:032x}" if context.is_valid else ""
+        return True
+
+
+def configure_logs(node_id: str, level: str) -> None:
+    """Send all logs of the process to the standard error as JSON lines."""
+    # The daemons read their options with argparse; absl has no flags to parse.
+    flags.FLAGS.mark_as_parsed()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(
+        JsonFormatter(
+            "{asctime}{levelname}{message}{node_id}{trace_id}{filename}{lineno}",
+            style="{",
+            rename_fields={"asctime": "time", "levelname": "level"},
+        )
+    )
+    handler.addFilter(_ContextFilter(node_id))
+    logging.use_absl_handler()
+    logging.set_verbosity(_LEVELS[level])
--- /dev/null
+++ b/arbutuscleat/telemetry/span_writer.py
@@ -0,0 +1,51 @@
+"""Spans as JSON lines in a file."""
+
+import json
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+
+from opentelemetry.sdk.trace import ReadableSpan
+from opentelemetry.sdk.trace.export import SpanExporter, SpanExportResult
+
+
+class SpanWriter(SpanExporter):
+    """Writes each finished span as one line.
+
+    Parameters
+    ----------
+    path : Path
+        The file that lines are added to.
+    """
+
+    def __init__(self, path: Path):
+        path.parent.mkdir(parents=True, exist_ok=True)
+        self._file = path.open("a", encoding="utf-8")
+        self._lock = threading.Lock()
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write finished spans."""
+        lines = [_line(span) for span in spans]
+        with self._lock:
+            self._file.writelines(lines)
+            self._file.flush()
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        with self._lock:
+            self._file.close()
+
+
+def _line(span: ReadableSpan) -> str:
+    context = span.get_span_context()
+    content = {
+        "name": span.name,
+        "trace_id": f"{context.trace_id:032x}" if context else "",
+        "span_id": f"{context.span_id:016x}" if context else "",
+        "parent_id": f"{span.parent.span_id:016x}" if span.parent else "",
+        "start_ns": span.start_time,
+        "end_ns": span.end_time,
+        "attributes": dict(span.attributes or {}),
+    }
+    return json.dumps(content, separators=(",", ":")) + "\n"
--- /dev/null
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -0,0 +1,401 @@
+// The messages between arbutuscleat's own processes and the records of its log.
+// `make thrift` generates arbutuscleat/wire/gen, which is committed.
+
+namespace py arbutuscleat.wire.gen
+
+// ---- connections ----------------------------------------------------------
+
+struct HelloRequest {
+  1: string cluster
+  2: string shared_key
+  3: string node_id
+  4: string incarnation
+}
+
+struct HelloAnswer {
+  1: bool accepted
+  2: string reason
+  3: string node_id
+  4: string incarnation
+}
+
+service Handshake {
+  HelloAnswer hello(1: HelloRequest request)
+}
+
+// ---- consensus ------------------------------------------------------------
+
+enum EntryKind {
+  COMMAND = 1
+  NO_OPERATION = 2
+  VOTERS = 3
+}
+
+struct LogEntry {
+  1: i64 index
+  2: i64 term
+  3: EntryKind kind
+  4: binary payload
+}
+
+// A replica of the group as the log lists it.
+struct ReplicaRecord {
+  1: string node_id
+  2: string incarnation
+  3: bool voter
+}
+
+struct ReplicaSet {
+  1: list<ReplicaRecord> replicas
+}
+
+// What one synced write adds to the log.  A batch whose base lies before the end
+// of the log replaces everything after the base.
+struct LogBatch {
+  1: i64 base_index
+  2: i64 base_term
+  3: list<LogEntry> entries
+}
+
+struct VoteRequest {
+  1: i64 request_id
+  2: i64 term
+  3: string candidate
+  4: string incarnation
+  5: i64 last_index
+  6: i64 last_term
+  7: bool pre_vote
+}
+
+struct VoteAnswer {
+  1: i64 request_id
+  2: i64 term
+  3: bool granted
+  4: string incarnation
+}
+
+struct AppendRequest {
+  1: i64 request_id
+  2: i64 term
+  3: string leader
+  4: i64 previous_index
+  5: i64 previous_term
+  6: list<LogEntry> entries
+  7: i64 commit_index
+}
+
+struct AppendAnswer {
+  1: i64 request_id
+  2: i64 term
+  3: bool accepted
+  4: i64 last_index
+  5: string incarnation
+}
+
+struct SnapshotChunk {
+  1: i64 request_id
+  2: i64 term
+  3: string leader
+  4: i64 last_index
+  5: i64 last_term
+  6: ReplicaSet replicas
+  7: i64 offset
+  8: binary data
+  9: bool done
+}
+
+struct SnapshotAnswer {
+  1: i64 request_id
+  2: i64 term
+  3: bool accepted
+  4: string incarnation
+}
+
+// The durable vote of a replica.
+struct VoteRecord {
+  1: i64 term
+  2: string voted_for
+}
+
+// The durable identity of a replica; a new data folder gets a new incarnation.
+struct IdentityRecord {
+  1: string node_id
+  2: string incarnation
+}
+
+struct SnapshotRecord {
+  1: i64 last_index
+  2: i64 last_term
+  3: ReplicaSet replicas
+  4: binary data
+}
+
+// ---- configuration and its commands ---------------------------------------
+
+struct PoolRecord {
+  1: string name
+  2: string service_name
+  3: i32 min_available
+  4: bool spare
+  5: string membership
+  6: i64 version
+}
+
+struct LabelsRecord {
+  1: string kind
+  2: string name
+  3: map<string, string> labels
+  4: i64 version
+}
+
+struct SelectorRecord {
+  1: string name
+  2: string purpose
+  3: string jobs
+  4: string instances
+  5: string pool
+  6: i64 version
+}
+
+struct InstanceRecord {
+  1: string instance_id
+  2: string incarnation
+  3: string host
+  4: i32 port
+  5: string data_centre
+  6: string rack
+  7: map<string, string> labels
+  8: list<string> services
+  9: i32 slots
+  10: i32 connections
+  11: string state
+  12: i64 sequence
+  13: string pool
+  14: i64 epoch
+  15: string phase
+  16: string conflict
+}
+
+struct MemberRecord {
+  1: string node_id
+  2: string incarnation
+  3: string data_centre
+  4: string host
+  5: i32 port
+  6: bool durable
+  7: bool live
+}
+
+union ConfigObject {
+  1: PoolRecord pool
+  2: LabelsRecord labels
+  3: SelectorRecord selector
+}
+
+struct Change {
+  1: string change_id
+  2: string digest
+  3: string operator_name
+  4: i64 expected_version
+  5: ConfigObject content
+}
+
+struct ReportInstance {
+  1: InstanceRecord instance
+}
+
+struct ReportMember {
+  1: MemberRecord member
+}
+
+struct BeginClaim {
+  1: string key
+  2: string digest
+  3: string owner
+  4: string owner_incarnation
+  5: string claim_id
+}
+
+// `released` says that no byte has left; otherwise the claim has ended.
+struct EndClaim {
+  1: string key
+  2: string claim_id
+  3: bool released
+}
+
+union Command {
+  1: Change change
+  2: ReportInstance instance
+  3: ReportMember member
+  4: BeginClaim begin_claim
+  5: EndClaim end_claim
+}
+
+struct Configuration {
+  1: i64 version
+  2: list<PoolRecord> pools
+  3: list<LabelsRecord> labels
+  4: list<SelectorRecord> selectors
+  5: list<InstanceRecord> instances
+  6: list<MemberRecord> members
+}
+
+struct ChangeResult {
+  1: string change_id
+  2: string digest
+  3: bool accepted
+  4: i64 version
+  5: string reason
+  6: string detail
+  7: string source
+}
+
+struct ClaimRecord {
+  1: string key
+  2: string digest
+  3: string owner
+  4: string owner_incarnation
+  5: string claim_id
+  6: string state
+}
+
+struct ControlImage {
+  1: Configuration configuration
+  2: list<ChangeResult> changes
+  3: list<ClaimRecord> claims
+}
+
+// ---- control for the entry instances --------------------------------------
+
+enum Status {
+  OK = 1
+  NOT_LEADER = 2
+  NO_QUORUM = 3
+  TIMEOUT = 4
+  REFUSED = 5
+  UNKNOWN = 6
+}
+
+struct ProposeRequest {
+  1: i64 request_id
+  2: Command command
+  3: i32 timeout_ms
+}
+
+struct ProposeAnswer {
+  1: i64 request_id
+  2: Status status
+  3: string leader
+  4: ChangeResult change
+  5: ClaimRecord claim
+  6: i64 version
+}
+
+struct ConfigDelta {
+  1: i64 version
+  2: Command command
+}
+
+struct FetchRequest {
+  1: i64 request_id
+  2: string node_id
+  3: string incarnation
+  4: i64 known_version
+  5: i64 in_force_version
+  6: i32 wait_ms
+}
+
+struct FetchAnswer {
+  1: i64 request_id
+  2: Status status
+  3: i64 version
+  4: Configuration full
+  5: list<ConfigDelta> deltas
+  6: i32 lease_ms
+  7: string leader
+}
+
+struct StatusRequest {
+  1: i64 request_id
+  2: string change_id
+}
+
+struct NodeStatus {
+  1: string node_id
+  2: string data_centre
+  3: i64 in_force_version
+  4: i64 age_ms
+}
+
+struct StatusAnswer {
+  1: i64 request_id
+  2: Status status
+  3: string node_id
+  4: string leader
+  5: i64 term
+  6: i64 commit_index
+  7: i64 version
+  8: list<NodeStatus> entries
+  9: ChangeResult change
+}
+
+service Control {
+  VoteAnswer vote(1: VoteRequest request)
+  AppendAnswer append(1: AppendRequest request)
+  SnapshotAnswer install(1: SnapshotChunk request)
+  ProposeAnswer propose(1: ProposeRequest request)
+  FetchAnswer fetch(1: FetchRequest request)
+  StatusAnswer status(1: StatusRequest request)
+}
+
+// ---- between entry instances ----------------------------------------------
+
+struct ShareRequest {
+  1: i64 request_id
+  2: string node_id
+  3: string incarnation
+  4: i64 version
+  5: list<InstanceRecord> announcements
+}
+
+struct ShareAnswer {
+  1: i64 request_id
+  2: i64 version
+  3: string incarnation
+}
+
+struct HttpHeader {
+  1: string name
+  2: string value
+}
+
+struct ForwardRequest {
+  1: i64 request_id
+  2: string service_name
+  3: string method
+  4: string path
+  5: list<HttpHeader> headers
+  6: binary body
+  7: i32 timeout_ms
+  8: string traceparent
+  9: string key
+  10: map<string, string> labels
+  11: bool idempotent
+}
+
+struct ForwardAnswer {
+  1: i64 request_id
+  2: string outcome
+  3: i32 status
+  4: list<HttpHeader> headers
+  5: binary body
+  6: string reason
+  7: string detail
+  8: string instance_id
+}
+
+service Entry {
+  ShareAnswer share(1: ShareRequest request)
+  FetchAnswer fetch(1: FetchRequest request)
+  ForwardAnswer forward(1: ForwardRequest request)
+}
--- /dev/null
+++ b/arbutuscleat/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Handshake', 'Control', 'Entry']
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""The demo and annotated settings."""
--- /dev/null
+++ b/tests/fakes/clock.py
@@ -0,0 +1,33 @@
+"""A clock that the test moves."""
+
+from datetime import datetime, timedelta, timezone
+
+from arbutuscleat.core import Clock
+
+START = datetime(2026, 12, 4, tzinfo=timezone.utc)
+
+
+class ManualClock(Clock):
+    """Stands still until the test advances it; sleeping advances it as well."""
+
+    def __init__(self):
+        self.elapsed = 1000.0
+
+    def advance(self, seconds):
+        self.elapsed += seconds
+
+    def monotonic(self):
+        return self.elapsed
+
+    def now(self):
+        return START + timedelta(seconds=self.elapsed)
+
+    def wait(self, condition, timeout):
+        self.elapsed += timeout
+        return False
+
+    def sleep(self, event, timeout):
+        if event.is_set():
+            return True
+        self.elapsed += timeout
+        return event.is_set()
