--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -63,9 +63,11 @@
         self._credentials = Credentials(
             cfg.cluster, cfg.shared_key, cfg.node_id, incarnation
         )
-        self._tracing = Tracing(cfg.node_id, cfg.traces.file, cfg.traces.sample_ratio)
+        self._tracing = Tracing(
+            cfg.node_id, cfg.traces.file, cfg.traces.sample_ratio, random.Random()
+        )
         self._view = ConfigurationView()
-        self._tables = RoutingTableHolder(self._view)
+        self._tables = RoutingTableHolder(self._view, cfg.node_id, cfg.data_centre)
         self._table = AnnouncementTable(
             self._clock, cfg.announcements.expiry_ms / 1000.0
         )
@@ -101,7 +103,9 @@
             random.Random().random,
         )
         self._endpoints = UrllibEndpointClient(
-            cfg.limits.connect_timeout_ms / 1000.0, cfg.limits.max_answer_bytes
+            self._clock,
+            cfg.limits.connect_timeout_ms / 1000.0,
+            cfg.limits.max_answer_bytes,
         )
         self._callers = self._make_caller_front()
         self._http = self._make_http()
@@ -144,11 +148,8 @@
     def _make_caller_front(self) -> CallerFront:
         cfg = self._cfg
         parts = RouterParts(
-            node_id=cfg.node_id,
-            data_centre=cfg.data_centre,
             table=self._tables.current,
             may_dispatch=self._exchange.may_dispatch,
-            is_ready=self._table.is_ready,
             admission=self._admission,
             claims=LogClaimRegistry(
                 self._control, cfg.node_id, self._credentials.incarnation
--- a/arbutuscleat/emulator/local_fleet.py
+++ b/arbutuscleat/emulator/local_fleet.py
@@ -34,11 +34,14 @@
         Entry instances in each.
     controls : int
         Control instances, spread over the data centres.
+    sample_ratio : float
+        Share of traces that the entry instances keep.
     """
 
     data_centres: tuple[str, ...] = ("karachi", "qasim")
     entries_per_data_centre: int = 2
     controls: int = 3
+    sample_ratio: float = 0.05
 
 
 @dataclass(frozen=True)
@@ -244,7 +247,10 @@
         settings["endpoint_token"] = ENDPOINT_TOKEN
         settings["control"] = control
         settings["peers"] = [item for item in entries if item["node_id"] != name]
-        settings["traces"] = {"file": str(self.folder / "traces" / f"{name}.jsonl")}
+        settings["traces"] = {
+            "file": str(self.folder / "traces" / f"{name}.jsonl"),
+            "sample_ratio": self.plan.sample_ratio,
+        }
         self._write(name, http_port, settings)
 
     def _write(self, name: str, http_port: int, settings: dict) -> None:
--- a/arbutuscleat/http/endpoint_client.py
+++ b/arbutuscleat/http/endpoint_client.py
@@ -1,21 +1,19 @@
-"""The HTTP client towards endpoints: urllib3 without retries or redirects.
+"""The HTTP client towards endpoints: urllib3's connections, without retries.
 
-A connection is never used again after a timeout or a half-read answer.  An
-answer counts only when it is whole: its declared length or its final chunk was
-seen.
+The connection is made before the request is sent, so it is known exactly whether
+any byte has left.  A connection is never used again after a timeout or a
+half-read answer.  An answer counts only when it is whole: its declared length or
+its final chunk was seen.
 """
 
-import threading
+from http.client import HTTPException
 
-import urllib3
 from returns.result import Failure, Result, Success
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-)
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
 
-from arbutuscleat.core import Instance
+from arbutuscleat.core import Clock, Deadline, Instance
 from arbutuscleat.routing import (
     Answer,
     DispatchError,
@@ -25,130 +23,137 @@
 )
 from arbutuscleat.telemetry import TRACEPARENT, current_traceparent
 
+from .endpoint_connections import EndpointConnections
 from .http_request import HOP_BY_HOP
 
 REQUEST_ID_HEADER = "Arbutuscleat-Request-Id"
 READ_CHUNK_BYTES = 256 * 1024
+SHORTEST_TIMEOUT_SECONDS = 0.001
 BODILESS_STATUSES = (204, 304)
 
+_NETWORK_ERRORS = (HTTPError, HTTPException, OSError)
+
 
 class UrllibEndpointClient(EndpointClient):
     """Sends requests to endpoints over HTTP.
 
     Parameters
     ----------
+    clock : Clock
+        Source of time.
     connect_timeout : float
         Seconds for a new connection.
     max_answer_bytes : int
         Bound of one answer's body.
     """
 
-    def __init__(self, connect_timeout: float, max_answer_bytes: int):
+    def __init__(self, clock: Clock, connect_timeout: float, max_answer_bytes: int):
+        self._clock = clock
         self._connect_timeout = connect_timeout
         self._max_answer_bytes = max_answer_bytes
-        self._lock = threading.Lock()
-        self._pools: dict[tuple[str, int], urllib3.HTTPConnectionPool] = {}
+        self._connections = EndpointConnections(clock)
 
     def send(
         self, instance: Instance, req: Request, request_id: str, timeout: float
     ) -> Result[Answer, DispatchError]:
         """Send `req` once and return the whole answer within `timeout` seconds."""
-        headers = dict(req.headers)
-        headers[REQUEST_ID_HEADER] = request_id
-        traceparent = current_traceparent()
-        if traceparent:
-            headers[TRACEPARENT] = traceparent
-        try:
-            response = self._pool(instance).urlopen(
-                req.method,
-                req.path,
-                body=req.body or None,
-                headers=headers,
-                retries=False,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-                timeout=urllib3.Timeout(
-                    total=max(0.001, timeout), connect=self._connect_timeout
-                ),
-            )
-        except (NewConnectionError, ConnectTimeoutError) as exc:
-            return _failure(DispatchErrorKind.NOT_SENT, instance, str(exc))
-        except (HTTPError, OSError) as exc:
-            return _failure(DispatchErrorKind.LOST, instance, str(exc))
-        return self._read(instance, req, request_id, response)
+        deadline = Deadline.after(self._clock, timeout)
+        conn = self._connections.take(instance)
+        if conn.sock is None:
+            try:
+                conn.timeout = min(self._connect_timeout, _left(deadline))
+                conn.connect()
+            except _NETWORK_ERRORS as exc:
+                conn.close()
+                return _failure(DispatchErrorKind.NOT_SENT, instance, str(exc))
+        result = self._exchange(conn, instance, req, request_id, deadline)
+        if isinstance(result, Success):
+            self._connections.give_back(instance, conn)
+        else:
+            conn.close()
+        return result
 
     def close(self) -> None:
         """Close idle connections."""
-        with self._lock:
-            for pool in self._pools.values():
-                pool.close()
-            self._pools.clear()
-
-    def _pool(self, instance: Instance) -> urllib3.HTTPConnectionPool:
-        key = (instance.host, instance.port)
-        pool = self._pools.get(key)
-        if pool is None:
-            with self._lock:
-                pool = self._pools.setdefault(
-                    key,
-                    urllib3.HTTPConnectionPool(
-                        instance.host,
-                        instance.port,
-                        maxsize=instance.connections,
-                        block=False,
-                    ),
-                )
-        return pool
-
-    def _read(
+        self._connections.close()
+
+    def _exchange(
         self,
+        conn: HTTPConnection,
         instance: Instance,
         req: Request,
         request_id: str,
-        response: urllib3.BaseHTTPResponse,
+        deadline: Deadline,
     ) -> Result[Answer, DispatchError]:
-        error = self._check_head(instance, req, request_id, response)
-        if error is not None:
-            response.close()
-            return error
-        body = b""
         try:
-            while len(body) <= self._max_answer_bytes:
-                chunk = response.read(READ_CHUNK_BYTES)
-                if not chunk:
-                    response.release_conn()
-                    return Success(_answer(instance, response, body))
-                body = body + chunk if body else chunk
-        except (HTTPError, OSError) as exc:
-            response.close()
-            return _failure(DispatchErrorKind.LOST, instance, str(exc))
-        response.close()
-        detail = f"the answer is larger than {self._max_answer_bytes} bytes"
-        return _failure(DispatchErrorKind.TOO_LARGE, instance, detail)
-
-    def _check_head(
-        self,
-        instance: Instance,
-        req: Request,
-        request_id: str,
-        response: urllib3.BaseHTTPResponse,
-    ) -> Failure[DispatchError] | None:
-        echoed = response.headers.get(REQUEST_ID_HEADER, request_id)
-        if echoed != request_id:
-            detail = "the answer carries another request id"
-            return _failure(DispatchErrorKind.CROSSED, instance, detail)
-        bodiless = req.method == "HEAD" or response.status in BODILESS_STATUSES
-        chunked = "chunked" in response.headers.get("transfer-encoding", "").lower()
-        if not bodiless and not chunked and "content-length" not in response.headers:
-            detail = "the answer has no length, so it cannot be known to be whole"
+            conn.timeout = _left(deadline)
+            conn.request(
+                req.method,
+                req.path,
+                body=req.body or None,
+                headers=_headers(req, request_id),
+                preload_content=False,
+                decode_content=False,
+            )
+            response = conn.getresponse()
+            error = _check_head(instance, req, request_id, response)
+            if error is not None:
+                return error
+            return self._read_whole(instance, response, deadline)
+        except _NETWORK_ERRORS as exc:
+            detail = str(exc) or type(exc).__name__
             return _failure(DispatchErrorKind.LOST, instance, detail)
+
+    def _read_whole(
+        self, instance: Instance, response: HTTPResponse, deadline: Deadline
+    ) -> Result[Answer, DispatchError]:
+        chunks = []
+        size = 0
+        while response.length_remaining != 0:
+            chunk = response.read1(READ_CHUNK_BYTES)
+            if not chunk:
+                break
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > self._max_answer_bytes:
+                detail = f"the answer is larger than {self._max_answer_bytes} bytes"
+                return _failure(DispatchErrorKind.TOO_LARGE, instance, detail)
+            if deadline.expired():
+                detail = "the answer was not whole at the deadline"
+                return _failure(DispatchErrorKind.LOST, instance, detail)
+        # urllib3 hands out the last bytes before it sees the end of the answer.
+        response.read()
+        return Success(_answer(instance, response, b"".join(chunks)))
+
+
+def _left(deadline: Deadline) -> float:
+    return max(SHORTEST_TIMEOUT_SECONDS, deadline.remaining())
+
+
+def _headers(req: Request, request_id: str) -> dict[str, str]:
+    headers = dict(req.headers)
+    headers[REQUEST_ID_HEADER] = request_id
+    traceparent = current_traceparent()
+    if traceparent:
+        headers[TRACEPARENT] = traceparent
+    return headers
+
+
+def _check_head(
+    instance: Instance, req: Request, request_id: str, response: HTTPResponse
+) -> Failure[DispatchError] | None:
+    echoed = response.headers.get(REQUEST_ID_HEADER, request_id)
+    if echoed != request_id:
+        detail = "the answer carries another request id"
+        return _failure(DispatchErrorKind.CROSSED, instance, detail)
+    bodiless = req.method == "HEAD" or response.status in BODILESS_STATUSES
+    if bodiless or response.chunked or response.length_remaining is not None:
         return None
+    detail = "the answer has no length, so it cannot be known to be whole"
+    return _failure(DispatchErrorKind.LOST, instance, detail)
 
 
-def _answer(
-    instance: Instance, response: urllib3.BaseHTTPResponse, body: bytes
-) -> Answer:
+def _answer(instance: Instance, response: HTTPResponse, body: bytes) -> Answer:
     headers = tuple(
         (name, value)
         for name, value in response.headers.items()
--- a/arbutuscleat/http/server.py
+++ b/arbutuscleat/http/server.py
@@ -1,5 +1,6 @@
 """The HTTP server: cheroot with bounds, and problem details for its own errors."""
 
+import select
 import threading
 from collections.abc import Callable
 
@@ -15,6 +16,8 @@
 IDLE_SECONDS = 30
 LISTEN_BACKLOG = 256
 STOP_SECONDS = 5
+NEXT_REQUEST_MS = 20
+MIN_IDLE_WORKERS = 4
 
 _REASONS = {413: RefusalReason.TOO_LARGE, 414: RefusalReason.TOO_LARGE}
 
@@ -41,8 +44,30 @@
 
 
 class _Connection(HTTPConnection):
+    """A connection whose worker waits a moment for the next request.
+
+    Handing a connection back to the selector after each request costs two
+    switches between threads.  So its worker keeps it for a moment, as long as
+    other workers are free for other connections.
+    """
+
     RequestHandlerClass = _ProblemRequest
 
+    def communicate(self):
+        stays_open = super().communicate()
+        while stays_open and self._has_next_request():
+            stays_open = super().communicate()
+        return stays_open
+
+    def _has_next_request(self):
+        if self.rfile.has_data():
+            return True
+        if self.server.requests.idle < MIN_IDLE_WORKERS or not self.server.ready:
+            return False
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(NEXT_REQUEST_MS))
+
 
 class _LoggingServer(Server):
     """Sends cheroot's own messages to the structured logs."""
--- a/arbutuscleat/routing/__init__.py
+++ b/arbutuscleat/routing/__init__.py
@@ -5,15 +5,22 @@
 from .endpoint_client import DispatchError, DispatchErrorKind, EndpointClient
 from .request import Answer, Request
 from .router import Router, RouterParts
-from .routing_table import Placement, Route, RoutingTable, build_routing_table
+from .routing_table import (
+    Candidates,
+    Placement,
+    Route,
+    RoutingTable,
+    build_routing_table,
+)
 from .routing_table_holder import RoutingTableHolder
 from .run_times import RunTimes
-from .shares import slot_share
 from .slot import Slot, SlotOffer
+from .slot_shares import SlotShares, slot_shares
 
 __all__ = [
     "Admission",
     "Answer",
+    "Candidates",
     "Claim",
     "ClaimRegistry",
     "DispatchError",
@@ -30,7 +37,8 @@
     "RunTimes",
     "Slot",
     "SlotOffer",
+    "SlotShares",
     "build_routing_table",
     "content_digest",
-    "slot_share",
+    "slot_shares",
 ]
--- a/arbutuscleat/routing/admission.py
+++ b/arbutuscleat/routing/admission.py
@@ -17,6 +17,13 @@
 from .run_times import RunTimes
 from .slot import Slot, SlotOffer
 
+NO_INSTANCE_READY = Refusal(
+    RefusalReason.NO_INSTANCE_READY,
+    Outcome.NOT_RUN,
+    "no matching instance is ready in this data centre",
+    1.0,
+)
+
 
 @dataclass
 class _Waiter:
@@ -83,10 +90,12 @@
             slot = None if queue else self._take_free(offers)
             if slot is not None:
                 return Success(slot)
+            if not any(self._is_usable(o.instance.instance_id) for o in offers):
+                return Failure(NO_INSTANCE_READY)
             refusal = self._refuse_early(service, offers, queue, deadline)
             if refusal is not None:
                 return Failure(refusal)
-            waiter = _Waiter({o.route.instance.instance_id: o for o in offers})
+            waiter = _Waiter({o.instance.instance_id: o for o in offers})
             queue.append(waiter)
         self._clock.sleep(waiter.turn, deadline.remaining())
         return self._leave_queue(service, waiter)
@@ -112,7 +121,7 @@
         best: SlotOffer | None = None
         best_load = 1.0
         for offer in offers:
-            instance_id = offer.route.instance.instance_id
+            instance_id = offer.instance.instance_id
             if offer.share <= 0:
                 continue
             load = self._in_use.get(instance_id, 0) / offer.share
@@ -120,9 +129,9 @@
                 best, best_load = offer, load
         if best is None:
             return None
-        instance_id = best.route.instance.instance_id
+        instance_id = best.instance.instance_id
         self._in_use[instance_id] = self._in_use.get(instance_id, 0) + 1
-        return Slot(best.route)
+        return Slot(best.instance)
 
     def _serve_queues(self) -> None:
         for queue in self._queues.values():
--- a/arbutuscleat/routing/router.py
+++ b/arbutuscleat/routing/router.py
@@ -13,13 +13,12 @@
 from arbutuscleat.core import Clock, Deadline, Outcome, Refusal, RefusalReason
 from arbutuscleat.telemetry import Metrics, Tracing
 
-from .admission import Admission
+from .admission import NO_INSTANCE_READY, Admission
 from .claims import Claim, ClaimRegistry
 from .endpoint_client import DispatchError, DispatchErrorKind, EndpointClient
 from .request import Answer, Request
-from .routing_table import Route, RoutingTable
+from .routing_table import RoutingTable
 from .run_times import RunTimes
-from .shares import slot_share
 from .slot import Slot, SlotOffer
 
 MAX_INSTANCES_TRIED = 2
@@ -32,25 +31,18 @@
 
     Parameters
     ----------
-    node_id, data_centre : str
-        Identity and place of this process.
     table : callable
         Returns the routing table in force, None before the first.
     may_dispatch : callable
         Tells whether this process holds the right to dispatch.
-    is_ready : callable
-        Tells whether an endpoint is alive and takes work.
     admission, claims, endpoints, run_times
         The parts that do the work.
     is_idempotent : callable
         Tells whether a method of a service may run more than once.
     """
 
-    node_id: str
-    data_centre: str
     table: Callable[[], RoutingTable | None]
     may_dispatch: Callable[[], bool]
-    is_ready: Callable[[str], bool]
     admission: Admission
     claims: ClaimRegistry
     endpoints: EndpointClient
@@ -84,7 +76,7 @@
     def serve(self, req: Request) -> Result[Answer, Refusal]:
         """Return the whole answer of one endpoint, or why there is none."""
         deadline = Deadline.after(self._clock, req.timeout_seconds)
-        found = self._find_routes(req)
+        found = self._find_offers(req)
         if isinstance(found, Failure):
             return found
         if self._parts.is_idempotent(req.service, req.method):
@@ -93,27 +85,27 @@
 
     # ---- steps ----
 
-    def _find_routes(self, req: Request) -> Result[list[Route], Refusal]:
+    def _find_offers(self, req: Request) -> Result[Sequence[SlotOffer], Refusal]:
         table = self._parts.table()
         if table is None:
             return _refuse(RefusalReason.NOT_READY, "no configuration is held yet", 1.0)
         if not table.knows(req.service):
             detail = f"no pool serves {req.service!r}"
             return _refuse(RefusalReason.UNKNOWN_SERVICE, detail)
-        routes = table.candidates(req.service, req.labels)
-        if not routes:
+        found = table.candidates(req.service, req.labels)
+        if not found.offers and not found.elsewhere:
             detail = "no instance matches the job's labels"
             return _refuse(RefusalReason.NO_INSTANCE_MATCHES, detail)
-        return Success(routes)
+        return Success(found.offers)
 
     def _serve_idempotent(
-        self, req: Request, routes: list[Route], deadline: Deadline
+        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
     ) -> Result[Answer, Refusal]:
         tried: set[str] = set()
         sent = False
-        result: Result[Answer, Refusal] = Failure(_NO_READY)
+        result: Result[Answer, Refusal] = Failure(NO_INSTANCE_READY)
         while len(tried) < MAX_INSTANCES_TRIED:
-            left = [r for r in routes if r.instance.instance_id not in tried]
+            left = [o for o in offers if o.instance.instance_id not in tried]
             slot = self._take_slot(req, left, deadline)
             if isinstance(slot, Failure):
                 return result if sent else slot
@@ -128,9 +120,9 @@
         return result
 
     def _serve_once(
-        self, req: Request, routes: list[Route], deadline: Deadline
+        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
     ) -> Result[Answer, Refusal]:
-        slot = self._take_slot(req, routes, deadline)
+        slot = self._take_slot(req, offers, deadline)
         if isinstance(slot, Failure):
             return self._without_claim(req, slot.failure())
         with self._tracing.span("claim"):
@@ -162,39 +154,19 @@
         return _failed(error, sent=not released)
 
     def _take_slot(
-        self, req: Request, routes: Sequence[Route], deadline: Deadline
+        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
     ) -> Result[Slot, Refusal]:
         if not self._parts.may_dispatch():
             detail = "this instance holds no right to dispatch"
             return _refuse(RefusalReason.ISOLATED, detail, 1.0)
-        offers = self._offers(routes)
-        if not offers:
-            return Failure(_NO_READY)
         with self._tracing.span("queue"):
             return self._parts.admission.acquire(req.service, offers, deadline)
 
-    def _offers(self, routes: Sequence[Route]) -> list[SlotOffer]:
-        parts = self._parts
-        table = parts.table()
-        if table is None:
-            return []
-        offers = []
-        for route in routes:
-            instance = route.instance
-            if instance.data_centre != parts.data_centre:
-                continue
-            if parts.is_ready(instance.instance_id):
-                share = slot_share(
-                    table.members, parts.node_id, parts.data_centre, instance.slots
-                )
-                offers.append(SlotOffer(route, share))
-        return offers
-
     def _dispatch(
         self, req: Request, slot: Slot, deadline: Deadline
     ) -> Result[Answer, DispatchError]:
         """Send a request once and give the slot back."""
-        instance = slot.route.instance
+        instance = slot.instance
         started = self._clock.monotonic()
         try:
             with self._tracing.span("dispatch") as span:
@@ -219,13 +191,6 @@
     DispatchErrorKind.TOO_LARGE: RefusalReason.ANSWER_TOO_LARGE,
 }
 
-_NO_READY = Refusal(
-    RefusalReason.NO_INSTANCE_READY,
-    Outcome.NOT_RUN,
-    "no matching instance is ready in this data centre",
-    1.0,
-)
-
 
 def _refuse(
     reason: RefusalReason, detail: str, retry_after: float | None = None
--- a/arbutuscleat/routing/routing_table_holder.py
+++ b/arbutuscleat/routing/routing_table_holder.py
@@ -14,10 +14,14 @@
     ----------
     view : ConfigurationView
         The replica of the configuration.
+    node_id, data_centre : str
+        The entry instance that the table is for.
     """
 
-    def __init__(self, view: ConfigurationView):
+    def __init__(self, view: ConfigurationView, node_id: str, data_centre: str):
         self._view = view
+        self._node_id = node_id
+        self._data_centre = data_centre
         self._lock = threading.Lock()
         self._table: RoutingTable | None = None
 
@@ -31,5 +35,7 @@
             if configuration is None:
                 return None
             if self._table is None or self._table.version != configuration.version:
-                self._table = build_routing_table(configuration)
+                self._table = build_routing_table(
+                    configuration, self._node_id, self._data_centre
+                )
             return self._table
--- a/arbutuscleat/routing/slot.py
+++ b/arbutuscleat/routing/slot.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass
 
-from .routing_table import Route
+from arbutuscleat.core import Instance
 
 
 @dataclass(frozen=True)
 class SlotOffer:
     """An instance that may serve a request, and this process's share of its slots."""
 
-    route: Route
+    instance: Instance
     share: int
 
 
@@ -17,9 +17,9 @@
 class Slot:
     """A slot taken; it must be given back exactly once."""
 
-    route: Route
+    instance: Instance
 
     @property
     def instance_id(self) -> str:
         """The instance whose slot this is."""
-        return self.route.instance.instance_id
+        return self.instance.instance_id
--- a/arbutuscleat/settings/fields.py
+++ b/arbutuscleat/settings/fields.py
@@ -60,7 +60,7 @@
     """Where spans go, as JSON lines, and which share of traces is kept."""
 
     file: Path | None = None
-    sample_ratio: Annotated[float, Field(ge=0.0, le=1.0)] = 1.0
+    sample_ratio: Annotated[float, Field(ge=0.0, le=1.0)] = 0.05
 
 
 class ProcessSettings(Section):
--- a/arbutuscleat/telemetry/tracing.py
+++ b/arbutuscleat/telemetry/tracing.py
@@ -1,5 +1,6 @@
 """Tracing: one span for each hop, joined by W3C trace context."""
 
+import random
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -8,8 +9,8 @@
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import BatchSpanProcessor
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
-from opentelemetry.trace import Span
+from opentelemetry.sdk.trace.sampling import ALWAYS_ON
+from opentelemetry.trace import NonRecordingSpan, Span, SpanContext, TraceFlags
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from .span_writer import SpanWriter
@@ -22,6 +23,10 @@
 class Tracing:
     """Starts spans and carries their context between processes.
 
+    Most traces of a busy process are not kept.  Whether one is kept is decided
+    once, where it starts; below that, a trace that is not kept costs next to
+    nothing, yet has an id that logs and answers show.
+
     Parameters
     ----------
     node_id : str
@@ -30,33 +35,68 @@
         Where finished spans go; None keeps none.
     sample_ratio : float
         Share of new traces that is kept; a caller's decision is respected.
+    rng : random.Random
+        Source of ids and of the decision.
     """
 
     def __init__(
-        self, node_id: str, file: Path | None = None, sample_ratio: float = 1.0
+        self,
+        node_id: str,
+        file: Path | None,
+        sample_ratio: float,
+        rng: random.Random,
     ):
         self._provider = TracerProvider(
-            sampler=ParentBased(TraceIdRatioBased(sample_ratio if file else 0.0)),
+            sampler=ALWAYS_ON,
             resource=Resource({"service.name": "arbutuscleat", "node": node_id}),
             shutdown_on_exit=False,
         )
         if file is not None:
             self._provider.add_span_processor(BatchSpanProcessor(SpanWriter(file)))
+        self._keeps_any = file is not None
+        self._sample_ratio = sample_ratio
+        self._rng = rng
         self._tracer = self._provider.get_tracer("arbutuscleat")
 
     @contextmanager
     def span(self, name: str, traceparent: str = "") -> Iterator[Span]:
         """Run a block inside a span, below `traceparent` when one is given."""
         context = None
+        current = trace.get_current_span()
         if traceparent:
             context = _PROPAGATOR.extract({TRACEPARENT: traceparent})
-        with self._tracer.start_as_current_span(name, context=context) as span:
-            yield span
+            current = trace.get_current_span(context)
+        if self._is_kept(current.get_span_context()):
+            with self._tracer.start_as_current_span(name, context=context) as span:
+                yield span
+        elif current.get_span_context().is_valid and not traceparent:
+            yield current
+        else:
+            with trace.use_span(self._dropped(current.get_span_context())) as span:
+                yield span
 
     def stop(self) -> None:
         """Write what is left and stop."""
         self._provider.shutdown()
 
+    def _is_kept(self, parent: SpanContext) -> bool:
+        if not self._keeps_any:
+            return False
+        if parent.is_valid:
+            return parent.trace_flags.sampled
+        return self._rng.random() < self._sample_ratio
+
+    def _dropped(self, parent: SpanContext) -> NonRecordingSpan:
+        """Return a span that is not kept, in the parent's trace or a new one."""
+        return NonRecordingSpan(
+            SpanContext(
+                trace_id=parent.trace_id or self._rng.getrandbits(128) | 1,
+                span_id=self._rng.getrandbits(64) | 1,
+                is_remote=False,
+                trace_flags=TraceFlags(TraceFlags.DEFAULT),
+            )
+        )
+
 
 def current_traceparent() -> str:
     """Return the trace context of the current span, as the header's value."""
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each prints ratios against a baseline of the same run."""
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from arbutuscleat.cli import main as arbutuscleat
-from arbutuscleat.emulator import OPERATOR_TOKEN, EndpointPlan, LocalFleet
+from arbutuscleat.emulator import OPERATOR_TOKEN, EndpointPlan, FleetPlan, LocalFleet
 
 FOLDER = Path("run") / "demo"
 
@@ -107,7 +107,7 @@
 def main() -> int:
     """Run the demo and return its exit code."""
     shutil.rmtree(FOLDER, ignore_errors=True)
-    fleet = LocalFleet(FOLDER)
+    fleet = LocalFleet(FOLDER, FleetPlan(sample_ratio=1.0))
     try:
         fleet.start()
         show(fleet)
--- /dev/null
+++ b/tests/fakes/control.py
@@ -0,0 +1,65 @@
+"""Control as the entry instance sees it, without any network."""
+
+import threading
+
+from returns.result import Failure, Success
+
+from arbutuscleat.membership import ControlError, ControlErrorKind
+from arbutuscleat.state import ControlMachine
+from arbutuscleat.wire import encode
+from arbutuscleat.wire.gen.ttypes import (
+    ChangeResult,
+    ClaimRecord,
+    ProposeAnswer,
+    Status,
+    StatusAnswer,
+)
+
+
+class FakeControl:
+    """Applies each proposal to a machine at once, unless a fault is set.
+
+    `faults` is a list used up from its front: "no-quorum" (not proposed), "lost"
+    (applied, the answer lost), "dropped" (not applied, the answer lost); None is
+    no fault.
+    """
+
+    def __init__(self):
+        self.machine = ControlMachine()
+        self.faults = []
+        self.commands = []
+        self._index = 0
+        self._lock = threading.Lock()
+
+    def propose(self, command, timeout):
+        with self._lock:
+            fault = self.faults.pop(0) if self.faults else None
+            if fault == "no-quorum":
+                return Failure(ControlError(ControlErrorKind.NO_QUORUM, "injected"))
+            value = None
+            if fault != "dropped":
+                self._index += 1
+                self.commands.append(command)
+                value = self.machine.apply(self._index, encode(command))
+            if fault in ("lost", "dropped"):
+                return Failure(ControlError(ControlErrorKind.UNKNOWN, "injected"))
+            answer = ProposeAnswer(status=Status.OK)
+            if isinstance(value, ChangeResult):
+                answer.change = value
+            elif isinstance(value, ClaimRecord):
+                answer.claim = value
+            return Success(answer)
+
+    def status(self, change_id, timeout):
+        return Success(
+            StatusAnswer(
+                status=Status.OK,
+                node_id="control-1",
+                leader="control-1",
+                term=1,
+                commit_index=self._index,
+                version=self.machine.configuration.version,
+                entries=[],
+                change=self.machine.change_result(change_id),
+            )
+        )
