--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -73,7 +73,9 @@
         self.progress: dict[str, Progress] = {}
         self.waiters: dict[int, Waiter] = {}
         self.led_since = float("-inf")
-        self.last_heard = float("-inf")
+        # A leader may have been heard just before a restart: no pre-vote is given
+        # against it until it has been silent for the shortest timeout.
+        self.last_heard = clock.monotonic()
         self._load()
         self.election_due = self._next_election()
 
--- a/arbutuscleat/core/instance.py
+++ b/arbutuscleat/core/instance.py
@@ -35,12 +35,19 @@
         Whether the instance takes new work.
     conflict : str
         Why the instance could not be assigned; empty without a conflict.
+    since_version : int
+        Configuration version of the last change of pool or phase.
     """
 
     pool: str = ""
     epoch: int = 0
     phase: AssignmentPhase = AssignmentPhase.UNASSIGNED
     conflict: str = ""
+    since_version: int = 0
+
+    def takes_work(self) -> bool:
+        """Return whether the instance may be given new work."""
+        return self.phase is AssignmentPhase.ASSIGNED
 
 
 @dataclass(frozen=True)
--- a/arbutuscleat/daemons/control.py
+++ b/arbutuscleat/daemons/control.py
@@ -23,7 +23,14 @@
     MetricsFront,
     StatusFront,
 )
-from arbutuscleat.membership import ControlClient, ControlService
+from arbutuscleat.maintenance import (
+    DispatchGate,
+    MemberWatch,
+    MoveLimits,
+    Mover,
+    Planner,
+)
+from arbutuscleat.membership import AckTable, ControlClient, ControlService
 from arbutuscleat.settings import ControlSettings
 from arbutuscleat.state import ControlMachine
 from arbutuscleat.telemetry import Metrics
@@ -64,14 +71,16 @@
             self._clock,
             random.Random(),
         )
+        self._acks = AckTable(self._clock)
         service = ControlService(
-            self._replica, self._machine, self._clock, cfg.lease_ms
+            self._replica, self._machine, self._acks, self._clock, cfg.lease_ms
         )
         self._thrift = ThriftServer(
             Control.Processor(service),
             Address(str(cfg.peer.host), cfg.peer.port),
             credentials,
         )
+        self._planner = self._make_planner()
         self._control = ControlClient(_channels(cfg, credentials), self._clock)
         self._http = self._make_http()
 
@@ -84,16 +93,34 @@
         """Start every task."""
         self._thrift.start()
         self._replica.start()
+        self._planner.start()
         self._http.start()
         logging.info("control instance listens on %s", self._http.address)
 
     def stop(self) -> None:
         """Stop every task; operators' requests in progress end first."""
         self._http.stop()
+        self._planner.stop()
         self._replica.stop()
         self._thrift.stop()
         self._control.close()
 
+    def _make_planner(self) -> Planner:
+        cfg = self._cfg
+        wait_seconds = (cfg.lease_ms + cfg.margin_ms) / 1000.0
+        gate = DispatchGate(
+            self._acks, self._clock, wait_seconds, self._replica.led_since
+        )
+        return Planner(
+            self._machine,
+            MemberWatch(self._acks, gate, self._clock, cfg.lease_ms / 1000.0),
+            Mover(self._acks, gate, self._clock, MoveLimits()),
+            self._replica.leads,
+            self._replica.led_since,
+            self._replica.propose,
+            self._clock,
+        )
+
     def _make_http(self) -> HttpServer:
         cfg = self._cfg
         configuration = ConfigurationFront(
--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from arbutuscleat.consensus import FolderDisk
 from arbutuscleat.core import Instance, SystemClock
 from arbutuscleat.http import (
     Application,
@@ -23,12 +24,17 @@
     AnnouncementTable,
     ConfigurationView,
     ControlClient,
+    DispatchRights,
+    InForce,
+    Listing,
     PeerExchange,
     Reporter,
     Subscription,
+    ViewStore,
 )
 from arbutuscleat.routing import (
     Admission,
+    LocalCapacity,
     LogClaimRegistry,
     Router,
     RouterParts,
@@ -36,6 +42,7 @@
     RunTimes,
 )
 from arbutuscleat.settings import EntrySettings
+from arbutuscleat.state import Member
 from arbutuscleat.telemetry import Metrics, Tracing
 from arbutuscleat.wire import Address, Channel, ChannelPool, Credentials, ThriftServer
 from arbutuscleat.wire.gen import Control, Entry
@@ -59,27 +66,62 @@
         self._metrics = Metrics()
         self._draining = threading.Event()
         self._stopping = threading.Event()
+        store = None
         incarnation = uuid.uuid4().hex
+        if cfg.data_folder is not None:
+            store = ViewStore(FolderDisk(cfg.data_folder))
+            incarnation = store.incarnation(cfg.node_id)
         self._credentials = Credentials(
             cfg.cluster, cfg.shared_key, cfg.node_id, incarnation
         )
         self._tracing = Tracing(
             cfg.node_id, cfg.traces.file, cfg.traces.sample_ratio, random.Random()
         )
-        self._view = ConfigurationView()
-        self._tables = RoutingTableHolder(self._view, cfg.node_id, cfg.data_centre)
+        self._view = ConfigurationView(store)
+        self._rights = DispatchRights(
+            cfg.node_id, incarnation, cfg.data_centre, self._clock
+        )
+        in_force = InForce(cfg.node_id, cfg.data_centre)
         self._table = AnnouncementTable(
             self._clock, cfg.announcements.expiry_ms / 1000.0
         )
+        self._capacity = LocalCapacity(
+            cfg.node_id,
+            cfg.data_centre,
+            self._view,
+            self._table,
+            self._rights.may_dispatch,
+        )
+        self._view.add_listener(
+            lambda found: self._rights.take_version(
+                found.version, found.members.values()
+            )
+        )
+        self._view.add_listener(
+            lambda found: in_force.take_version(found.version, found.members.values())
+        )
+        self._tables = RoutingTableHolder(
+            self._view, lambda: in_force.version, cfg.node_id, cfg.data_centre
+        )
+        self._admission = Admission(
+            self._clock,
+            RunTimes(),
+            cfg.limits.queue_length,
+            self._capacity.limit,
+            random.Random().random,
+        )
         self._control = ControlClient(self._control_pools(), self._clock)
         self._reporter = Reporter(self._table, self._view, self._control, self._clock)
         self._exchange = PeerExchange(
             self._credentials,
-            cfg.data_centre,
             self._peer_channels(),
             self._table,
             self._view,
-            self._control,
+            self._rights,
+            in_force,
+            self._tables.version,
+            cfg.lease_ms,
+            self._busy_draining,
             self._clock,
         )
         self._thrift = ThriftServer(
@@ -87,20 +129,14 @@
             Address(str(cfg.peer.host), cfg.peer.port),
             self._credentials,
         )
+        self._listing = Listing(self._member(), self._view, self._control, self._clock)
         self._subscription = Subscription(
-            cfg.node_id,
-            incarnation,
+            self._credentials,
             self._control_channels(),
             self._view,
+            self._rights,
+            self._exchange.acks,
             self._clock,
-            self._exchange.note_control,
-        )
-        self._admission = Admission(
-            self._clock,
-            RunTimes(),
-            cfg.limits.queue_length,
-            self._table.is_ready,
-            random.Random().random,
         )
         self._endpoints = UrllibEndpointClient(
             self._clock,
@@ -120,8 +156,10 @@
 
     def start(self) -> None:
         """Start every task."""
+        self._view.restore()
         self._thrift.start()
-        self._exchange.start(self._thrift.address)
+        self._exchange.start()
+        self._listing.start()
         self._subscription.start()
         self._reporter.start()
         self._rechecker.start()
@@ -134,6 +172,7 @@
         if not self._callers.wait_idle(DRAIN_SECONDS):
             logging.warning("requests were still in progress after %s s", DRAIN_SECONDS)
         self._stopping.set()
+        self._listing.leave()
         self._http.stop()
         self._subscription.stop()
         self._reporter.stop()
@@ -149,7 +188,8 @@
         cfg = self._cfg
         parts = RouterParts(
             table=self._tables.current,
-            may_dispatch=self._exchange.may_dispatch,
+            may_dispatch=self._rights.may_dispatch,
+            may_send=self._capacity.may_send,
             admission=self._admission,
             claims=LogClaimRegistry(
                 self._control, cfg.node_id, self._credentials.incarnation
@@ -243,6 +283,22 @@
             return method in ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
         return method in settings.idempotent_methods
 
+    def _busy_draining(self) -> list[str]:
+        busy = self._admission.busy_instances()
+        return [name for name in busy if self._capacity.is_draining(name)]
+
+    def _member(self) -> Member:
+        cfg = self._cfg
+        return Member(
+            node_id=cfg.node_id,
+            incarnation=self._credentials.incarnation,
+            data_centre=cfg.data_centre,
+            host=str(cfg.peer.host),
+            port=cfg.peer.port,
+            durable=cfg.data_folder is not None,
+            live=True,
+        )
+
     def _health_problem(self) -> str:
         if self._draining.is_set():
             return "draining"
--- a/arbutuscleat/maintenance/__init__.py
+++ b/arbutuscleat/maintenance/__init__.py
@@ -1,1 +1,15 @@
-"""Budgets, maintenance waves and moves."""
+"""Budgets, maintenance waves, moves, and the watch over entry instances."""
+
+from .dispatch_gate import DispatchGate, GateVerdict
+from .member_watch import MemberWatch
+from .mover import MoveLimits, Mover
+from .planner import Planner
+
+__all__ = [
+    "DispatchGate",
+    "GateVerdict",
+    "MemberWatch",
+    "MoveLimits",
+    "Mover",
+    "Planner",
+]
--- a/arbutuscleat/membership/__init__.py
+++ b/arbutuscleat/membership/__init__.py
@@ -1,15 +1,22 @@
-"""Announcements of endpoints, and an entry instance's link to control."""
+"""Announcements of endpoints, dispatch rights, and the links to control and peers."""
 
+from .ack_table import AckTable, HeardMember
 from .announcement_table import Announcement, AnnouncementTable
+from .configuration_fetch import answer_fetch
 from .configuration_view import ConfigurationView
 from .control_client import ControlClient
 from .control_error import ControlError, ControlErrorKind
 from .control_service import ControlService
+from .dispatch_rights import DispatchRights
+from .in_force import InForce
+from .listing import Listing
 from .peer_exchange import PeerExchange
 from .reporter import Reporter
 from .subscription import Subscription
+from .view_store import ViewStore
 
 __all__ = [
+    "AckTable",
     "Announcement",
     "AnnouncementTable",
     "ConfigurationView",
@@ -17,7 +24,13 @@
     "ControlError",
     "ControlErrorKind",
     "ControlService",
+    "DispatchRights",
+    "HeardMember",
+    "InForce",
+    "Listing",
     "PeerExchange",
     "Reporter",
     "Subscription",
+    "ViewStore",
+    "answer_fetch",
 ]
--- a/arbutuscleat/membership/configuration_view.py
+++ b/arbutuscleat/membership/configuration_view.py
@@ -1,39 +1,64 @@
 """The configuration view: an entry instance's replica of the configuration.
 
-Its version only goes up.  Readers get an immutable routing table elsewhere; here
-the replica is kept in step with control.
+Its version only goes up.  What follows from a version (whom to grant leases, which
+instances drain) is drawn before the version is shown to anyone: an
+acknowledgement of it is a promise.
 """
 
 import threading
 from collections import deque
+from collections.abc import Callable
 
 from absl import logging
 
-from arbutuscleat.state import FleetConfiguration
+from arbutuscleat.state import ConfigurationSource, FleetConfiguration
 from arbutuscleat.wire.gen.ttypes import ConfigDelta, Configuration, FetchAnswer
 
+from .view_store import ViewStore
+
 DELTAS_KEPT = 1_024
+NO_VERSION = -1
+
+Listener = Callable[[FleetConfiguration], None]
 
 
-class ConfigurationView:
+class ConfigurationView(ConfigurationSource):
     """A replica of the configuration.
 
-    Attributes
+    Parameters
     ----------
-    changed : threading.Condition
-        Guards the configuration; notified on every new version.
+    store : ViewStore or None
+        Where the version held is kept over a restart, on an instance with a disk.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, store: ViewStore | None = None):
         self.changed = threading.Condition()
+        self._store = store
         self._configuration: FleetConfiguration | None = None
         self._deltas: deque[ConfigDelta] = deque(maxlen=DELTAS_KEPT)
+        self._version = NO_VERSION
+        self._listeners: list[Listener] = []
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call `listener` with each new version before it is shown."""
+        self._listeners.append(listener)
+
+    def restore(self) -> None:
+        """Take over what was kept on the disk, if anything."""
+        if self._store is None:
+            return
+        with self.changed:
+            record, deltas = self._store.load()
+            if record is not None:
+                self._take_full(record)
+            for delta in deltas:
+                self._take_delta(delta)
+            self._publish()
 
     @property
     def version(self) -> int:
         """The version held; -1 before the first one."""
-        configuration = self._configuration
-        return -1 if configuration is None else configuration.version
+        return self._version
 
     @property
     def configuration(self) -> FleetConfiguration | None:
@@ -43,41 +68,66 @@
     def take(self, answer: FetchAnswer) -> bool:
         """Take over what a source sent; return whether the version went up."""
         with self.changed:
-            before = self.version
-            if answer.full is not None:
-                self._take_full(answer.full)
-            for delta in answer.deltas or ():
-                self._take_delta(delta)
-            rose = self.version > before
-            if rose:
-                self.changed.notify_all()
-            return rose
+            before = self._version
+            if answer.full is not None and self._take_full(answer.full):
+                self._keep_full(answer.full)
+            kept = [d for d in answer.deltas or () if self._take_delta(d)]
+            self._keep_deltas(kept)
+            self._publish()
+            return self._version > before
+
+    def full(self) -> Configuration | None:
+        """Return the whole configuration as a record; `changed` is held."""
+        configuration = self._configuration
+        return None if configuration is None else configuration.to_record()
 
     def deltas_since(self, version: int) -> list[ConfigDelta] | None:
         """Return the deltas behind `version`, or None when some are gone."""
-        missing = self.version - version
+        missing = self._version - version
         if missing < 0 or missing > len(self._deltas):
             return None
         return list(self._deltas)[len(self._deltas) - missing :]
 
-    def full(self) -> Configuration | None:
-        """Return the whole configuration as a record; `changed` is held."""
-        configuration = self._configuration
-        return None if configuration is None else configuration.to_record()
-
-    def _take_full(self, record: Configuration) -> None:
-        if record.version <= self.version:
-            return  # A source that lags behind what is held.
+    def _take_full(self, record: Configuration) -> bool:
+        if record.version <= self._held():
+            return False  # A source that lags behind what is held.
         self._configuration = FleetConfiguration.from_record(record)
         self._deltas.clear()
+        return True
 
-    def _take_delta(self, delta: ConfigDelta) -> None:
+    def _take_delta(self, delta: ConfigDelta) -> bool:
         configuration = self._configuration
         if configuration is None or delta.version != configuration.version + 1:
-            return  # Held already, or a gap that the next fetch closes.
+            return False  # Held already, or a gap that the next fetch closes.
         configuration.replay(delta.command)
         if configuration.version != delta.version:
             logging.error("delta %d did not raise the version", delta.version)
             self._configuration = None
-            return
+            return False
         self._deltas.append(delta)
+        return True
+
+    def _held(self) -> int:
+        configuration = self._configuration
+        return NO_VERSION if configuration is None else configuration.version
+
+    def _publish(self) -> None:
+        configuration = self._configuration
+        if configuration is None or configuration.version <= self._version:
+            return
+        for listener in self._listeners:
+            listener(configuration)
+        self._version = configuration.version
+        self.changed.notify_all()
+
+    def _keep_full(self, record: Configuration) -> None:
+        if self._store is not None:
+            self._store.save_full(record)
+
+    def _keep_deltas(self, deltas: list[ConfigDelta]) -> None:
+        if self._store is not None and deltas:
+            self._store.save_deltas(deltas)
+            if self._store.is_long():
+                record = self.full()
+                assert record is not None
+                self._store.save_full(record)
--- a/arbutuscleat/membership/control_service.py
+++ b/arbutuscleat/membership/control_service.py
@@ -1,13 +1,10 @@
 """The thrift handler of a control instance."""
 
-import threading
-from dataclasses import dataclass
-
 from returns.result import Failure
 
 from arbutuscleat.consensus import ProposalErrorKind, Replica
-from arbutuscleat.core import Clock, Deadline
-from arbutuscleat.state import ControlMachine
+from arbutuscleat.core import Clock
+from arbutuscleat.state import ControlMachine, Member
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen.ttypes import (
     AppendAnswer,
@@ -28,7 +25,8 @@
     VoteRequest,
 )
 
-MAX_WAIT_SECONDS = 5.0
+from .ack_table import AckTable, HeardMember
+from .configuration_fetch import answer_fetch
 
 _STATUS = {
     ProposalErrorKind.NOT_LEADER: Status.NOT_LEADER,
@@ -38,15 +36,6 @@
 }
 
 
-@dataclass(frozen=True)
-class _EntryView:
-    """What an entry instance last said about itself."""
-
-    data_centre: str
-    in_force_version: int
-    heard_at: float
-
-
 class ControlService:
     """Answers replicas, entry instances and the operator front.
 
@@ -56,6 +45,8 @@
         The member of the consensus group.
     machine : ControlMachine
         What the log acts upon.
+    acks : AckTable
+        What was heard of the entry instances.
     clock : Clock
         Source of time.
     lease_ms : int
@@ -63,14 +54,18 @@
     """
 
     def __init__(
-        self, replica: Replica, machine: ControlMachine, clock: Clock, lease_ms: int
+        self,
+        replica: Replica,
+        machine: ControlMachine,
+        acks: AckTable,
+        clock: Clock,
+        lease_ms: int,
     ):
         self._replica = replica
         self._machine = machine
+        self._acks = acks
         self._clock = clock
         self._lease_ms = lease_ms
-        self._lock = threading.Lock()
-        self._entries: dict[str, _EntryView] = {}
 
     # ---- consensus ----
 
@@ -103,24 +98,17 @@
             answer.change = value
         elif isinstance(value, ClaimRecord):
             answer.claim = value
-        answer.version = self._machine.configuration.version
+        answer.version = self._machine.version
         return answer
 
     # ---- configuration ----
 
     def fetch(self, request: FetchRequest) -> FetchAnswer:
         """Answer with what is newer than the version known, waiting for it."""
-        self._note_entry(request)
-        wait = min(request.wait_ms / 1000.0, MAX_WAIT_SECONDS)
-        deadline = Deadline.after(self._clock, wait)
-        machine = self._machine
-        with machine.changed:
-            while machine.configuration.version <= request.known_version:
-                if deadline.expired():
-                    break
-                self._clock.wait(machine.changed, deadline.remaining())
-            answer = self._fetch_answer(request)
-        self._grant(answer)
+        for ack in request.acks or ():
+            self._acks.note(ack)
+        answer = answer_fetch(self._machine, request, self._clock)
+        self._grant(request, answer)
         return answer
 
     def status(self, request: StatusRequest) -> StatusAnswer:
@@ -134,57 +122,41 @@
             leader=found.leader,
             term=found.term,
             commit_index=found.commit_index,
-            version=self._machine.configuration.version,
-            entries=self._entry_statuses(),
+            version=self._machine.version,
+            entries=[self._node_status(member) for member in self._acks.heard()],
         )
         if request.change_id:
             answer.change = self._machine.change_result(request.change_id)
         return answer
 
-    def _fetch_answer(self, request: FetchRequest) -> FetchAnswer:
-        machine = self._machine
-        answer = FetchAnswer(
-            request_id=request.request_id,
-            status=Status.OK,
-            version=machine.configuration.version,
-        )
-        if answer.version <= request.known_version:
-            return answer
-        answer.deltas = machine.deltas_since(request.known_version)
-        if request.known_version < 0 or answer.deltas is None:
-            answer.deltas = None
-            answer.full = machine.full()
-        return answer
-
-    def _grant(self, answer: FetchAnswer) -> None:
-        """Add a lease when this instance leads, else point to the leader."""
-        if self._replica.leads():
-            answer.lease_ms = self._lease_ms
+    def _grant(self, request: FetchRequest, answer: FetchAnswer) -> None:
+        """Add a lease when this instance leads and the holder is up to date."""
+        if not self._replica.leads():
+            answer.status = Status.NOT_LEADER
+            answer.leader = self._replica.status().leader
             return
-        answer.status = Status.NOT_LEADER
-        answer.leader = self._replica.status().leader
-        answer.lease_ms = 0
-
-    def _note_entry(self, request: FetchRequest) -> None:
+        machine = self._machine
+        with machine.changed:
+            if request.known_version != machine.version:
+                return
+            member = machine.configuration.members.get(request.node_id)
+            if member is None or not _is_live(member, request.incarnation):
+                return
+            # Noted before it is sent: who waits for its end must know of it.
+            self._acks.note_grant(request.node_id)
+        answer.lease_ms = self._lease_ms
+
+    def _node_status(self, heard: HeardMember) -> NodeStatus:
         with self._machine.changed:
-            member = self._machine.configuration.members.get(request.node_id)
-        seen = _EntryView(
+            member = self._machine.configuration.members.get(heard.node_id)
+        age = self._clock.monotonic() - heard.heard_at
+        return NodeStatus(
+            node_id=heard.node_id,
             data_centre=member.data_centre if member is not None else "",
-            in_force_version=request.in_force_version,
-            heard_at=self._clock.monotonic(),
+            in_force_version=heard.in_force_version,
+            age_ms=int(age * 1000),
         )
-        with self._lock:
-            self._entries[request.node_id] = seen
-
-    def _entry_statuses(self) -> list[NodeStatus]:
-        now = self._clock.monotonic()
-        with self._lock:
-            return [
-                NodeStatus(
-                    node_id=node_id,
-                    data_centre=entry.data_centre,
-                    in_force_version=entry.in_force_version,
-                    age_ms=int((now - entry.heard_at) * 1000),
-                )
-                for node_id, entry in sorted(self._entries.items())
-            ]
+
+
+def _is_live(member: Member, incarnation: str) -> bool:
+    return member.live and not member.suspect and member.incarnation == incarnation
--- /dev/null
+++ b/arbutuscleat/membership/in_force.py
@@ -0,0 +1,60 @@
+"""What is in force: a version that every live peer holds as well.
+
+A version is used for placing requests only once the live peers of the data centre
+hold it.  So an entry instance without a disk that restarts while its data centre is
+cut off finds, at any peer, at least what it had put in force.
+"""
+
+import threading
+from collections.abc import Iterable
+
+from arbutuscleat.state import Member
+
+UNKNOWN_VERSION = -1
+
+
+class InForce:
+    """The versions that the peers of one data centre hold.
+
+    Parameters
+    ----------
+    node_id, data_centre : str
+        Identity and place of this process.
+    """
+
+    def __init__(self, node_id: str, data_centre: str):
+        self._node_id = node_id
+        self._data_centre = data_centre
+        self._lock = threading.Lock()
+        self._held = UNKNOWN_VERSION
+        self._peers: frozenset[str] = frozenset()
+        self._peer_versions: dict[str, int] = {}
+        self._version = UNKNOWN_VERSION
+
+    @property
+    def version(self) -> int:
+        """The newest version in force here; only goes up."""
+        return self._version
+
+    def take_version(self, version: int, members: Iterable[Member]) -> None:
+        """Take note of a newly held version and the members that it lists."""
+        with self._lock:
+            self._held = max(self._held, version)
+            self._peers = frozenset(
+                member.node_id
+                for member in members
+                if member.live
+                and member.data_centre == self._data_centre
+                and member.node_id != self._node_id
+            )
+            self._update()
+
+    def note_peer(self, peer: str, version: int) -> None:
+        """Take note of the version that a peer holds."""
+        with self._lock:
+            self._peer_versions[peer] = version
+            self._update()
+
+    def _update(self) -> None:
+        versions = [self._peer_versions.get(p, UNKNOWN_VERSION) for p in self._peers]
+        self._version = max(self._version, min([self._held, *versions]))
--- /dev/null
+++ b/arbutuscleat/membership/listing.py
@@ -0,0 +1,93 @@
+"""The listing task: keeps this entry instance listed as a live member."""
+
+import threading
+from dataclasses import replace
+
+from absl import logging
+from returns.result import Failure
+
+from arbutuscleat.core import Clock
+from arbutuscleat.state import Member, member_record
+from arbutuscleat.wire.gen.ttypes import Command, ReportMember
+
+from .configuration_view import ConfigurationView
+from .control_client import ControlClient
+
+LISTING_SECONDS = 0.5
+PROPOSE_SECONDS = 2.0
+
+
+class Listing:
+    """Proposes this process as a member until the log lists it so.
+
+    Parameters
+    ----------
+    member : Member
+        How this process wants to be listed.
+    view : ConfigurationView
+        What the log holds.
+    control : ControlClient
+        The way to the log.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        view: ConfigurationView,
+        control: ControlClient,
+        clock: Clock,
+    ):
+        self._member = member
+        self._view = view
+        self._control = control
+        self._clock = clock
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="listing", daemon=True)
+
+    def start(self) -> None:
+        """Start the task."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the task."""
+        self._stopping.set()
+
+    def list_once(self) -> bool:
+        """Propose the member if the log lists it otherwise; return if it did not."""
+        with self._view.changed:
+            configuration = self._view.configuration
+            if configuration is None:
+                return False
+            known = configuration.members.get(self._member.node_id)
+        if known is not None and _is_same(known, self._member):
+            return True
+        command = Command(member=ReportMember(member=member_record(self._member)))
+        result = self._control.propose(command, PROPOSE_SECONDS)
+        if isinstance(result, Failure):
+            logging.warning("not listed yet: %s", result.failure().detail)
+        return False
+
+    def leave(self) -> None:
+        """Say that this process dispatches no more, before it stops."""
+        self.stop()
+        gone = replace(self._member, live=False)
+        command = Command(member=ReportMember(member=member_record(gone)))
+        result = self._control.propose(command, PROPOSE_SECONDS)
+        if isinstance(result, Failure):
+            logging.warning("not taken off the list: %s", result.failure().detail)
+
+    def _run(self) -> None:
+        while not self._clock.sleep(self._stopping, LISTING_SECONDS):
+            self.list_once()
+
+
+def _is_same(known: Member, wanted: Member) -> bool:
+    return (known.incarnation, known.host, known.port, known.live, known.suspect) == (
+        wanted.incarnation,
+        wanted.host,
+        wanted.port,
+        wanted.live,
+        wanted.suspect,
+    )
--- a/arbutuscleat/membership/peer_exchange.py
+++ b/arbutuscleat/membership/peer_exchange.py
@@ -1,58 +1,59 @@
 """The exchange between the entry instances of one data centre.
 
-One task for each peer passes on announcements; one task lists this process at
-control.  It also holds the right to dispatch.
+One task for each peer passes on announcements, asks for the lease that the right
+to dispatch may need, and fetches a newer version that the peer holds.
 """
 
 import threading
+from collections.abc import Callable
 
-from absl import logging
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
-from arbutuscleat.core import Clock, Deadline
-from arbutuscleat.state import Member, instance_from, instance_record, member_record
-from arbutuscleat.wire import Address, CallError, Channel, Credentials
+from arbutuscleat.core import Clock
+from arbutuscleat.state import instance_from, instance_record
+from arbutuscleat.wire import CallError, Channel, Credentials
 from arbutuscleat.wire.gen.ttypes import (
-    Command,
     FetchAnswer,
     FetchRequest,
-    ForwardAnswer,
-    ForwardRequest,
     InstanceRecord,
-    ReportMember,
+    MemberAck,
     ShareAnswer,
     ShareRequest,
-    Status,
 )
 
 from .announcement_table import AnnouncementTable
+from .configuration_fetch import answer_fetch
 from .configuration_view import ConfigurationView
-from .control_client import ControlClient
+from .dispatch_rights import DispatchRights
+from .in_force import InForce
 
 EXCHANGE_SECONDS = 0.5
 CALL_SECONDS = 1.0
-LISTING_SECONDS = 0.5
-PROPOSE_SECONDS = 2.0
-MAX_WAIT_SECONDS = 2.0
 
 
 class PeerExchange:
-    """Shares announcements with the peers of this data centre.
+    """Talks to the peers of this data centre.
 
     Parameters
     ----------
     credentials : Credentials
         Identity of this process.
-    data_centre : str
-        Where it runs.
     channels : mapping of str to Channel
         The peers of this data centre by node id.
     table : AnnouncementTable
         What the endpoints announced.
     view : ConfigurationView
         The configuration held here.
-    control : ControlClient
-        The way to the log.
+    rights : DispatchRights
+        The right to dispatch.
+    in_force : InForce
+        Takes the versions that peers hold.
+    table_version : callable
+        Returns the version by which requests are placed.
+    lease_ms : int
+        Validity of the leases granted to peers.
+    busy : callable
+        Returns the draining instances on which work of this process still runs.
     clock : Clock
         Source of time.
     """
@@ -60,31 +61,37 @@
     def __init__(
         self,
         credentials: Credentials,
-        data_centre: str,
         channels: dict[str, Channel],
         table: AnnouncementTable,
         view: ConfigurationView,
-        control: ControlClient,
+        rights: DispatchRights,
+        in_force: InForce,
+        table_version: Callable[[], int],
+        lease_ms: int,
+        busy: Callable[[], list[str]],
         clock: Clock,
     ):
         self._credentials = credentials
-        self._data_centre = data_centre
         self._channels = channels
         self._table = table
         self._view = view
-        self._control = control
+        self._rights = rights
+        self._in_force = in_force
+        self._table_version = table_version
+        self._lease_ms = lease_ms
+        self._busy = busy
         self._clock = clock
-        self._lease_until = float("-inf")
         self._stopping = threading.Event()
         self._wakes = {name: threading.Event() for name in channels}
-        self._address = Address("", 0)
+        self._lock = threading.Lock()
+        self._peer_acks: dict[str, MemberAck] = {}
 
-    def start(self, address: Address) -> None:
-        """Start the tasks; `address` is where peers reach this process."""
-        self._address = address
-        self._spawn("membership-listing", self._keep_listed)
-        for name, channel in self._channels.items():
-            self._spawn(f"peer-{name}", self._converse, name, channel)
+    def start(self) -> None:
+        """Start the tasks."""
+        for name in self._channels:
+            threading.Thread(
+                target=self._converse, args=(name,), name=f"peer-{name}", daemon=True
+            ).start()
 
     def stop(self) -> None:
         """Stop the tasks."""
@@ -94,85 +101,114 @@
             channel.close()
 
     def wake(self) -> None:
-        """Pass on announcements at once."""
+        """Talk to every peer at once."""
         for event in self._wakes.values():
             event.set()
 
-    # ---- the right to dispatch ----
-
-    def note_control(self, answer: FetchAnswer, sent_at: float) -> None:
-        """Take the lease that came with an answer of control."""
-        if answer.lease_ms:
-            until = sent_at + answer.lease_ms / 1000.0
-            self._lease_until = max(self._lease_until, until)
-
-    def may_dispatch(self) -> bool:
-        """Return whether this process may send work to instances now."""
-        return self._clock.monotonic() < self._lease_until
+    def acks(self) -> list[MemberAck]:
+        """Return what this process holds, and what its peers said they hold."""
+        with self._lock:
+            return [self.own_ack(), *self._peer_acks.values()]
+
+    def own_ack(self) -> MemberAck:
+        """Return what this process holds."""
+        # The version is read first: what runs on the instances that drain under
+        # it is then known completely.
+        version = self._view.version
+        return MemberAck(
+            node_id=self._credentials.node_id,
+            incarnation=self._credentials.incarnation,
+            held_version=version,
+            in_force_version=self._table_version(),
+            busy=self._busy(),
+        )
 
     # ---- for peers ----
 
     def share(self, request: ShareRequest) -> ShareAnswer:
-        """Take the announcements that a peer passes on."""
+        """Take what a peer says; grant it a lease if it is up to date."""
         for record in request.announcements:
             self._table.take(instance_from(record), direct=False)
+        self._note(request.ack)
+        grants = self._rights.may_grant(request.ack.held_version)
         return ShareAnswer(
             request_id=request.request_id,
-            version=self._view.version,
-            incarnation=self._credentials.incarnation,
+            ack=self.own_ack(),
+            lease_ms=self._lease_ms if grants else 0,
         )
 
     def fetch(self, request: FetchRequest) -> FetchAnswer:
-        """Answer a peer that has no control instance to ask."""
-        wait = min(request.wait_ms / 1000.0, MAX_WAIT_SECONDS)
-        deadline = Deadline.after(self._clock, wait)
-        view = self._view
-        with view.changed:
-            while view.version <= request.known_version and not deadline.expired():
-                self._clock.wait(view.changed, deadline.remaining())
-            answer = FetchAnswer(
-                request_id=request.request_id,
-                status=Status.OK,
-                version=view.version,
-                lease_ms=0,
-            )
-            if view.version > request.known_version:
-                answer.deltas = view.deltas_since(request.known_version)
-                if request.known_version < 0 or answer.deltas is None:
-                    answer.deltas = None
-                    answer.full = view.full()
-        return answer
-
-    def forward(self, request: ForwardRequest) -> ForwardAnswer:
-        """Refuse: forwarding between data centres is not served yet."""
-        return ForwardAnswer(
-            request_id=request.request_id, outcome="not-run", reason="not-ready"
-        )
+        """Answer a peer whose version is older."""
+        return answer_fetch(self._view, request, self._clock)
 
-    # ---- tasks ----
+    # ---- task ----
 
-    def _spawn(self, name: str, target, *args) -> None:
-        threading.Thread(target=target, args=args, name=name, daemon=True).start()
+    def talk_once(self, name: str, sent: dict[str, tuple[str, int]]) -> bool:
+        """Talk to one peer once; return whether it answered.
 
-    def _converse(self, name: str, channel: Channel) -> None:
+        `sent` holds the announcements that the peer has taken already.
+        """
+        fresh = self._fresh(sent)
+        request = ShareRequest(
+            node_id=self._credentials.node_id, ack=self.own_ack(), announcements=fresh
+        )
+        sent_at = self._clock.monotonic()
+        result: Result[ShareAnswer, CallError] = self._channels[name].call(
+            "share", request, CALL_SECONDS
+        )
+        if not isinstance(result, Success):
+            return False
+        answer = result.unwrap()
+        for record in fresh:
+            sent[record.instance_id] = (record.incarnation, record.sequence)
+        self._note(answer.ack)
+        if answer.lease_ms:
+            self._rights.note_peer_lease(
+                name, answer.ack.incarnation, sent_at, answer.lease_ms / 1000.0
+            )
+        if answer.ack.held_version > self._view.version:
+            self._fetch_from(name)
+        return True
+
+    def _converse(self, name: str) -> None:
         sent: dict[str, tuple[str, int]] = {}
+        incarnation = ""
         while not self._stopping.is_set():
-            fresh = self._fresh(sent)
-            request = ShareRequest(
-                node_id=self._credentials.node_id,
-                incarnation=self._credentials.incarnation,
-                version=self._view.version,
-                announcements=fresh,
-            )
-            result: Result[ShareAnswer, CallError] = channel.call(
-                "share", request, CALL_SECONDS
-            )
-            if isinstance(result, Success):
-                for record in fresh:
-                    sent[record.instance_id] = (record.incarnation, record.sequence)
+            if not self.talk_once(name, sent):
+                sent.clear()  # The peer may have restarted.
+            incarnation = self._forget_if_restarted(name, incarnation, sent)
             self._clock.sleep(self._wakes[name], EXCHANGE_SECONDS)
             self._wakes[name].clear()
 
+    def _forget_if_restarted(
+        self, name: str, incarnation: str, sent: dict[str, tuple[str, int]]
+    ) -> str:
+        with self._lock:
+            ack = self._peer_acks.get(name)
+        found = ack.incarnation if ack is not None else ""
+        if found != incarnation:
+            sent.clear()
+        return found
+
+    def _note(self, ack: MemberAck) -> None:
+        with self._lock:
+            self._peer_acks[ack.node_id] = ack
+        self._in_force.note_peer(ack.node_id, ack.held_version)
+
+    def _fetch_from(self, name: str) -> None:
+        request = FetchRequest(
+            node_id=self._credentials.node_id,
+            incarnation=self._credentials.incarnation,
+            known_version=self._view.version,
+            acks=[],
+            wait_ms=0,
+        )
+        result: Result[FetchAnswer, CallError] = self._channels[name].call(
+            "fetch", request, CALL_SECONDS
+        )
+        if isinstance(result, Success):
+            self._view.take(result.unwrap())
+
     def _fresh(self, sent: dict[str, tuple[str, int]]) -> list[InstanceRecord]:
         """Return the direct announcements that a peer does not have yet."""
         return [
@@ -181,29 +217,3 @@
             if item.direct
             and sent.get(item.instance.instance_id) != item.instance.order()
         ]
-
-    def _keep_listed(self) -> None:
-        while not self._clock.sleep(self._stopping, LISTING_SECONDS):
-            member = self._member()
-            with self._view.changed:
-                configuration = self._view.configuration
-                if configuration is None:
-                    continue
-                listed = configuration.members.get(member.node_id) == member
-            if listed:
-                continue
-            command = Command(member=ReportMember(member=member_record(member)))
-            result = self._control.propose(command, PROPOSE_SECONDS)
-            if isinstance(result, Failure):
-                logging.warning("not listed yet: %s", result.failure().detail)
-
-    def _member(self) -> Member:
-        return Member(
-            node_id=self._credentials.node_id,
-            incarnation=self._credentials.incarnation,
-            data_centre=self._data_centre,
-            host=self._address.host,
-            port=self._address.port,
-            durable=False,
-            live=True,
-        )
--- a/arbutuscleat/membership/subscription.py
+++ b/arbutuscleat/membership/subscription.py
@@ -7,14 +7,16 @@
 from returns.result import Result, Success
 
 from arbutuscleat.core import Clock
-from arbutuscleat.wire import CallError, Channel
-from arbutuscleat.wire.gen.ttypes import FetchAnswer, FetchRequest, Status
+from arbutuscleat.wire import CallError, Channel, Credentials
+from arbutuscleat.wire.gen.ttypes import FetchAnswer, FetchRequest, MemberAck, Status
 
 from .configuration_view import ConfigurationView
+from .dispatch_rights import DispatchRights
 
 POLL_MS = 1_000
 CALL_SECONDS = 3.0
 RETRY_SECONDS = 0.2
+RENEW_SECONDS = 1.5
 
 
 class Subscription:
@@ -22,35 +24,37 @@
 
     Parameters
     ----------
-    node_id, incarnation : str
+    credentials : Credentials
         Identity of this process.
     channels : mapping of str to Channel
         The control instances by node id.
     view : ConfigurationView
         What is kept in step.
+    rights : DispatchRights
+        Takes the leases that control grants.
+    acks : callable
+        Returns what this process and its peers hold.
     clock : Clock
         Source of time.
-    on_answer : callable
-        Called with each answer and the monotonic time its request was sent.
     """
 
     def __init__(
         self,
-        node_id: str,
-        incarnation: str,
+        credentials: Credentials,
         channels: dict[str, Channel],
         view: ConfigurationView,
+        rights: DispatchRights,
+        acks: Callable[[], list[MemberAck]],
         clock: Clock,
-        on_answer: Callable[[FetchAnswer, float], None],
     ):
-        self._node_id = node_id
-        self._incarnation = incarnation
+        self._credentials = credentials
         self._channels = channels
         self._names = list(channels)
         self._source = self._names[0]
         self._view = view
+        self._rights = rights
+        self._acks = acks
         self._clock = clock
-        self._on_answer = on_answer
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="subscription", daemon=True
@@ -67,13 +71,14 @@
             channel.close()
 
     def poll_once(self) -> bool:
-        """Ask one control instance once; return whether it answered."""
+        """Ask one control instance once; return whether it leads."""
+        hurry = self._rights.lacks_control(RENEW_SECONDS)
         request = FetchRequest(
-            node_id=self._node_id,
-            incarnation=self._incarnation,
+            node_id=self._credentials.node_id,
+            incarnation=self._credentials.incarnation,
             known_version=self._view.version,
-            in_force_version=self._view.version,
-            wait_ms=POLL_MS,
+            acks=self._acks(),
+            wait_ms=0 if hurry else POLL_MS,
         )
         sent_at = self._clock.monotonic()
         source = self._source
@@ -86,7 +91,8 @@
         answer = result.unwrap()
         if self._view.take(answer):
             logging.info("configuration version %d", self._view.version)
-        self._on_answer(answer, sent_at)
+        if answer.lease_ms:
+            self._rights.note_control_lease(sent_at, answer.lease_ms / 1000.0)
         if answer.status != Status.OK:
             self._turn_from(source, answer.leader)
             return False
@@ -94,7 +100,10 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            if not self.poll_once():
+            version = self._view.version
+            led = self.poll_once()
+            waits = self._rights.lacks_control(RENEW_SECONDS)
+            if not led or (waits and self._view.version == version):
                 self._clock.sleep(self._stopping, RETRY_SECONDS)
 
     def _turn_from(self, source: str, hint: str) -> None:
--- /dev/null
+++ b/arbutuscleat/membership/view_store.py
@@ -0,0 +1,77 @@
+"""The view store: the version that an entry instance with a disk holds.
+
+It is written and synced before the version is acknowledged, so the
+acknowledgement outlives the process.
+"""
+
+import uuid
+
+from arbutuscleat.consensus import Disk
+from arbutuscleat.consensus.frames import frame, read_frames
+from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire.gen.ttypes import (
+    ConfigDelta,
+    Configuration,
+    FetchAnswer,
+    IdentityRecord,
+)
+
+VIEW_FILE = "view"
+DELTAS_FILE = "view-deltas"
+IDENTITY_FILE = "entry-identity"
+LONG_DELTAS_BYTES = 4 * 1024 * 1024
+
+
+class ViewStore:
+    """Keeps a configuration and the deltas behind it.
+
+    Parameters
+    ----------
+    disk : Disk
+        The data folder.
+    """
+
+    def __init__(self, disk: Disk):
+        self._disk = disk
+        self._deltas_bytes = 0
+
+    def incarnation(self, node_id: str) -> str:
+        """Return the incarnation of this data folder, a new one when it is empty."""
+        data = self._disk.read(IDENTITY_FILE)
+        if data is not None:
+            payloads, _ = read_frames(data, IDENTITY_FILE)
+            return decode(IdentityRecord, payloads[0]).incarnation
+        record = IdentityRecord(node_id=node_id, incarnation=uuid.uuid4().hex)
+        self._disk.replace(IDENTITY_FILE, frame(encode(record)))
+        return record.incarnation
+
+    def load(self) -> tuple[Configuration | None, list[ConfigDelta]]:
+        """Return what was kept: a configuration and the deltas behind it."""
+        data = self._disk.read(VIEW_FILE)
+        if data is None:
+            return None, []
+        payloads, _ = read_frames(data, VIEW_FILE)
+        record = decode(Configuration, payloads[0])
+        tail = self._disk.read(DELTAS_FILE) or b""
+        batches, good = read_frames(tail, DELTAS_FILE)
+        if good < len(tail):
+            self._disk.truncate(DELTAS_FILE, good)
+        self._deltas_bytes = good
+        deltas = [d for batch in batches for d in decode(FetchAnswer, batch).deltas]
+        return record, deltas
+
+    def save_full(self, record: Configuration) -> None:
+        """Keep a whole configuration; older deltas are told by their version."""
+        self._disk.replace(VIEW_FILE, frame(encode(record)))
+        self._disk.replace(DELTAS_FILE, b"")
+        self._deltas_bytes = 0
+
+    def save_deltas(self, deltas: list[ConfigDelta]) -> None:
+        """Keep further deltas."""
+        data = frame(encode(FetchAnswer(deltas=deltas)))
+        self._disk.append(DELTAS_FILE, data)
+        self._deltas_bytes += len(data)
+
+    def is_long(self) -> bool:
+        """Return whether the deltas should be folded into the configuration."""
+        return self._deltas_bytes > LONG_DELTAS_BYTES
--- a/arbutuscleat/routing/__init__.py
+++ b/arbutuscleat/routing/__init__.py
@@ -3,6 +3,7 @@
 from .admission import Admission
 from .claims import Claim, ClaimRegistry, LogClaimRegistry, content_digest
 from .endpoint_client import DispatchError, DispatchErrorKind, EndpointClient
+from .local_capacity import LocalCapacity
 from .request import Answer, Request
 from .router import Router, RouterParts
 from .routing_table import (
@@ -26,6 +27,7 @@
     "DispatchError",
     "DispatchErrorKind",
     "EndpointClient",
+    "LocalCapacity",
     "LogClaimRegistry",
     "Placement",
     "Request",
--- a/arbutuscleat/routing/admission.py
+++ b/arbutuscleat/routing/admission.py
@@ -45,8 +45,8 @@
         Measured run times.
     queue_length : int
         Requests of one service that may wait.
-    is_usable : callable
-        Tells whether an instance may be given new work at this moment.
+    limit : callable
+        Returns how many requests may run on an offered instance now.
     jitter : callable
         Returns a number between 0 and 1.
     """
@@ -56,13 +56,13 @@
         clock: Clock,
         run_times: RunTimes,
         queue_length: int,
-        is_usable: Callable[[str], bool],
+        limit: Callable[[SlotOffer], int],
         jitter: Callable[[], float],
     ):
         self._clock = clock
         self.run_times = run_times
         self._queue_length = queue_length
-        self._is_usable = is_usable
+        self._limit = limit
         self._jitter = jitter
         self._lock = threading.Lock()
         self._in_use: dict[str, int] = {}
@@ -76,6 +76,11 @@
         """Return the number of requests of a service that wait."""
         return len(self._queues.get(service, ()))
 
+    def busy_instances(self) -> list[str]:
+        """Return the instances on which slots are taken here."""
+        with self._lock:
+            return list(self._in_use)
+
     def total_in_use(self) -> int:
         """Return the slots taken on all instances."""
         with self._lock:
@@ -90,7 +95,7 @@
             slot = None if queue else self._take_free(offers)
             if slot is not None:
                 return Success(slot)
-            if not any(self._is_usable(o.instance.instance_id) for o in offers):
+            if not any(self._limit(offer) for offer in offers):
                 return Failure(NO_INSTANCE_READY)
             refusal = self._refuse_early(service, offers, queue, deadline)
             if refusal is not None:
@@ -121,12 +126,12 @@
         best: SlotOffer | None = None
         best_load = 1.0
         for offer in offers:
-            instance_id = offer.instance.instance_id
-            if offer.share <= 0:
+            in_use = self._in_use.get(offer.instance.instance_id, 0)
+            if in_use >= best_load * offer.share:
                 continue
-            load = self._in_use.get(instance_id, 0) / offer.share
-            if load < best_load and self._is_usable(instance_id):
-                best, best_load = offer, load
+            limit = self._limit(offer)
+            if limit and in_use / limit < best_load:
+                best, best_load = offer, in_use / limit
         if best is None:
             return None
         instance_id = best.instance.instance_id
@@ -150,7 +155,7 @@
         queue: deque[_Waiter],
         deadline: Deadline,
     ) -> Refusal | None:
-        capacity = max(1, sum(offer.share for offer in offers))
+        capacity = max(1, sum(self._limit(offer) for offer in offers))
         expected = self.run_times.mean(service) * (len(queue) + 1) / capacity
         if len(queue) >= self._queue_length:
             detail = f"{len(queue)} requests wait already"
--- a/arbutuscleat/routing/router.py
+++ b/arbutuscleat/routing/router.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
-from arbutuscleat.core import Clock, Deadline, Outcome, Refusal, RefusalReason
+from arbutuscleat.core import Clock, Deadline, Instance, Outcome, Refusal, RefusalReason
 from arbutuscleat.telemetry import Metrics, Tracing
 
 from .admission import NO_INSTANCE_READY, Admission
@@ -35,6 +35,8 @@
         Returns the routing table in force, None before the first.
     may_dispatch : callable
         Tells whether this process holds the right to dispatch.
+    may_send : callable
+        Tells whether the first byte for an instance may leave now.
     admission, claims, endpoints, run_times
         The parts that do the work.
     is_idempotent : callable
@@ -43,6 +45,7 @@
 
     table: Callable[[], RoutingTable | None]
     may_dispatch: Callable[[], bool]
+    may_send: Callable[[Instance], bool]
     admission: Admission
     claims: ClaimRegistry
     endpoints: EndpointClient
@@ -171,8 +174,9 @@
         try:
             with self._tracing.span("dispatch") as span:
                 span.set_attribute("instance", instance.instance_id)
-                if not self._parts.may_dispatch():
-                    detail = "the right to dispatch has ended"
+                # Once more, since the process may have been frozen meanwhile.
+                if not self._parts.may_send(instance):
+                    detail = "the right to send to this instance has ended"
                     return Failure(DispatchError(DispatchErrorKind.NOT_SENT, detail))
                 return self._parts.endpoints.send(
                     instance, req, uuid.uuid4().hex, deadline.remaining()
--- a/arbutuscleat/state/__init__.py
+++ b/arbutuscleat/state/__init__.py
@@ -2,6 +2,7 @@
 
 from .change_table import ChangeRefusal, ChangeTable
 from .claim_table import ClaimState, ClaimTable
+from .configuration_source import ConfigurationSource
 from .control_machine import ControlMachine
 from .fleet_configuration import FleetConfiguration
 from .label_set import LabelKind, LabelSet, validate_label_set
@@ -25,6 +26,7 @@
     "ChangeTable",
     "ClaimState",
     "ClaimTable",
+    "ConfigurationSource",
     "ControlMachine",
     "FleetConfiguration",
     "LabelKind",
--- a/arbutuscleat/state/control_machine.py
+++ b/arbutuscleat/state/control_machine.py
@@ -16,15 +16,15 @@
 
 from .change_table import ChangeTable
 from .claim_table import ClaimTable
+from .configuration_source import ConfigurationSource
 from .fleet_configuration import FleetConfiguration
-from .records import instance_from, member_from
 
 DELTAS_KEPT = 4_096
 
-CommandResult = ChangeResult | ClaimRecord | bool | None
+CommandResult = ChangeResult | ClaimRecord | None
 
 
-class ControlMachine(StateMachine):
+class ControlMachine(StateMachine, ConfigurationSource):
     """Configuration, verdicts and claims, changed only by committed commands.
 
     Attributes
@@ -82,6 +82,11 @@
         with self.changed:
             return self._changes.get(change_id)
 
+    @property
+    def version(self) -> int:
+        """The newest configuration version."""
+        return self.configuration.version
+
     def full(self) -> Configuration:
         """Return the whole configuration; `changed` is held."""
         return self.configuration.to_record()
@@ -96,14 +101,9 @@
     def _apply(self, command: Command) -> CommandResult:
         if command.change is not None:
             return self._changes.decide(command.change, self.configuration)
-        if command.instance is not None:
-            reported = instance_from(command.instance.instance)
-            return self.configuration.report_instance(reported)
-        if command.member is not None:
-            member = member_from(command.member.member)
-            return self.configuration.report_member(member)
         if command.begin_claim is not None:
             return self.claims.begin(command.begin_claim)
         if command.end_claim is not None:
             return self.claims.end(command.end_claim)
+        self.configuration.replay(command)
         return None
--- a/arbutuscleat/state/fleet_configuration.py
+++ b/arbutuscleat/state/fleet_configuration.py
@@ -128,10 +128,54 @@
 
     def report_member(self, member: Member) -> bool:
         """List a member; return whether the log listed it otherwise before."""
-        if self.members.get(member.node_id) == member:
+        known = self.members.get(member.node_id)
+        if known == replace(member, since_version=known.since_version if known else 0):
+            return False
+        self._put_member(member)
+        return True
+
+    def suspect_member(self, node_id: str, incarnation: str) -> bool:
+        """Note that control has ceased to hear a member."""
+        known = self.members.get(node_id)
+        if known is None or known.incarnation != incarnation or known.suspect:
+            return False
+        self._put_member(replace(known, suspect=True))
+        return True
+
+    def mark_member_down(self, node_id: str, incarnation: str) -> bool:
+        """Count no longer on a suspected member."""
+        known = self.members.get(node_id)
+        if known is None or known.incarnation != incarnation:
+            return False
+        if not known.suspect or not known.live:
+            return False
+        self._put_member(replace(known, live=False))
+        return True
+
+    def begin_drain(self, instance_id: str, epoch: int) -> bool:
+        """Give an instance no new work, as the first step of a move."""
+        instance = self.instances.get(instance_id)
+        if instance is None or instance.assignment.epoch != epoch:
+            return False
+        if instance.assignment.phase is not AssignmentPhase.ASSIGNED:
             return False
         self.version += 1
-        self.members[member.node_id] = member
+        self._put_assignment(
+            instance, replace(instance.assignment, phase=AssignmentPhase.DRAINING)
+        )
+        return True
+
+    def finish_drain(self, instance_id: str, epoch: int) -> bool:
+        """Assign a drained instance to the pool that it matches now, if any."""
+        instance = self.instances.get(instance_id)
+        if instance is None or instance.assignment.epoch != epoch:
+            return False
+        if instance.assignment.phase is not AssignmentPhase.DRAINING:
+            return False
+        self.version += 1
+        released = Assignment(epoch=epoch, since_version=self.version)
+        self.instances[instance_id] = instance.assigned(released)
+        self._assign(self.instances[instance_id])
         return True
 
     def replay(self, command: Command) -> None:
@@ -142,6 +186,18 @@
             self.report_instance(instance_from(command.instance.instance))
         elif command.member is not None:
             self.report_member(member_from(command.member.member))
+        elif command.suspect_member is not None:
+            suspect = command.suspect_member
+            self.suspect_member(suspect.node_id, suspect.incarnation)
+        elif command.mark_member_down is not None:
+            down = command.mark_member_down
+            self.mark_member_down(down.node_id, down.incarnation)
+        elif command.begin_drain is not None:
+            drain = command.begin_drain
+            self.begin_drain(drain.instance_id, drain.epoch)
+        elif command.finish_drain is not None:
+            finish = command.finish_drain
+            self.finish_drain(finish.instance_id, finish.epoch)
 
     # ---- as a record ----
 
@@ -198,12 +254,21 @@
                 pool=next(iter(matching)),
                 epoch=assignment.epoch + 1,
                 phase=AssignmentPhase.ASSIGNED,
+                since_version=self.version,
             )
         elif assignment.conflict != conflict:
             assignment = replace(assignment, conflict=conflict)
         if assignment != instance.assignment:
             self.instances[instance.instance_id] = instance.assigned(assignment)
 
+    def _put_assignment(self, instance: Instance, assignment: Assignment) -> None:
+        dated = replace(assignment, since_version=self.version)
+        self.instances[instance.instance_id] = instance.assigned(dated)
+
+    def _put_member(self, member: Member) -> None:
+        self.version += 1
+        self.members[member.node_id] = replace(member, since_version=self.version)
+
     def _pool_conflicts(self, pool: Pool) -> list[ValidationError]:
         would_match = self._matches.with_pool(pool.name, pool.membership)
         errors = []
--- a/arbutuscleat/state/records.py
+++ b/arbutuscleat/state/records.py
@@ -109,6 +109,7 @@
             epoch=record.epoch or 0,
             phase=AssignmentPhase(record.phase or AssignmentPhase.UNASSIGNED),
             conflict=record.conflict or "",
+            since_version=record.since_version or 0,
         ),
     )
 
@@ -132,6 +133,7 @@
         epoch=instance.assignment.epoch,
         phase=instance.assignment.phase.value,
         conflict=instance.assignment.conflict,
+        since_version=instance.assignment.since_version,
     )
 
 
@@ -145,6 +147,8 @@
         port=record.port,
         durable=record.durable,
         live=record.live,
+        suspect=bool(record.suspect),
+        since_version=record.since_version or 0,
     )
 
 
@@ -158,4 +162,6 @@
         port=member.port,
         durable=member.durable,
         live=member.live,
+        suspect=member.suspect,
+        since_version=member.since_version,
     )
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -174,6 +174,7 @@
   14: i64 epoch
   15: string phase
   16: string conflict
+  17: i64 since_version
 }
 
 struct MemberRecord {
@@ -184,6 +185,8 @@
   5: i32 port
   6: bool durable
   7: bool live
+  8: bool suspect
+  9: i64 since_version
 }
 
 union ConfigObject {
@@ -223,12 +226,40 @@
   3: bool released
 }
 
+// First step of a move: no new work for the instance.
+struct BeginDrain {
+  1: string instance_id
+  2: i64 epoch
+  3: string reason
+}
+
+// Last step of a move: the pool that matches now, or none.
+struct FinishDrain {
+  1: string instance_id
+  2: i64 epoch
+}
+
+// A member is not heard any more; those who are left take note first.
+struct SuspectMember {
+  1: string node_id
+  2: string incarnation
+}
+
+struct MarkMemberDown {
+  1: string node_id
+  2: string incarnation
+}
+
 union Command {
   1: Change change
   2: ReportInstance instance
   3: ReportMember member
   4: BeginClaim begin_claim
   5: EndClaim end_claim
+  6: BeginDrain begin_drain
+  7: FinishDrain finish_drain
+  8: SuspectMember suspect_member
+  9: MarkMemberDown mark_member_down
 }
 
 struct Configuration {
@@ -296,12 +327,23 @@
   2: Command command
 }
 
+// What an entry instance holds, said by itself and passed on by its peers.  It
+// gives no new work to the instances that drain under the version it holds;
+// `busy` lists those of them on which its earlier work still runs.
+struct MemberAck {
+  1: string node_id
+  2: string incarnation
+  3: i64 held_version
+  4: i64 in_force_version
+  5: list<string> busy
+}
+
 struct FetchRequest {
   1: i64 request_id
   2: string node_id
   3: string incarnation
   4: i64 known_version
-  5: i64 in_force_version
+  5: list<MemberAck> acks
   6: i32 wait_ms
 }
 
@@ -353,15 +395,16 @@
 struct ShareRequest {
   1: i64 request_id
   2: string node_id
-  3: string incarnation
-  4: i64 version
-  5: list<InstanceRecord> announcements
+  3: MemberAck ack
+  4: list<InstanceRecord> announcements
 }
 
+// `lease_ms` is 0 when the sender holds an older version or the answering member
+// is not listed.
 struct ShareAnswer {
   1: i64 request_id
-  2: i64 version
-  3: string incarnation
+  2: MemberAck ack
+  3: i32 lease_ms
 }
 
 struct HttpHeader {
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -1816,11 +1816,12 @@
      - epoch
      - phase
      - conflict
+     - since_version
 
     """
 
 
-    def __init__(self, instance_id=None, incarnation=None, host=None, port=None, data_centre=None, rack=None, labels=None, services=None, slots=None, connections=None, state=None, sequence=None, pool=None, epoch=None, phase=None, conflict=None,):
+    def __init__(self, instance_id=None, incarnation=None, host=None, port=None, data_centre=None, rack=None, labels=None, services=None, slots=None, connections=None, state=None, sequence=None, pool=None, epoch=None, phase=None, conflict=None, since_version=None,):
         self.instance_id = instance_id
         self.incarnation = incarnation
         self.host = host
@@ -1837,6 +1838,7 @@
         self.epoch = epoch
         self.phase = phase
         self.conflict = conflict
+        self.since_version = since_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1938,6 +1940,11 @@
                     self.conflict = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.since_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2019,6 +2026,10 @@
             oprot.writeFieldBegin('conflict', TType.STRING, 16)
             oprot.writeString(self.conflict.encode('utf-8') if sys.version_info[0] == 2 else self.conflict)
             oprot.writeFieldEnd()
+        if self.since_version is not None:
+            oprot.writeFieldBegin('since_version', TType.I64, 17)
+            oprot.writeI64(self.since_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2047,11 +2058,13 @@
      - port
      - durable
      - live
+     - suspect
+     - since_version
 
     """
 
 
-    def __init__(self, node_id=None, incarnation=None, data_centre=None, host=None, port=None, durable=None, live=None,):
+    def __init__(self, node_id=None, incarnation=None, data_centre=None, host=None, port=None, durable=None, live=None, suspect=None, since_version=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.data_centre = data_centre
@@ -2059,6 +2072,8 @@
         self.port = port
         self.durable = durable
         self.live = live
+        self.suspect = suspect
+        self.since_version = since_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2104,6 +2119,16 @@
                     self.live = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.suspect = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.since_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2142,6 +2167,14 @@
             oprot.writeFieldBegin('live', TType.BOOL, 7)
             oprot.writeBool(self.live)
             oprot.writeFieldEnd()
+        if self.suspect is not None:
+            oprot.writeFieldBegin('suspect', TType.BOOL, 8)
+            oprot.writeBool(self.suspect)
+            oprot.writeFieldEnd()
+        if self.since_version is not None:
+            oprot.writeFieldBegin('since_version', TType.I64, 9)
+            oprot.writeI64(self.since_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2640,6 +2673,289 @@
         return not (self == other)
 
 
+class BeginDrain(object):
+    """
+    Attributes:
+     - instance_id
+     - epoch
+     - reason
+
+    """
+
+
+    def __init__(self, instance_id=None, epoch=None, reason=None,):
+        self.instance_id = instance_id
+        self.epoch = epoch
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BeginDrain')
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 1)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FinishDrain(object):
+    """
+    Attributes:
+     - instance_id
+     - epoch
+
+    """
+
+
+    def __init__(self, instance_id=None, epoch=None,):
+        self.instance_id = instance_id
+        self.epoch = epoch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FinishDrain')
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 1)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectMember(object):
+    """
+    Attributes:
+     - node_id
+     - incarnation
+
+    """
+
+
+    def __init__(self, node_id=None, incarnation=None,):
+        self.node_id = node_id
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectMember')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MarkMemberDown(object):
+    """
+    Attributes:
+     - node_id
+     - incarnation
+
+    """
+
+
+    def __init__(self, node_id=None, incarnation=None,):
+        self.node_id = node_id
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MarkMemberDown')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Command(object):
     """
     Attributes:
@@ -2648,16 +2964,24 @@
      - member
      - begin_claim
      - end_claim
+     - begin_drain
+     - finish_drain
+     - suspect_member
+     - mark_member_down
 
     """
 
 
-    def __init__(self, change=None, instance=None, member=None, begin_claim=None, end_claim=None,):
+    def __init__(self, change=None, instance=None, member=None, begin_claim=None, end_claim=None, begin_drain=None, finish_drain=None, suspect_member=None, mark_member_down=None,):
         self.change = change
         self.instance = instance
         self.member = member
         self.begin_claim = begin_claim
         self.end_claim = end_claim
+        self.begin_drain = begin_drain
+        self.finish_drain = finish_drain
+        self.suspect_member = suspect_member
+        self.mark_member_down = mark_member_down
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2698,6 +3022,30 @@
                     self.end_claim.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.begin_drain = BeginDrain()
+                    self.begin_drain.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.finish_drain = FinishDrain()
+                    self.finish_drain.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.suspect_member = SuspectMember()
+                    self.suspect_member.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.mark_member_down = MarkMemberDown()
+                    self.mark_member_down.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2728,6 +3076,22 @@
             oprot.writeFieldBegin('end_claim', TType.STRUCT, 5)
             self.end_claim.write(oprot)
             oprot.writeFieldEnd()
+        if self.begin_drain is not None:
+            oprot.writeFieldBegin('begin_drain', TType.STRUCT, 6)
+            self.begin_drain.write(oprot)
+            oprot.writeFieldEnd()
+        if self.finish_drain is not None:
+            oprot.writeFieldBegin('finish_drain', TType.STRUCT, 7)
+            self.finish_drain.write(oprot)
+            oprot.writeFieldEnd()
+        if self.suspect_member is not None:
+            oprot.writeFieldBegin('suspect_member', TType.STRUCT, 8)
+            self.suspect_member.write(oprot)
+            oprot.writeFieldEnd()
+        if self.mark_member_down is not None:
+            oprot.writeFieldBegin('mark_member_down', TType.STRUCT, 9)
+            self.mark_member_down.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3499,6 +3863,115 @@
         return not (self == other)
 
 
+class MemberAck(object):
+    """
+    Attributes:
+     - node_id
+     - incarnation
+     - held_version
+     - in_force_version
+     - busy
+
+    """
+
+
+    def __init__(self, node_id=None, incarnation=None, held_version=None, in_force_version=None, busy=None,):
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.held_version = held_version
+        self.in_force_version = in_force_version
+        self.busy = busy
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.held_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.in_force_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.busy = []
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.busy.append(_elem100)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberAck')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.held_version is not None:
+            oprot.writeFieldBegin('held_version', TType.I64, 3)
+            oprot.writeI64(self.held_version)
+            oprot.writeFieldEnd()
+        if self.in_force_version is not None:
+            oprot.writeFieldBegin('in_force_version', TType.I64, 4)
+            oprot.writeI64(self.in_force_version)
+            oprot.writeFieldEnd()
+        if self.busy is not None:
+            oprot.writeFieldBegin('busy', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.busy))
+            for iter101 in self.busy:
+                oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FetchRequest(object):
     """
     Attributes:
@@ -3506,18 +3979,18 @@
      - node_id
      - incarnation
      - known_version
-     - in_force_version
+     - acks
      - wait_ms
 
     """
 
 
-    def __init__(self, request_id=None, node_id=None, incarnation=None, known_version=None, in_force_version=None, wait_ms=None,):
+    def __init__(self, request_id=None, node_id=None, incarnation=None, known_version=None, acks=None, wait_ms=None,):
         self.request_id = request_id
         self.node_id = node_id
         self.incarnation = incarnation
         self.known_version = known_version
-        self.in_force_version = in_force_version
+        self.acks = acks
         self.wait_ms = wait_ms
 
     def read(self, iprot):
@@ -3550,8 +4023,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I64:
-                    self.in_force_version = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.acks = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = MemberAck()
+                        _elem107.read(iprot)
+                        self.acks.append(_elem107)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -3585,9 +4064,12 @@
             oprot.writeFieldBegin('known_version', TType.I64, 4)
             oprot.writeI64(self.known_version)
             oprot.writeFieldEnd()
-        if self.in_force_version is not None:
-            oprot.writeFieldBegin('in_force_version', TType.I64, 5)
-            oprot.writeI64(self.in_force_version)
+        if self.acks is not None:
+            oprot.writeFieldBegin('acks', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.acks))
+            for iter108 in self.acks:
+                iter108.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait_ms is not None:
             oprot.writeFieldBegin('wait_ms', TType.I32, 6)
@@ -3667,11 +4149,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.deltas = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = ConfigDelta()
-                        _elem100.read(iprot)
-                        self.deltas.append(_elem100)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = ConfigDelta()
+                        _elem114.read(iprot)
+                        self.deltas.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3714,8 +4196,8 @@
         if self.deltas is not None:
             oprot.writeFieldBegin('deltas', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.deltas))
-            for iter101 in self.deltas:
-                iter101.write(oprot)
+            for iter115 in self.deltas:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_ms is not None:
@@ -3976,11 +4458,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = NodeStatus()
-                        _elem107.read(iprot)
-                        self.entries.append(_elem107)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = NodeStatus()
+                        _elem121.read(iprot)
+                        self.entries.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4031,8 +4513,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter108 in self.entries:
-                iter108.write(oprot)
+            for iter122 in self.entries:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.change is not None:
@@ -4062,18 +4544,16 @@
     Attributes:
      - request_id
      - node_id
-     - incarnation
-     - version
+     - ack
      - announcements
 
     """
 
 
-    def __init__(self, request_id=None, node_id=None, incarnation=None, version=None, announcements=None,):
+    def __init__(self, request_id=None, node_id=None, ack=None, announcements=None,):
         self.request_id = request_id
         self.node_id = node_id
-        self.incarnation = incarnation
-        self.version = version
+        self.ack = ack
         self.announcements = announcements
 
     def read(self, iprot):
@@ -4096,23 +4576,19 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.ack = MemberAck()
+                    self.ack.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = InstanceRecord()
-                        _elem114.read(iprot)
-                        self.announcements.append(_elem114)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = InstanceRecord()
+                        _elem128.read(iprot)
+                        self.announcements.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4134,19 +4610,15 @@
             oprot.writeFieldBegin('node_id', TType.STRING, 2)
             oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 4)
-            oprot.writeI64(self.version)
+        if self.ack is not None:
+            oprot.writeFieldBegin('ack', TType.STRUCT, 3)
+            self.ack.write(oprot)
             oprot.writeFieldEnd()
         if self.announcements is not None:
-            oprot.writeFieldBegin('announcements', TType.LIST, 5)
+            oprot.writeFieldBegin('announcements', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter115 in self.announcements:
-                iter115.write(oprot)
+            for iter129 in self.announcements:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4171,16 +4643,16 @@
     """
     Attributes:
      - request_id
-     - version
-     - incarnation
+     - ack
+     - lease_ms
 
     """
 
 
-    def __init__(self, request_id=None, version=None, incarnation=None,):
+    def __init__(self, request_id=None, ack=None, lease_ms=None,):
         self.request_id = request_id
-        self.version = version
-        self.incarnation = incarnation
+        self.ack = ack
+        self.lease_ms = lease_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4197,13 +4669,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                if ftype == TType.STRUCT:
+                    self.ack = MemberAck()
+                    self.ack.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.lease_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -4220,13 +4693,13 @@
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 2)
-            oprot.writeI64(self.version)
+        if self.ack is not None:
+            oprot.writeFieldBegin('ack', TType.STRUCT, 2)
+            self.ack.write(oprot)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+        if self.lease_ms is not None:
+            oprot.writeFieldBegin('lease_ms', TType.I32, 3)
+            oprot.writeI32(self.lease_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4377,11 +4850,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = HttpHeader()
-                        _elem121.read(iprot)
-                        self.headers.append(_elem121)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = HttpHeader()
+                        _elem135.read(iprot)
+                        self.headers.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4408,11 +4881,11 @@
             elif fid == 10:
                 if ftype == TType.MAP:
                     self.labels = {}
-                    (_ktype123, _vtype124, _size122) = iprot.readMapBegin()
-                    for _i126 in range(_size122):
-                        _key127 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.labels[_key127] = _val128
+                    (_ktype137, _vtype138, _size136) = iprot.readMapBegin()
+                    for _i140 in range(_size136):
+                        _key141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels[_key141] = _val142
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -4450,8 +4923,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter129 in self.headers:
-                iter129.write(oprot)
+            for iter143 in self.headers:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -4473,9 +4946,9 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.labels))
-            for kiter130, viter131 in self.labels.items():
-                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
-                oprot.writeString(viter131.encode('utf-8') if sys.version_info[0] == 2 else viter131)
+            for kiter144, viter145 in self.labels.items():
+                oprot.writeString(kiter144.encode('utf-8') if sys.version_info[0] == 2 else kiter144)
+                oprot.writeString(viter145.encode('utf-8') if sys.version_info[0] == 2 else viter145)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.idempotent is not None:
@@ -4552,11 +5025,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = HttpHeader()
-                        _elem137.read(iprot)
-                        self.headers.append(_elem137)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = HttpHeader()
+                        _elem151.read(iprot)
+                        self.headers.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4605,8 +5078,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter138 in self.headers:
-                iter138.write(oprot)
+            for iter152 in self.headers:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -4811,6 +5284,7 @@
     (14, TType.I64, 'epoch', None, None, ),  # 14
     (15, TType.STRING, 'phase', 'UTF8', None, ),  # 15
     (16, TType.STRING, 'conflict', 'UTF8', None, ),  # 16
+    (17, TType.I64, 'since_version', None, None, ),  # 17
 )
 all_structs.append(MemberRecord)
 MemberRecord.thrift_spec = (
@@ -4822,6 +5296,8 @@
     (5, TType.I32, 'port', None, None, ),  # 5
     (6, TType.BOOL, 'durable', None, None, ),  # 6
     (7, TType.BOOL, 'live', None, None, ),  # 7
+    (8, TType.BOOL, 'suspect', None, None, ),  # 8
+    (9, TType.I64, 'since_version', None, None, ),  # 9
 )
 all_structs.append(ConfigObject)
 ConfigObject.thrift_spec = (
@@ -4865,6 +5341,31 @@
     (2, TType.STRING, 'claim_id', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'released', None, None, ),  # 3
 )
+all_structs.append(BeginDrain)
+BeginDrain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+)
+all_structs.append(FinishDrain)
+FinishDrain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+)
+all_structs.append(SuspectMember)
+SuspectMember.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+)
+all_structs.append(MarkMemberDown)
+MarkMemberDown.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+)
 all_structs.append(Command)
 Command.thrift_spec = (
     None,  # 0
@@ -4873,6 +5374,10 @@
     (3, TType.STRUCT, 'member', [ReportMember, None], None, ),  # 3
     (4, TType.STRUCT, 'begin_claim', [BeginClaim, None], None, ),  # 4
     (5, TType.STRUCT, 'end_claim', [EndClaim, None], None, ),  # 5
+    (6, TType.STRUCT, 'begin_drain', [BeginDrain, None], None, ),  # 6
+    (7, TType.STRUCT, 'finish_drain', [FinishDrain, None], None, ),  # 7
+    (8, TType.STRUCT, 'suspect_member', [SuspectMember, None], None, ),  # 8
+    (9, TType.STRUCT, 'mark_member_down', [MarkMemberDown, None], None, ),  # 9
 )
 all_structs.append(Configuration)
 Configuration.thrift_spec = (
@@ -4935,6 +5440,15 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRUCT, 'command', [Command, None], None, ),  # 2
 )
+all_structs.append(MemberAck)
+MemberAck.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'held_version', None, None, ),  # 3
+    (4, TType.I64, 'in_force_version', None, None, ),  # 4
+    (5, TType.LIST, 'busy', (TType.STRING, 'UTF8', False), None, ),  # 5
+)
 all_structs.append(FetchRequest)
 FetchRequest.thrift_spec = (
     None,  # 0
@@ -4942,7 +5456,7 @@
     (2, TType.STRING, 'node_id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
     (4, TType.I64, 'known_version', None, None, ),  # 4
-    (5, TType.I64, 'in_force_version', None, None, ),  # 5
+    (5, TType.LIST, 'acks', (TType.STRUCT, [MemberAck, None], False), None, ),  # 5
     (6, TType.I32, 'wait_ms', None, None, ),  # 6
 )
 all_structs.append(FetchAnswer)
@@ -4988,16 +5502,15 @@
     None,  # 0
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.STRING, 'node_id', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'version', None, None, ),  # 4
-    (5, TType.LIST, 'announcements', (TType.STRUCT, [InstanceRecord, None], False), None, ),  # 5
+    (3, TType.STRUCT, 'ack', [MemberAck, None], None, ),  # 3
+    (4, TType.LIST, 'announcements', (TType.STRUCT, [InstanceRecord, None], False), None, ),  # 4
 )
 all_structs.append(ShareAnswer)
 ShareAnswer.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'request_id', None, None, ),  # 1
-    (2, TType.I64, 'version', None, None, ),  # 2
-    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
+    (2, TType.STRUCT, 'ack', [MemberAck, None], None, ),  # 2
+    (3, TType.I32, 'lease_ms', None, None, ),  # 3
 )
 all_structs.append(HttpHeader)
 HttpHeader.thrift_spec = (
--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes for docs/CAPACITY.md: `make capacity` prints them again."""
--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,20 @@
+"""Prints every slope: `python -m benchmarks.capacity`."""
+
+import sys
+
+from .state import report_claims, report_configuration
+from .traffic import report_group, report_requests, report_subscriptions
+
+
+def main() -> int:
+    """Print every slope."""
+    report_configuration()
+    report_claims()
+    report_requests()
+    report_group()
+    report_subscriptions()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/capacity/traffic.py
@@ -0,0 +1,116 @@
+"""Bytes and processor time of daemons, idle and under announcements and claims."""
+
+import time
+from pathlib import Path
+
+from arbutuscleat.emulator import ENDPOINT_TOKEN, EndpointPlan, FleetPlan, LocalFleet
+
+from ..fleets import put_change, running_fleet, set_pool, start_endpoints
+from ..load import run_load
+from ..processes import cpu_seconds, resident_mb
+from .slope import show
+
+IDLE_SECONDS = 10.0
+SETTLE_SECONDS = 4.0
+GROUP_SIZES = (3, 5, 9)
+ENTRY_COUNTS = (1, 4, 8)
+TARGET_GROUP = 9
+TARGET_ENTRIES = 9 * 24
+CHANGES = 200
+
+
+def loopback_bytes() -> int:
+    """Return the bytes sent over loopback, headers included."""
+    for line in Path("/proc/net/dev").read_text().splitlines():
+        name, _, fields = line.partition(":")
+        if name.strip() == "lo":
+            return int(fields.split()[8])
+    return 0
+
+
+def idle_cost(fleet: LocalFleet, names: list[str]) -> tuple[float, dict[str, float]]:
+    """Return bytes a second on loopback and the share of a core of each process."""
+    time.sleep(SETTLE_SECONDS)
+    pids = {name: fleet.processes[name].popen.pid for name in names}
+    before = {name: cpu_seconds(pid) for name, pid in pids.items()}
+    sent = loopback_bytes()
+    time.sleep(IDLE_SECONDS)
+    rate = (loopback_bytes() - sent) / IDLE_SECONDS
+    shares = {
+        n: (cpu_seconds(pid) - before[n]) / IDLE_SECONDS for n, pid in pids.items()
+    }
+    return rate, shares
+
+
+def report_group() -> None:
+    """Print the idle cost of control by the size of the group."""
+    traffic, leader, follower = [], [], []
+    for size in GROUP_SIZES:
+        plan = FleetPlan(("karachi",), entries_per_data_centre=0, controls=size)
+        with running_fleet(plan, "capacity-group") as fleet:
+            rate, shares = idle_cost(fleet, list(fleet.processes))
+        ordered = sorted(shares.values())
+        traffic.append((size - 1, rate / 1024))
+        leader.append((size - 1, ordered[-1] * 100))
+        follower.append((size - 1, ordered[0] * 100))
+    show("idle group, whole traffic, by peers", "KB/s", traffic, TARGET_GROUP - 1)
+    show("idle leader, by peers", "% of a core", leader, TARGET_GROUP - 1)
+    show("idle follower, by peers", "% of a core", follower, TARGET_GROUP - 1)
+
+
+def report_subscriptions() -> None:
+    """Print the cost of subscriptions by the number of entry instances."""
+    traffic, control, changes, sent, memory = [], [], [], [], []
+    for count in ENTRY_COUNTS:
+        data_centres = tuple(f"dc-{number}" for number in range(count))
+        plan = FleetPlan(data_centres, entries_per_data_centre=1, controls=1)
+        with running_fleet(plan, "capacity-subscriptions") as fleet:
+            rate, shares = idle_cost(fleet, ["control-1"])
+            traffic.append((count, rate / 1024))
+            control.append((count, shares["control-1"] * 100))
+            spent, size = change_cost(fleet)
+            changes.append((count, spent * 1000))
+            sent.append((count, size / 1024))
+            pid = fleet.processes["entry-dc-0-1"].popen.pid
+            memory.append((count, resident_mb(pid)))
+    show("idle subscriptions, traffic, by entries", "KB/s", traffic, TARGET_ENTRIES)
+    show("idle subscriptions at control", "% of a core", control, TARGET_ENTRIES)
+    show("one change at control, by entries", "ms of a core", changes, TARGET_ENTRIES)
+    show("one change, whole traffic, by entries", "KB", sent, TARGET_ENTRIES)
+    show("memory of an entry instance, by entries", "MB", memory, TARGET_ENTRIES)
+
+
+def change_cost(fleet: LocalFleet) -> tuple[float, float]:
+    """Return control's processor seconds and the bytes sent for one change."""
+    pid = fleet.processes["control-1"].popen.pid
+    started, sent = cpu_seconds(pid), loopback_bytes()
+    for number in range(CHANGES):
+        content = {"target": "service", "name": f"s{number}", "labels": {"a": "b"}}
+        put_change(fleet, f"capacity-{number}", {"kind": "labels", "content": content})
+    time.sleep(0.5)
+    spent = cpu_seconds(pid) - started
+    return spent / CHANGES, (loopback_bytes() - sent) / CHANGES
+
+
+def report_requests() -> None:
+    """Print what an announcement and a claimed request cost."""
+    plan = FleetPlan(("karachi",), entries_per_data_centre=1, controls=1)
+    with running_fleet(plan, "capacity-requests") as fleet:
+        set_pool(fleet, "portal", "capacity-portal")
+        worker = EndpointPlan("worker-1", "karachi", "portal", labels=["tier=portal"])
+        start_endpoints(fleet, [worker])
+        url = fleet.entries("karachi")[0]
+        headers = {"Authorization": f"Bearer {ENDPOINT_TOKEN}"}
+        _report_load(fleet, "refused announcement", f"{url}/v1/announcements", headers)
+        _report_load(fleet, "claimed request", f"{url}/v1/services/portal/x", {})
+
+
+def _report_load(fleet: LocalFleet, what: str, url: str, headers: dict) -> None:
+    pids = {n: fleet.processes[n].popen.pid for n in ("control-1", "entry-karachi-1")}
+    before = {name: cpu_seconds(pid) for name, pid in pids.items()}
+    result = run_load(url, 4, 4.0, "POST", headers)
+    for name, pid in pids.items():
+        spent = (cpu_seconds(pid) - before[name]) / result.requests
+        print(
+            f"{what} at {name}: {spent * 1e6:.0f} us of a core, p50 {result.p50_ms} ms"
+        )
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -113,11 +113,7 @@
             self.control.propose(report(instance), 1.0)
             self.announcements.take(instance)
         self.admission = Admission(
-            self.clock,
-            RunTimes(),
-            queue_length,
-            self.announcements.is_ready,
-            lambda: 0.5,
+            self.clock, RunTimes(), queue_length, self.limit, lambda: 0.5
         )
         self.router = self._make_router()
         self.application = self._make_application()
@@ -129,10 +125,15 @@
     def table(self):
         return build_routing_table(self.configuration, "entry-1", "karachi")
 
+    def limit(self, offer):
+        ready = self.announcements.is_ready(offer.instance.instance_id)
+        return offer.share if ready else 0
+
     def _make_router(self):
         parts = RouterParts(
             table=self.table,
             may_dispatch=lambda: self.has_right,
+            may_send=lambda instance: self.has_right,
             admission=self.admission,
             claims=LogClaimRegistry(self.control, "entry-1", "1"),
             endpoints=self.endpoints,
