Fault matrix of consensus and dispatch rights, with deliberate breaks

Cause: the rows of the matrix found two faults. A killed entry instance was never marked down: its peers passed on its last acknowledgement again and again, and each counted as a fresh word (ruled out: the gate, the silence limit). And a broken invariant was swallowed by the thrift handler as a failed call.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check bench capacity thrift
+.PHONY: demo test check bench capacity breaks thrift
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -31,3 +31,6 @@
 thrift:
 	thrift -r --gen py -out . arbutuscleat/wire/arbutuscleat.thrift
 	rm -f __init__.py arbutuscleat/wire/gen/*-remote
+
+breaks: $(VENV)/.ready
+	$(BIN)/python -m tests.breaks
--- a/arbutuscleat/core/errors.py
+++ b/arbutuscleat/core/errors.py
@@ -23,5 +23,8 @@
         return f"{self.source}: {self.message}"
 
 
-class InvariantError(RuntimeError):
-    """A broken invariant of the program itself; the process must stop."""
+class InvariantError(BaseException):
+    """A broken invariant of the program itself; the process must stop.
+
+    It is no `Exception`, so that no library swallows it as a failed request.
+    """
--- a/arbutuscleat/membership/ack_table.py
+++ b/arbutuscleat/membership/ack_table.py
@@ -68,7 +68,9 @@
             newest = record.acks[-1][0] if record.acks else -1
             if ack.held_version < newest:
                 return  # Passed on late by a peer.
-            record.heard_at = now
+            # Passed on by a peer, a word is as old as when the member said it.
+            said_at = now - (ack.age_ms or 0) / 1000.0
+            record.heard_at = max(record.heard_at, said_at)
             if ack.held_version > newest:
                 record.acks.append((ack.held_version, now))
             record.in_force_version = ack.in_force_version
--- a/arbutuscleat/membership/peer_exchange.py
+++ b/arbutuscleat/membership/peer_exchange.py
@@ -6,6 +6,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from returns.result import Result, Success
 
@@ -29,6 +30,27 @@
 
 EXCHANGE_SECONDS = 0.5
 CALL_SECONDS = 1.0
+PASSED_ON_SECONDS = 60.0
+
+
+@dataclass(frozen=True)
+class _HeardAck:
+    """What a peer said, and when."""
+
+    ack: MemberAck
+    heard_at: float
+
+    def passed_on(self, now: float) -> MemberAck:
+        """Return the word with its age."""
+        ack = self.ack
+        return MemberAck(
+            node_id=ack.node_id,
+            incarnation=ack.incarnation,
+            held_version=ack.held_version,
+            in_force_version=ack.in_force_version,
+            busy=ack.busy,
+            age_ms=int((now - self.heard_at) * 1000),
+        )
 
 
 class PeerExchange:
@@ -84,7 +106,7 @@
         self._stopping = threading.Event()
         self._wakes = {name: threading.Event() for name in channels}
         self._lock = threading.Lock()
-        self._peer_acks: dict[str, MemberAck] = {}
+        self._peer_acks: dict[str, _HeardAck] = {}
 
     def start(self) -> None:
         """Start the tasks."""
@@ -107,8 +129,14 @@
 
     def acks(self) -> list[MemberAck]:
         """Return what this process holds, and what its peers said they hold."""
+        now = self._clock.monotonic()
         with self._lock:
-            return [self.own_ack(), *self._peer_acks.values()]
+            heard = [
+                item
+                for item in self._peer_acks.values()
+                if now - item.heard_at < PASSED_ON_SECONDS
+            ]
+        return [self.own_ack(), *[item.passed_on(now) for item in heard]]
 
     def own_ack(self) -> MemberAck:
         """Return what this process holds."""
@@ -184,15 +212,16 @@
         self, name: str, incarnation: str, sent: dict[str, tuple[str, int]]
     ) -> str:
         with self._lock:
-            ack = self._peer_acks.get(name)
-        found = ack.incarnation if ack is not None else ""
+            heard = self._peer_acks.get(name)
+        found = heard.ack.incarnation if heard is not None else ""
         if found != incarnation:
             sent.clear()
         return found
 
     def _note(self, ack: MemberAck) -> None:
+        heard = _HeardAck(ack, self._clock.monotonic())
         with self._lock:
-            self._peer_acks[ack.node_id] = ack
+            self._peer_acks[ack.node_id] = heard
         self._in_force.note_peer(ack.node_id, ack.held_version)
 
     def _fetch_from(self, name: str) -> None:
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -329,13 +329,15 @@
 
 // What an entry instance holds, said by itself and passed on by its peers.  It
 // gives no new work to the instances that drain under the version it holds;
-// `busy` lists those of them on which its earlier work still runs.
+// `busy` lists those of them on which its earlier work still runs.  `age_ms` says
+// how long ago the member said so, when a peer passes it on.
 struct MemberAck {
   1: string node_id
   2: string incarnation
   3: i64 held_version
   4: i64 in_force_version
   5: list<string> busy
+  6: i32 age_ms
 }
 
 struct FetchRequest {
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -3871,16 +3871,18 @@
      - held_version
      - in_force_version
      - busy
+     - age_ms
 
     """
 
 
-    def __init__(self, node_id=None, incarnation=None, held_version=None, in_force_version=None, busy=None,):
+    def __init__(self, node_id=None, incarnation=None, held_version=None, in_force_version=None, busy=None, age_ms=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.held_version = held_version
         self.in_force_version = in_force_version
         self.busy = busy
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3921,6 +3923,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3954,6 +3961,10 @@
                 oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5448,6 +5459,7 @@
     (3, TType.I64, 'held_version', None, None, ),  # 3
     (4, TType.I64, 'in_force_version', None, None, ),  # 4
     (5, TType.LIST, 'busy', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
 all_structs.append(FetchRequest)
 FetchRequest.thrift_spec = (
--- /dev/null
+++ b/tests/consensus/bench.py
@@ -0,0 +1,169 @@
+"""One replica under test: its steps are taken and its handlers called directly."""
+
+import random
+from dataclasses import replace
+
+from returns.result import Failure
+
+from arbutuscleat.consensus import (
+    FOUNDER_INCARNATION,
+    Peer,
+    Replica,
+    ReplicaConfig,
+    initialise,
+    open_identity,
+)
+from arbutuscleat.wire import CallError, CallErrorKind
+from arbutuscleat.wire.gen.ttypes import (
+    AppendAnswer,
+    AppendRequest,
+    EntryKind,
+    LogEntry,
+    VoteAnswer,
+    VoteRequest,
+)
+from tests.fakes import ManualClock, MemoryDisk
+from tests.fakes.machine import RecordingMachine
+
+GROUP = ("a", "b", "c")
+CONFIG = ReplicaConfig(snapshot_entries=1_000_000)
+
+
+class SilentPeer(Peer):
+    """A peer that the tests answer for."""
+
+    def __init__(self, name):
+        self._name = name
+
+    @property
+    def node_id(self):
+        return self._name
+
+    def send(self, request, timeout):
+        return Failure(CallError(CallErrorKind.CONNECT, "scripted"))
+
+    def close(self):
+        pass
+
+
+def entries(first, *terms):
+    """Return entries from index `first` on, one for each term."""
+    return [
+        LogEntry(
+            index=first + position,
+            term=term,
+            kind=EntryKind.COMMAND,
+            payload=f"{first + position}@{term}".encode(),
+        )
+        for position, term in enumerate(terms)
+    ]
+
+
+class Bench:
+    """Replica `a` of a group, its disk, its clock."""
+
+    def __init__(self, group=GROUP, disk=None, cfg=CONFIG, founder=True):
+        self.group = group
+        self.cfg = cfg
+        self.clock = ManualClock()
+        self.disk = disk or MemoryDisk()
+        if founder and disk is None:
+            initialise(self.disk, "a", group)
+        self.open()
+
+    def open(self):
+        identity = open_identity(self.disk, "a", f"run-{self.disk.writes}")
+        self.machine = RecordingMachine()
+        self.replica = Replica(
+            identity,
+            self.cfg,
+            self.disk,
+            [SilentPeer(name) for name in self.group if name != "a"],
+            self.machine,
+            self.clock,
+            random.Random(7),
+        )
+        # The replica has no tasks here, so the test reads its state directly.
+        self.state = self.replica._state
+        return self
+
+    def restart(self):
+        """Start again from what is on the disk."""
+        self.disk = self.disk.copy()
+        return self.open()
+
+    # ---- as follower ----
+
+    def vote(self, term=1, candidate="b", last_index=99, last_term=99, pre_vote=False):
+        return self.replica.handle_vote(
+            VoteRequest(
+                request_id=1,
+                term=term,
+                candidate=candidate,
+                incarnation=FOUNDER_INCARNATION,
+                last_index=last_index,
+                last_term=last_term,
+                pre_vote=pre_vote,
+            )
+        )
+
+    def append(self, new, term=1, previous=(0, 0), commit=0, leader="b"):
+        return self.replica.handle_append(
+            AppendRequest(
+                request_id=1,
+                term=term,
+                leader=leader,
+                previous_index=previous[0],
+                previous_term=previous[1],
+                entries=new,
+                commit_index=commit,
+            )
+        )
+
+    # ---- as candidate and leader ----
+
+    def time_out(self):
+        self.clock.advance(self.cfg.election_seconds * self.cfg.election_spread + 0.1)
+        self.replica.tick()
+
+    def answer_votes(self, *voters, granted=True, incarnation=FOUNDER_INCARNATION):
+        for name in voters:
+            request = self.replica.next_request(name)
+            term = self.state.term
+            answer = VoteAnswer(1, term, granted, incarnation)
+            self.replica.take_answer(name, request, answer, self.clock.monotonic())
+
+    def lead(self, *voters):
+        """Win an election with the votes of `voters`, `b` if none is given."""
+        self.time_out()
+        self.answer_votes(*(voters or ("b",)))
+        self.answer_votes(*(voters or ("b",)))
+        self.replica.write_unsynced()
+        return self
+
+    def acknowledge(self, name, incarnation=FOUNDER_INCARNATION, accepted=True):
+        """Let a peer take whatever is due for it; return the request."""
+        self.clock.advance(self.cfg.heartbeat_seconds)
+        request = self.replica.next_request(name)
+        last = request.previous_index + len(request.entries) if accepted else 0
+        answer = AppendAnswer(1, self.state.term, accepted, last, incarnation)
+        self.replica.take_answer(name, request, answer, self.clock.monotonic())
+        return request
+
+    def propose(self, text):
+        """Add a command without waiting for it; return its index."""
+        with self.state.lock:
+            return self.state.append(EntryKind.COMMAND, text.encode()).index
+
+    # ---- reading ----
+
+    def log(self):
+        log = self.state.log
+        return [
+            log.entry(index).term
+            for index in range(log.base_index + 1, log.last_index + 1)
+        ]
+
+    def with_config(self, **changes):
+        self.cfg = replace(self.cfg, **changes)
+        return self.open()
