--- a/arbutuscleat/daemons/control.py
+++ b/arbutuscleat/daemons/control.py
@@ -133,6 +133,8 @@
         self._metrics.gauge(
             "commit_index", lambda: float(self._replica.status().commit_index)
         )
+        self._metrics.gauge("voter", lambda: float(self._replica.status().voter))
+        self._metrics.gauge("leads", lambda: float(self._replica.leads()))
         application = Application(
             {
                 "changes": ChangesFront(cfg.operators, self._control),
--- a/arbutuscleat/maintenance/mover.py
+++ b/arbutuscleat/maintenance/mover.py
@@ -77,14 +77,7 @@
         matching = configuration.pools_matching(instance.instance_id)
         if pool_name in matching or len(matching) > 1:
             return False
-        pool = configuration.pools.get(pool_name)
-        if pool is None:
-            return True
-        available = sum(
-            other.assignment.pool == pool_name and other.assignment.takes_work()
-            for other in configuration.instances.values()
-        )
-        return available > pool.min_available
+        return configuration.can_spare(instance)
 
     def _is_drained(
         self, instance: Instance, configuration: FleetConfiguration, since: float
--- a/arbutuscleat/state/fleet_configuration.py
+++ b/arbutuscleat/state/fleet_configuration.py
@@ -5,12 +5,14 @@
 deterministic: no clock, no random numbers, no dependence on the process.
 """
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 from arbutuscleat.core import (
     Assignment,
     AssignmentPhase,
     Instance,
+    InstanceState,
     Labels,
     Pool,
     SelectorRule,
@@ -23,6 +25,7 @@
 from .label_set import LabelKind, LabelSet, validate_label_set
 from .member import Member
 from .pool_matches import PoolMatches
+from .pool_members import PoolMembers
 from .records import (
     instance_from,
     instance_record,
@@ -50,6 +53,8 @@
         self.instances: dict[str, Instance] = {}
         self.members: dict[str, Member] = {}
         self._matches = PoolMatches()
+        self._pool_members = PoolMembers()
+        self._cut_off: frozenset[str] = frozenset()
 
     # ---- reading ----
 
@@ -67,6 +72,38 @@
         """Return the pools whose membership selector matches an instance."""
         return self._matches.pools_of(instance_id)
 
+    def instances_of(self, pool: str) -> Iterable[Instance]:
+        """Return the instances of a pool."""
+        return self._pool_members.of(pool)
+
+    def is_available(self, instance: Instance) -> bool:
+        """Return whether an instance counts for the budget of its pool."""
+        if not instance.assignment.takes_work():
+            return False
+        if instance.state is not InstanceState.READY:
+            return False
+        return not self.is_cut_off(instance.data_centre)
+
+    def is_cut_off(self, data_centre: str) -> bool:
+        """Return whether control hears no member of a data centre."""
+        return data_centre in self._cut_off
+
+    def available(self, pool: str) -> int:
+        """Return how many instances of a pool count for its budget."""
+        return sum(map(self.is_available, self.instances_of(pool)))
+
+    def headroom(self, pool: str) -> int:
+        """Return how many instances a pool can spare; below 0 when it is short."""
+        found = self.pools.get(pool)
+        minimum = found.min_available if found is not None else 0
+        return self.available(pool) - minimum
+
+    def can_spare(self, instance: Instance) -> bool:
+        """Return whether a pool's budget allows to take an instance away."""
+        if not self.is_available(instance):
+            return True
+        return self.headroom(instance.assignment.pool) > 0
+
     def object_version(self, content: ConfigObject) -> int:
         """Return the version of the object that `content` would replace; 0 if new."""
         found: Pool | LabelSet | SelectorRule | None
@@ -122,7 +159,7 @@
             return False
         assignment = known.assignment if known is not None else Assignment()
         self.version += 1
-        self.instances[reported.instance_id] = reported.assigned(assignment)
+        self._put_instance(reported.assigned(assignment))
         self._match_and_assign(reported.instance_id)
         return True
 
@@ -159,6 +196,10 @@
             return False
         if instance.assignment.phase is not AssignmentPhase.ASSIGNED:
             return False
+        # Judged here, where the log orders everything: no race and no change of
+        # leader can spend a budget twice.
+        if not self.can_spare(instance):
+            return False
         self.version += 1
         self._put_assignment(
             instance, replace(instance.assignment, phase=AssignmentPhase.DRAINING)
@@ -174,7 +215,7 @@
             return False
         self.version += 1
         released = Assignment(epoch=epoch, since_version=self.version)
-        self.instances[instance_id] = instance.assigned(released)
+        self._put_instance(instance.assigned(released))
         self._assign(self.instances[instance_id])
         return True
 
@@ -224,6 +265,9 @@
         found.selectors = {r.name: selector_rule_from(r) for r in record.selectors}
         found.instances = {r.instance_id: instance_from(r) for r in record.instances}
         found.members = {r.node_id: member_from(r) for r in record.members}
+        found._cut_off = _cut_off(found.members.values())
+        for instance in found.instances.values():
+            found._pool_members.put(instance)
         for pool in found.pools.values():
             found._matches.set_pool(pool.name, pool.membership)
         for instance in found.instances.values():
@@ -259,15 +303,20 @@
         elif assignment.conflict != conflict:
             assignment = replace(assignment, conflict=conflict)
         if assignment != instance.assignment:
-            self.instances[instance.instance_id] = instance.assigned(assignment)
+            self._put_instance(instance.assigned(assignment))
+
+    def _put_instance(self, instance: Instance) -> None:
+        self.instances[instance.instance_id] = instance
+        self._pool_members.put(instance)
 
     def _put_assignment(self, instance: Instance, assignment: Assignment) -> None:
         dated = replace(assignment, since_version=self.version)
-        self.instances[instance.instance_id] = instance.assigned(dated)
+        self._put_instance(instance.assigned(dated))
 
     def _put_member(self, member: Member) -> None:
         self.version += 1
         self.members[member.node_id] = replace(member, since_version=self.version)
+        self._cut_off = _cut_off(self.members.values())
 
     def _pool_conflicts(self, pool: Pool) -> list[ValidationError]:
         would_match = self._matches.with_pool(pool.name, pool.membership)
@@ -291,6 +340,12 @@
         return [ValidationError(f"labels instance/{label_set.name}", message)]
 
 
+def _cut_off(members: Iterable[Member]) -> frozenset[str]:
+    """Return the data centres of which control hears nobody."""
+    heard = {m.data_centre for m in members if m.live and not m.suspect}
+    return frozenset(m.data_centre for m in members) - heard
+
+
 def _conflict_text(pools: frozenset[str]) -> str:
     return f"would match {len(pools)} pools: {', '.join(sorted(pools))}"
 
--- /dev/null
+++ b/arbutuscleat/state/pool_members.py
@@ -0,0 +1,26 @@
+"""Which instances each pool has, kept up to date with every assignment."""
+
+from collections.abc import Iterable
+
+from arbutuscleat.core import Instance
+
+
+class PoolMembers:
+    """Instances by pool, so that no decision looks at the whole fleet."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, dict[str, Instance]] = {}
+        self._pool_of: dict[str, str] = {}
+
+    def put(self, instance: Instance) -> None:
+        """Take note of an instance as it is now."""
+        pool = instance.assignment.pool
+        before = self._pool_of.get(instance.instance_id, pool)
+        if before != pool:
+            del self._pools[before][instance.instance_id]
+        self._pool_of[instance.instance_id] = pool
+        self._pools.setdefault(pool, {})[instance.instance_id] = instance
+
+    def of(self, pool: str) -> Iterable[Instance]:
+        """Return the instances of a pool."""
+        return self._pools.get(pool, {}).values()
