--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -108,6 +108,7 @@
         self._state.stopping.set()
         with self._state.lock:
             self._state.changed.notify_all()
+            self._state.heard.notify_all()
         for peer in self._peers.values():
             peer.close()
         for thread in self._threads:
@@ -126,6 +127,7 @@
             entry = state.append(EntryKind.COMMAND, payload)
             waiter = Waiter(entry.term)
             state.waiters[entry.index] = waiter
+        self._write_or_leave_to_writer()
         if not state.clock.sleep(waiter.done, timeout):
             with state.lock:
                 if state.waiters.get(entry.index) is waiter:
@@ -147,7 +149,7 @@
                     return Success(state.commit_index)
                 if deadline.expired():
                     return Failure(self._error(ProposalErrorKind.NO_QUORUM))
-                state.clock.wait(state.changed, deadline.remaining())
+                state.clock.wait(state.heard, deadline.remaining())
             return Failure(self._error(ProposalErrorKind.NOT_LEADER))
 
     def leads(self) -> bool:
@@ -156,9 +158,12 @@
             return self._state.leads() and self._is_settled()
 
     def led_since(self) -> float:
-        """Return the monotonic time at which this replica last became leader."""
-        with self._state.lock:
-            return self._state.led_since
+        """Return the monotonic time at which this replica last became leader.
+
+        It takes no lock: the planner asks while it holds the state machine's, which
+        is taken after the replica's when an entry is applied.
+        """
+        return self._state.led_since
 
     def status(self) -> ReplicaStatus:
         """Return what the replica says about itself."""
@@ -242,7 +247,23 @@
             with state.lock:
                 waiting = state.log.unsynced() is not None and state.role is Role.LEADER
                 if not waiting and not state.stopping.is_set():
-                    state.clock.wait(state.changed, 1.0)
+                    state.clock.wait(state.unsynced, state.cfg.tick_seconds)
+
+    def _write_or_leave_to_writer(self) -> None:
+        """Write at once when nobody writes; else the writer takes all that wait.
+
+        A lone proposer is spared two switches between tasks; under load one sync
+        carries all the entries that have come meanwhile.
+        """
+        state = self._state
+        if state.disk_lock.acquire(blocking=False):
+            try:
+                self._replication.write_unsynced_locked()
+            finally:
+                state.disk_lock.release()
+        with state.lock:
+            if state.log.synced_index < state.log.last_index:
+                state.unsynced.notify()
 
     def _converse(self, peer: Peer) -> None:
         state = self._state
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -63,7 +63,12 @@
         self._rng = rng
         self.disk_lock = threading.Lock()
         self.lock = threading.Lock()
+        # Wakes the tasks of the peers when there is something to send.
         self.changed = threading.Condition(self.lock)
+        # Wakes the writer when entries wait for it.
+        self.unsynced = threading.Condition(self.lock)
+        # Wakes those who wait for a quorum to be heard.
+        self.heard = threading.Condition(self.lock)
         self.stopping = threading.Event()
         self.role = Role.FOLLOWER
         self.leader = ""
@@ -149,6 +154,7 @@
         self.leader = leader
         self.reset_election_timer()
         self.changed.notify_all()
+        self.heard.notify_all()
 
     def become_leader(self) -> None:
         """Lead the current term; its first entry commits the earlier ones."""
@@ -167,7 +173,7 @@
         self.append(EntryKind.NO_OPERATION, b"")
 
     def append(self, kind: int, payload: bytes) -> LogEntry:
-        """Add an entry of the current term; the writer makes it durable."""
+        """Add an entry of the current term; `write_unsynced` makes it durable."""
         entry = LogEntry(
             index=self.log.last_index + 1, term=self.term, kind=kind, payload=payload
         )
@@ -202,7 +208,6 @@
         while self.applied_index < index:
             self.applied_index += 1
             self._apply(self.applied_index)
-        self.changed.notify_all()
 
     def _apply(self, index: int) -> None:
         entry = self.log.entry(index)
@@ -218,6 +223,20 @@
             waiter.result = result
             waiter.done.set()
 
+    # ---- changing, with no lock held ----
+
+    def heed_term(self, term: int) -> None:
+        """Move to a later term that a peer has told of.
+
+        The common case, no later term, must not wait for the disk.
+        """
+        with self.lock:
+            if term <= self.term:
+                return
+        with self.disk_lock, self.lock:
+            if term > self.term and self.role is not Role.FAILED:
+                self.adopt_term(term)
+
     # ---- changing, with both locks held ----
 
     def adopt_term(self, term: int) -> bool:
--- a/arbutuscleat/consensus/replication.py
+++ b/arbutuscleat/consensus/replication.py
@@ -66,12 +66,8 @@
     ) -> None:
         """Take note of what `peer` holds and commit what a majority holds."""
         state = self._state
-        with state.disk_lock, state.lock:
-            if state.role is Role.FAILED:
-                return
-            if answer.term > state.term:
-                state.adopt_term(answer.term)
-                return
+        state.heed_term(answer.term)
+        with state.lock:
             if state.role is not Role.LEADER or request.term != state.term:
                 return
             progress = state.progress[peer]
@@ -84,7 +80,7 @@
                 state.advance_commit()
             else:
                 self._step_back(progress, answer.last_index)
-            state.changed.notify_all()
+            state.heard.notify_all()
 
     def is_due(self, progress: Progress) -> bool:
         """Return whether the next heartbeat or retry is due."""
@@ -110,19 +106,23 @@
 
     def write_unsynced(self) -> bool:
         """Make the entries that wait durable by one sync; return whether any did."""
+        with self._state.disk_lock:
+            return self.write_unsynced_locked()
+
+    def write_unsynced_locked(self) -> bool:
+        """Do the same with `disk_lock` held."""
         state = self._state
-        with state.disk_lock:
-            with state.lock:
-                batch = state.log.unsynced()
-                if batch is None or state.role is not Role.LEADER:
-                    return False
-            if not self._write(batch):
+        with state.lock:
+            batch = state.log.unsynced()
+            if batch is None or state.role is not Role.LEADER:
                 return False
-            with state.lock:
-                state.log.mark_synced(batch)
-                if state.role is Role.LEADER:
-                    state.advance_commit()
-            return True
+        if not self._write(batch):
+            return False
+        with state.lock:
+            state.log.mark_synced(batch)
+            if state.role is Role.LEADER:
+                state.advance_commit()
+        return True
 
     # ---- follower ----
 
--- a/arbutuscleat/consensus/snapshots.py
+++ b/arbutuscleat/consensus/snapshots.py
@@ -85,12 +85,8 @@
     ) -> None:
         """Go on behind the chunk that `peer` has taken."""
         state = self._state
-        with state.disk_lock, state.lock:
-            if state.role is Role.FAILED:
-                return
-            if answer.term > state.term:
-                state.adopt_term(answer.term)
-                return
+        state.heed_term(answer.term)
+        with state.lock:
             if state.role is not Role.LEADER or request.term != state.term:
                 return
             progress = state.progress[peer]
@@ -98,7 +94,7 @@
                 return
             progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
             self._go_on(progress, request, answer.accepted)
-            state.changed.notify_all()
+            state.heard.notify_all()
 
     def handle(self, request: SnapshotChunk) -> SnapshotAnswer:
         """Take a chunk; the last one puts the snapshot in place."""
--- a/arbutuscleat/emulator/local_fleet.py
+++ b/arbutuscleat/emulator/local_fleet.py
@@ -92,6 +92,7 @@
     plan: FleetPlan = FleetPlan()
     processes: dict[str, LocalProcess] = field(default_factory=dict)
     http_urls: dict[str, str] = field(default_factory=dict)
+    control_nodes: list[dict] = field(default_factory=list)
     _settings: dict[str, Path] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -105,16 +106,16 @@
             for i in range(self.plan.entries_per_data_centre)
         ]
         ports = iter(free_ports(2 * (len(controls) + len(entries))))
-        control_nodes = [_node(name, next(ports)) for name in controls]
+        self.control_nodes = [_node(name, next(ports)) for name in controls]
         entry_nodes = [
             {**_node(name, next(ports)), "data_centre": data_centre}
             for name, data_centre in entries
         ]
-        for position, node in enumerate(control_nodes):
+        for position, node in enumerate(self.control_nodes):
             data_centre = self.plan.data_centres[position % len(self.plan.data_centres)]
-            self._write_control(node, data_centre, next(ports), control_nodes)
+            self._write_control(node, data_centre, next(ports), self.control_nodes)
         for node in entry_nodes:
-            self._write_entry(node, next(ports), control_nodes, entry_nodes)
+            self._write_entry(node, next(ports), self.control_nodes, entry_nodes)
 
     # ---- daemons ----
 
--- /dev/null
+++ b/tests/consensus/test_replica.py
@@ -0,0 +1,23 @@
+import threading
+
+from testtools import TestCase
+
+from tests.consensus.bench import Bench
+
+FINISH_SECONDS = 10.0
+
+
+class LockOrderTest(TestCase):
+    """The planner reads this while it holds the state machine's lock, and applying
+    an entry takes that lock while it holds the replica's."""
+
+    def test_led_since_is_read_while_an_entry_is_applied(self):
+        bench = Bench().lead()
+        found = []
+        task = threading.Thread(
+            target=lambda: found.append(bench.replica.led_since()), daemon=True
+        )
+        with bench.state.lock:
+            task.start()
+            task.join(FINISH_SECONDS)
+            self.assertEqual([bench.state.led_since], found)
