--- a/arbutuscleat/core/__init__.py
+++ b/arbutuscleat/core/__init__.py
@@ -3,6 +3,8 @@
 from .clock import Clock, SystemClock
 from .deadline import Deadline
 from .errors import InvariantError, ValidationError
+from .idempotency_key import UNTIMED, key_time_ms
+from .in_progress import InProgress
 from .instance import Assignment, AssignmentPhase, Instance, InstanceState
 from .labels import Labels, is_name, parse_labels, validate_labels
 from .outcome import Outcome
@@ -16,6 +18,7 @@
     "AssignmentPhase",
     "Clock",
     "Deadline",
+    "InProgress",
     "Instance",
     "InstanceState",
     "InvariantError",
@@ -30,7 +33,9 @@
     "SelectorSyntaxError",
     "SystemClock",
     "ValidationError",
+    "UNTIMED",
     "is_name",
+    "key_time_ms",
     "parse_labels",
     "parse_selector",
     "validate_labels",
--- a/arbutuscleat/core/refusal.py
+++ b/arbutuscleat/core/refusal.py
@@ -25,6 +25,8 @@
     KEY_REUSED = "key-reused"
     KEY_IN_PROGRESS = "key-in-progress"
     KEY_FINISHED = "key-finished"
+    KEY_TOO_OLD = "key-too-old"
+    ABANDONED = "abandoned"
     CONNECT_FAILED = "connect-failed"
     ANSWER_LOST = "answer-lost"
     ANSWER_CROSSED = "answer-crossed"
--- a/arbutuscleat/daemons/control.py
+++ b/arbutuscleat/daemons/control.py
@@ -24,6 +24,7 @@
     StatusFront,
 )
 from arbutuscleat.maintenance import (
+    ClaimHorizon,
     DispatchGate,
     MemberWatch,
     MoveLimits,
@@ -115,6 +116,7 @@
             self._machine,
             MemberWatch(self._acks, gate, self._clock, cfg.lease_ms / 1000.0),
             Mover(self._acks, gate, self._clock, MoveLimits()),
+            ClaimHorizon(self._clock, cfg.claim_retention_ms / 1000.0),
             self._replica.leads,
             self._replica.led_since,
             self._replica.propose,
--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -7,7 +7,7 @@
 from absl import logging
 
 from arbutuscleat.consensus import FolderDisk
-from arbutuscleat.core import Instance, SystemClock
+from arbutuscleat.core import InProgress, Instance, SystemClock
 from arbutuscleat.http import (
     Application,
     CallerFront,
@@ -34,12 +34,19 @@
 )
 from arbutuscleat.routing import (
     Admission,
+    ClaimEnder,
+    EntryService,
+    KeptAnswers,
     LocalCapacity,
     LogClaimRegistry,
+    Outliers,
+    RetryBudget,
     Router,
     RouterParts,
     RoutingTableHolder,
     RunTimes,
+    ThriftAnswerFetcher,
+    ThriftForwarder,
 )
 from arbutuscleat.settings import EntrySettings
 from arbutuscleat.state import Member
@@ -48,6 +55,7 @@
 from arbutuscleat.wire.gen import Control, Entry
 
 DRAIN_SECONDS = 30.0
+END_CLAIMS_SECONDS = 4.0
 RECHECK_SECONDS = 0.2
 
 
@@ -85,11 +93,13 @@
         self._table = AnnouncementTable(
             self._clock, cfg.announcements.expiry_ms / 1000.0
         )
+        self._outliers = Outliers(self._clock)
         self._capacity = LocalCapacity(
             cfg.node_id,
             cfg.data_centre,
             self._view,
             self._table,
+            self._outliers,
             self._rights.may_dispatch,
         )
         self._view.add_listener(
@@ -124,11 +134,6 @@
             self._busy_draining,
             self._clock,
         )
-        self._thrift = ThriftServer(
-            Entry.Processor(self._exchange),
-            Address(str(cfg.peer.host), cfg.peer.port),
-            self._credentials,
-        )
         self._listing = Listing(self._member(), self._view, self._control, self._clock)
         self._subscription = Subscription(
             self._credentials,
@@ -143,7 +148,32 @@
             cfg.limits.connect_timeout_ms / 1000.0,
             cfg.limits.max_answer_bytes,
         )
-        self._callers = self._make_caller_front()
+        self._claims = LogClaimRegistry(
+            self._control, cfg.node_id, self._credentials.incarnation
+        )
+        self._ender = ClaimEnder(self._claims, self._clock)
+        self._kept = KeptAnswers()
+        self._in_progress = InProgress()
+        self._peer_pools = {
+            node.node_id: ChannelPool(
+                Entry.Client, Address(str(node.host), node.port), self._credentials
+            )
+            for node in cfg.peers
+        }
+        router = Router(self._router_parts(), self._clock, self._tracing, self._metrics)
+        service = EntryService(
+            self._exchange,
+            router.serve_here,
+            self._kept,
+            self._tracing,
+            self._in_progress,
+        )
+        self._thrift = ThriftServer(
+            Entry.Processor(service),
+            Address(str(cfg.peer.host), cfg.peer.port),
+            self._credentials,
+        )
+        self._callers = self._make_caller_front(router)
         self._http = self._make_http()
         self._rechecker = threading.Thread(
             target=self._recheck, name="admission-recheck", daemon=True
@@ -162,6 +192,7 @@
         self._listing.start()
         self._subscription.start()
         self._reporter.start()
+        self._ender.start()
         self._rechecker.start()
         self._http.start()
         logging.info("entry instance listens on %s", self._http.address)
@@ -169,9 +200,10 @@
     def stop(self) -> None:
         """Refuse new work, let everything in progress end, then stop."""
         self._draining.set()
-        if not self._callers.wait_idle(DRAIN_SECONDS):
+        if not self._in_progress.wait_idle(DRAIN_SECONDS):
             logging.warning("requests were still in progress after %s s", DRAIN_SECONDS)
         self._stopping.set()
+        self._ender.stop(END_CLAIMS_SECONDS)
         self._listing.leave()
         self._http.stop()
         self._subscription.stop()
@@ -179,34 +211,49 @@
         self._exchange.stop()
         self._thrift.stop()
         self._control.close()
+        for pool in self._peer_pools.values():
+            pool.close()
         self._endpoints.close()
         self._tracing.stop()
 
     # ---- wiring ----
 
-    def _make_caller_front(self) -> CallerFront:
-        cfg = self._cfg
-        parts = RouterParts(
+    def _router_parts(self) -> RouterParts:
+        elsewhere: dict[str, list[ChannelPool]] = {}
+        for node in self._cfg.peers:
+            if node.data_centre != self._cfg.data_centre:
+                pool = self._peer_pools[node.node_id]
+                elsewhere.setdefault(node.data_centre, []).append(pool)
+        return RouterParts(
             table=self._tables.current,
             may_dispatch=self._rights.may_dispatch,
             may_send=self._capacity.may_send,
+            spare_instances=self._capacity.spare_instances,
+            is_idempotent=self._is_idempotent,
             admission=self._admission,
-            claims=LogClaimRegistry(
-                self._control, cfg.node_id, self._credentials.incarnation
+            outliers=self._outliers,
+            retries=RetryBudget(),
+            claims=self._claims,
+            ender=self._ender,
+            kept=self._kept,
+            fetcher=ThriftAnswerFetcher(
+                self._cfg.node_id, self._kept, self._peer_pools
             ),
+            forwarder=ThriftForwarder(elsewhere),
             endpoints=self._endpoints,
-            run_times=self._admission.run_times,
-            is_idempotent=self._is_idempotent,
         )
-        router = Router(parts, self._clock, self._tracing, self._metrics)
+
+    def _make_caller_front(self, router: Router) -> CallerFront:
+        limits = self._cfg.limits
         return CallerFront(
             router,
             self._clock,
             self._tracing,
             self._metrics,
-            cfg.limits.default_timeout_ms / 1000.0,
-            cfg.limits.max_timeout_ms / 1000.0,
+            limits.default_timeout_ms / 1000.0,
+            limits.max_timeout_ms / 1000.0,
             self._draining.is_set,
+            self._in_progress,
         )
 
     def _make_http(self) -> HttpServer:
--- a/arbutuscleat/http/caller_front.py
+++ b/arbutuscleat/http/caller_front.py
@@ -1,12 +1,12 @@
 """The callers' front: ``ANY /v1/services/{service}/{path}``."""
 
-import threading
 from collections.abc import Callable
 
 from returns.result import Failure, Success
 
 from arbutuscleat.core import (
     Clock,
+    InProgress,
     Outcome,
     Refusal,
     RefusalReason,
@@ -53,6 +53,8 @@
         Seconds that a caller waits when it does not say, and at most.
     is_draining : callable
         Tells whether the process is about to stop.
+    in_progress : InProgress
+        Counts the requests that a stop waits for.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         default_timeout: float,
         max_timeout: float,
         is_draining: Callable[[], bool],
+        in_progress: InProgress,
     ):
         self._router = router
         self._clock = clock
@@ -72,24 +75,12 @@
         self._default_timeout = default_timeout
         self._max_timeout = max_timeout
         self._is_draining = is_draining
-        self._idle = threading.Condition()
-        self._in_progress = 0
+        self._in_progress = in_progress
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one caller."""
-        with self._idle:
-            self._in_progress += 1
-        try:
+        with self._in_progress.one():
             return self._handle_traced(request)
-        finally:
-            with self._idle:
-                self._in_progress -= 1
-                self._idle.notify_all()
-
-    def wait_idle(self, timeout: float) -> bool:
-        """Wait until no request is in progress; return whether that was reached."""
-        with self._idle:
-            return self._idle.wait_for(lambda: self._in_progress == 0, timeout)
 
     def _handle_traced(self, request: HttpRequest) -> HttpResponse:
         started = self._clock.monotonic()
@@ -150,6 +141,7 @@
             labels=labels,
             key=key,
             timeout_seconds=self._timeout(request),
+            is_abandoned=request.is_abandoned,
         )
 
     def _timeout(self, request: HttpRequest) -> float:
--- a/arbutuscleat/http/http_request.py
+++ b/arbutuscleat/http/http_request.py
@@ -1,6 +1,7 @@
 """HTTP requests as the fronts see them: parsed once at the border."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from urllib.parse import unquote
 
 _HEADER_PREFIX = "HTTP_"
@@ -24,6 +25,10 @@
 )
 
 
+# Where the server leaves a callable that tells whether the client has hung up.
+ABANDONED_KEY = "arbutuscleat.is_abandoned"
+
+
 class BodyError(Exception):
     """The body ended early or could not be read."""
 
@@ -42,12 +47,15 @@
         Headers by lower-case name.
     body : bytes
         The whole body.
+    is_abandoned : callable
+        Tells whether the client has hung up.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    is_abandoned: Callable[[], bool] = field(default=lambda: False, compare=False)
 
     @property
     def segments(self) -> list[str]:
@@ -86,9 +94,14 @@
         target=environ.get("REQUEST_URI") or environ["PATH_INFO"],
         headers=headers,
         body=_read_body(environ),
+        is_abandoned=environ.get(ABANDONED_KEY, _never),
     )
 
 
+def _never() -> bool:
+    return False
+
+
 def _read_body(environ: dict) -> bytes:
     length = int(environ.get("CONTENT_LENGTH") or 0)
     chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
--- a/arbutuscleat/http/server.py
+++ b/arbutuscleat/http/server.py
@@ -1,16 +1,18 @@
 """The HTTP server: cheroot with bounds, and problem details for its own errors."""
 
 import select
+import socket
 import threading
 from collections.abc import Callable
 
 from absl import logging
 from cheroot.server import HTTPConnection, HTTPRequest
-from cheroot.wsgi import Server
+from cheroot.wsgi import Gateway_10, Server
 
 from arbutuscleat.core import RefusalReason
 from arbutuscleat.wire import Address
 
+from .http_request import ABANDONED_KEY
 from .problem import refuse
 
 IDLE_SECONDS = 30
@@ -69,6 +71,16 @@
         return bool(poll.poll(NEXT_REQUEST_MS))
 
 
+class _Gateway(Gateway_10):
+    """Lets the application ask whether its client has hung up."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        sock = self.req.conn.socket
+        environ[ABANDONED_KEY] = lambda: _has_hung_up(sock)
+        return environ
+
+
 class _LoggingServer(Server):
     """Sends cheroot's own messages to the structured logs."""
 
@@ -109,6 +121,7 @@
             shutdown_timeout=STOP_SECONDS,
         )
         self._server.ConnectionClass = _Connection
+        self._server.gateway = _Gateway
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
         self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
@@ -131,3 +144,15 @@
 
     def _serve(self) -> None:
         self._server.serve()
+
+
+def _has_hung_up(sock: socket.socket) -> bool:
+    """Return whether the client has closed its side of the connection."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    if not poll.poll(0):
+        return False
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
--- a/arbutuscleat/maintenance/planner.py
+++ b/arbutuscleat/maintenance/planner.py
@@ -12,6 +12,7 @@
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen.ttypes import Command
 
+from .claim_horizon import ClaimHorizon
 from .member_watch import MemberWatch
 from .mover import Mover
 
@@ -28,7 +29,7 @@
     ----------
     machine : ControlMachine
         The replicated state.
-    watch, mover
+    watch, mover, horizon
         What decides.
     leads : callable
         Tells whether this control instance leads and is up to date.
@@ -45,6 +46,7 @@
         machine: ControlMachine,
         watch: MemberWatch,
         mover: Mover,
+        horizon: ClaimHorizon,
         leads: Callable[[], bool],
         led_since: Callable[[], float],
         propose: Propose,
@@ -53,6 +55,7 @@
         self._machine = machine
         self._watch = watch
         self._mover = mover
+        self._horizon = horizon
         self._leads = leads
         self._led_since = led_since
         self._propose = propose
@@ -86,6 +89,7 @@
         return [
             *self._watch.decide(configuration, self._led_since()),
             *self._mover.decide(configuration),
+            *self._horizon.decide(),
         ]
 
     def _run(self) -> None:
--- a/arbutuscleat/membership/control_client.py
+++ b/arbutuscleat/membership/control_client.py
@@ -2,12 +2,15 @@
 
 import threading
 from collections.abc import Sequence
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
 from arbutuscleat.core import Clock, Deadline
-from arbutuscleat.wire import CallError, ChannelPool
+from arbutuscleat.wire import ChannelPool
 from arbutuscleat.wire.gen.ttypes import (
+    ClaimLookup,
+    ClaimLookupAnswer,
     Command,
     ProposeAnswer,
     ProposeRequest,
@@ -73,16 +76,23 @@
         self, change_id: str, timeout: float
     ) -> Result[StatusAnswer, ControlError]:
         """Return the status of the leading control instance."""
+        return self._ask("status", StatusRequest(change_id=change_id), timeout)
+
+    def lookup(
+        self, key: str, timeout: float
+    ) -> Result[ClaimLookupAnswer, ControlError]:
+        """Return the claim of a key as the leading control instance has it."""
+        request = ClaimLookup(key=key, timeout_ms=int(timeout * 1000))
+        return self._ask("lookup", request, timeout)
+
+    def _ask(self, method: str, request: Any, timeout: float) -> Result:
         deadline = Deadline.after(self._clock, timeout)
         while not deadline.expired():
             name = self._leader
-            request = StatusRequest(change_id=change_id)
             seconds = min(deadline.remaining(), ATTEMPT_SECONDS)
-            answer: Result[StatusAnswer, CallError] = self._channels[name].call(
-                "status", request, seconds
-            )
+            answer = self._channels[name].call(method, request, seconds)
             if isinstance(answer, Success) and answer.unwrap().status == Status.OK:
-                return Success(answer.unwrap())
+                return answer
             hint = answer.unwrap().leader if isinstance(answer, Success) else ""
             self._follow(name, hint)
             self._clock.sleep(self._pause, RETRY_PAUSE_SECONDS)
--- a/arbutuscleat/membership/control_service.py
+++ b/arbutuscleat/membership/control_service.py
@@ -10,6 +10,8 @@
     AppendAnswer,
     AppendRequest,
     ChangeResult,
+    ClaimLookup,
+    ClaimLookupAnswer,
     ClaimRecord,
     FetchAnswer,
     FetchRequest,
@@ -101,6 +103,19 @@
         answer.version = self._machine.version
         return answer
 
+    def lookup(self, request: ClaimLookup) -> ClaimLookupAnswer:
+        """Answer with the claim of a key, as of now."""
+        answer = ClaimLookupAnswer(request_id=request.request_id, status=Status.OK)
+        # The leadership is confirmed first, so no claim committed before is missed.
+        barrier = self._replica.read_barrier(request.timeout_ms / 1000.0)
+        if isinstance(barrier, Failure):
+            error = barrier.failure()
+            answer.status = _STATUS[error.kind]
+            answer.leader = error.leader
+            return answer
+        answer.claim = self._machine.claim(request.key)
+        return answer
+
     # ---- configuration ----
 
     def fetch(self, request: FetchRequest) -> FetchAnswer:
--- a/arbutuscleat/routing/__init__.py
+++ b/arbutuscleat/routing/__init__.py
@@ -1,10 +1,29 @@
 """The path of a request: placement, admission, claim, dispatch."""
 
-from .admission import Admission
-from .claims import Claim, ClaimRegistry, LogClaimRegistry, content_digest
+from .admission import NO_INSTANCE_READY, Admission
+from .answer_fetcher import AnswerFetcher, ThriftAnswerFetcher
+from .claim_ender import ClaimEnder
+from .claims import (
+    Claim,
+    ClaimDenied,
+    ClaimRegistry,
+    LogClaimRegistry,
+    claim_key,
+    content_digest,
+)
 from .endpoint_client import DispatchError, DispatchErrorKind, EndpointClient
+from .entry_service import EntryService
+from .forwarder import Forwarder, ThriftForwarder
+from .kept_answers import KeptAnswers
 from .local_capacity import LocalCapacity
+from .outliers import (
+    ConsecutiveFailuresRule,
+    FailureRule,
+    Outliers,
+    SuccessRateRule,
+)
 from .request import Answer, Request
+from .retry_budget import RetryBudget
 from .router import Router, RouterParts
 from .routing_table import (
     Candidates,
@@ -21,16 +40,27 @@
 __all__ = [
     "Admission",
     "Answer",
+    "AnswerFetcher",
     "Candidates",
     "Claim",
+    "ClaimDenied",
+    "ClaimEnder",
     "ClaimRegistry",
+    "ConsecutiveFailuresRule",
     "DispatchError",
     "DispatchErrorKind",
     "EndpointClient",
+    "EntryService",
+    "FailureRule",
+    "Forwarder",
+    "KeptAnswers",
     "LocalCapacity",
     "LogClaimRegistry",
+    "NO_INSTANCE_READY",
+    "Outliers",
     "Placement",
     "Request",
+    "RetryBudget",
     "Route",
     "Router",
     "RouterParts",
@@ -40,7 +70,11 @@
     "Slot",
     "SlotOffer",
     "SlotShares",
+    "SuccessRateRule",
+    "ThriftAnswerFetcher",
+    "ThriftForwarder",
     "build_routing_table",
+    "claim_key",
     "content_digest",
     "slot_shares",
 ]
--- a/arbutuscleat/routing/admission.py
+++ b/arbutuscleat/routing/admission.py
@@ -14,9 +14,12 @@
 
 from arbutuscleat.core import Clock, Deadline, Outcome, Refusal, RefusalReason
 
+from .request import Request
 from .run_times import RunTimes
 from .slot import Slot, SlotOffer
 
+ABANDONED_CHECK_SECONDS = 0.25
+
 NO_INSTANCE_READY = Refusal(
     RefusalReason.NO_INSTANCE_READY,
     Outcome.NOT_RUN,
@@ -87,9 +90,10 @@
             return sum(self._in_use.values())
 
     def acquire(
-        self, service: str, offers: Sequence[SlotOffer], deadline: Deadline
+        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
     ) -> Result[Slot, Refusal]:
         """Take a slot of one of the offered instances, waiting for it if need be."""
+        service = req.service
         with self._lock:
             queue = self._queues.setdefault(service, deque())
             slot = None if queue else self._take_free(offers)
@@ -102,8 +106,11 @@
                 return Failure(refusal)
             waiter = _Waiter({o.instance.instance_id: o for o in offers})
             queue.append(waiter)
-        self._clock.sleep(waiter.turn, deadline.remaining())
-        return self._leave_queue(service, waiter)
+        while not deadline.expired() and not req.is_abandoned():
+            pause = min(deadline.remaining(), ABANDONED_CHECK_SECONDS)
+            if self._clock.sleep(waiter.turn, pause):
+                break
+        return self._leave_queue(req, waiter)
 
     def release(self, slot: Slot) -> None:
         """Give a slot back; the first who can use it gets it."""
@@ -169,11 +176,14 @@
         retry_after = wait * (1.0 + self._jitter())
         return Refusal(reason, Outcome.NOT_RUN, detail, retry_after)
 
-    def _leave_queue(self, service: str, waiter: _Waiter) -> Result[Slot, Refusal]:
+    def _leave_queue(self, req: Request, waiter: _Waiter) -> Result[Slot, Refusal]:
         with self._lock:
             if waiter.slot is not None:
                 return Success(waiter.slot)
-            self._queues[service].remove(waiter)
+            self._queues[req.service].remove(waiter)
+        if req.is_abandoned():
+            detail = "the caller has hung up while it waited"
+            return Failure(Refusal(RefusalReason.ABANDONED, Outcome.NOT_RUN, detail))
         detail = "no slot became free before the deadline"
-        wait = self.run_times.mean(service)
+        wait = self.run_times.mean(req.service)
         return Failure(self._refusal(RefusalReason.DEADLINE, detail, wait))
--- a/arbutuscleat/routing/local_capacity.py
+++ b/arbutuscleat/routing/local_capacity.py
@@ -11,6 +11,7 @@
 from arbutuscleat.membership import AnnouncementTable, ConfigurationView
 from arbutuscleat.state import FleetConfiguration
 
+from .outliers import Outliers
 from .slot import SlotOffer
 from .slot_shares import SlotShares, slot_shares
 
@@ -26,6 +27,8 @@
         The version held.
     announcements : AnnouncementTable
         Which endpoints are alive.
+    outliers : Outliers
+        Which instances are taken out.
     may_dispatch : callable
         Tells whether this process holds the right to dispatch.
     """
@@ -36,21 +39,26 @@
         data_centre: str,
         view: ConfigurationView,
         announcements: AnnouncementTable,
+        outliers: Outliers,
         may_dispatch: Callable[[], bool],
     ):
         self._node_id = node_id
         self._data_centre = data_centre
         self._view = view
         self._announcements = announcements
+        self._outliers = outliers
         self._may_dispatch = may_dispatch
         self._held_shares = SlotShares(-1, 0)
         view.add_listener(self._take_version)
 
     def limit(self, offer: SlotOffer) -> int:
         """Return how many requests may run on the offered instance; 0 for none."""
-        if not self.is_usable(offer.instance):
+        instance = offer.instance
+        if not self._outliers.may_use(instance.instance_id):
             return 0
-        return min(offer.share, self._held_shares.of(offer.instance.slots))
+        if not self.is_usable(instance):
+            return 0
+        return min(offer.share, self._held_shares.of(instance.slots))
 
     def is_usable(self, instance: Instance) -> bool:
         """Return whether the instance may be given new work at this moment."""
@@ -68,6 +76,14 @@
         """Return whether the first byte for the instance may leave now."""
         return self._may_dispatch() and self.is_usable(instance)
 
+    def spare_instances(self, instance: Instance) -> int:
+        """Return how many instances the pool of an instance can do without."""
+        with self._view.changed:
+            configuration = self._view.configuration
+            if configuration is None:
+                return 0
+            return configuration.headroom(instance.assignment.pool)
+
     def is_draining(self, instance_id: str) -> bool:
         """Return whether the version held gives an instance no new work."""
         configuration = self._view.configuration
--- a/arbutuscleat/routing/request.py
+++ b/arbutuscleat/routing/request.py
@@ -1,6 +1,7 @@
 """Requests of callers and the answers of endpoints, inside the system."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from arbutuscleat.core import Labels
 
@@ -25,6 +26,8 @@
         The idempotency key; empty when the caller gave none.
     timeout_seconds : float
         Time that the caller waits.
+    is_abandoned : callable
+        Tells whether the caller has hung up.
     """
 
     service: str
@@ -35,6 +38,7 @@
     labels: Labels
     key: str
     timeout_seconds: float
+    is_abandoned: Callable[[], bool] = field(default=lambda: False, compare=False)
 
 
 @dataclass(frozen=True)
--- a/arbutuscleat/routing/router.py
+++ b/arbutuscleat/routing/router.py
@@ -14,15 +14,31 @@
 from arbutuscleat.telemetry import Metrics, Tracing
 
 from .admission import NO_INSTANCE_READY, Admission
-from .claims import Claim, ClaimRegistry
+from .answer_fetcher import AnswerFetcher
+from .claim_ender import ClaimEnder
+from .claims import Claim, ClaimDenied, ClaimRegistry, claim_key
 from .endpoint_client import DispatchError, DispatchErrorKind, EndpointClient
+from .forwarder import Forwarder
+from .kept_answers import KeptAnswers
+from .outliers import Outliers
 from .request import Answer, Request
+from .retry_budget import RetryBudget
 from .routing_table import RoutingTable
-from .run_times import RunTimes
 from .slot import Slot, SlotOffer
 
 MAX_INSTANCES_TRIED = 2
-RELEASE_SECONDS = 2.0
+LOOKUP_SECONDS = 0.25
+FETCH_SECONDS = 1.0
+FIRST_FAILING_STATUS = 500
+
+# Refusals of this data centre that another one may not have to make.
+FORWARDED_REASONS = frozenset(
+    {
+        RefusalReason.NO_INSTANCE_READY,
+        RefusalReason.POOL_FULL,
+        RefusalReason.ISOLATED,
+    }
+)
 
 
 @dataclass(frozen=True)
@@ -37,20 +53,28 @@
         Tells whether this process holds the right to dispatch.
     may_send : callable
         Tells whether the first byte for an instance may leave now.
-    admission, claims, endpoints, run_times
-        The parts that do the work.
+    spare_instances : callable
+        Returns how many instances the pool of an instance can do without.
     is_idempotent : callable
         Tells whether a method of a service may run more than once.
+    admission, outliers, retries, claims, ender, kept, fetcher, forwarder, endpoints
+        The parts that do the work.
     """
 
     table: Callable[[], RoutingTable | None]
     may_dispatch: Callable[[], bool]
     may_send: Callable[[Instance], bool]
+    spare_instances: Callable[[Instance], int]
+    is_idempotent: Callable[[str, str], bool]
     admission: Admission
+    outliers: Outliers
+    retries: RetryBudget
     claims: ClaimRegistry
+    ender: ClaimEnder
+    kept: KeptAnswers
+    fetcher: AnswerFetcher
+    forwarder: Forwarder
     endpoints: EndpointClient
-    run_times: RunTimes
-    is_idempotent: Callable[[str, str], bool]
 
 
 class Router:
@@ -77,18 +101,17 @@
         self._metrics = metrics
 
     def serve(self, req: Request) -> Result[Answer, Refusal]:
-        """Return the whole answer of one endpoint, or why there is none."""
-        deadline = Deadline.after(self._clock, req.timeout_seconds)
-        found = self._find_offers(req)
-        if isinstance(found, Failure):
-            return found
-        if self._parts.is_idempotent(req.service, req.method):
-            return self._serve_idempotent(req, found.unwrap(), deadline)
-        return self._serve_once(req, found.unwrap(), deadline)
+        """Return the whole answer of one endpoint, here or in another data centre."""
+        return self._serve(req, forwards=True)
+
+    def serve_here(self, req: Request) -> Result[Answer, Refusal]:
+        """Return the whole answer of one endpoint of this data centre."""
+        return self._serve(req, forwards=False)
 
     # ---- steps ----
 
-    def _find_offers(self, req: Request) -> Result[Sequence[SlotOffer], Refusal]:
+    def _serve(self, req: Request, forwards: bool) -> Result[Answer, Refusal]:
+        deadline = Deadline.after(self._clock, req.timeout_seconds)
         table = self._parts.table()
         if table is None:
             return _refuse(RefusalReason.NOT_READY, "no configuration is held yet", 1.0)
@@ -99,71 +122,120 @@
         if not found.offers and not found.elsewhere:
             detail = "no instance matches the job's labels"
             return _refuse(RefusalReason.NO_INSTANCE_MATCHES, detail)
-        return Success(found.offers)
-
-    def _serve_idempotent(
-        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
-    ) -> Result[Answer, Refusal]:
-        tried: set[str] = set()
-        sent = False
-        result: Result[Answer, Refusal] = Failure(NO_INSTANCE_READY)
-        while len(tried) < MAX_INSTANCES_TRIED:
-            left = [o for o in offers if o.instance.instance_id not in tried]
-            slot = self._take_slot(req, left, deadline)
-            if isinstance(slot, Failure):
-                return result if sent else slot
-            tried.add(slot.unwrap().instance_id)
-            answer = self._dispatch(req, slot.unwrap(), deadline)
-            if isinstance(answer, Success):
-                return Success(answer.unwrap())
-            sent = sent or answer.failure().kind is not DispatchErrorKind.NOT_SENT
-            result = Failure(_failed(answer.failure(), sent))
-            if deadline.expired():
-                break
+        result = self._serve_local(req, found.offers, deadline)
+        if forwards and found.elsewhere and _may_forward(result):
+            with self._tracing.span("forward"):
+                result = self._parts.forwarder.forward(req, found.elsewhere, deadline)
         return result
 
-    def _serve_once(
+    def _serve_local(
         self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
     ) -> Result[Answer, Refusal]:
+        idempotent = self._parts.is_idempotent(req.service, req.method)
         slot = self._take_slot(req, offers, deadline)
         if isinstance(slot, Failure):
-            return self._without_claim(req, slot.failure())
+            if idempotent or not req.key:
+                return slot
+            return Failure(self._refuse_keyed(req, slot.failure()))
+        # Without a key no other attempt can exist, so there is nothing to claim.
+        if idempotent or not req.key:
+            return self._attempt(req, offers, slot.unwrap(), deadline, idempotent)
+        return self._serve_claimed(req, offers, slot.unwrap(), deadline)
+
+    def _serve_claimed(
+        self,
+        req: Request,
+        offers: Sequence[SlotOffer],
+        slot: Slot,
+        deadline: Deadline,
+    ) -> Result[Answer, Refusal]:
+        claim = Claim(claim_key(req), uuid.uuid4().hex)
         with self._tracing.span("claim"):
-            claim_id = uuid.uuid4().hex
-            claimed = self._parts.claims.begin(req, claim_id, deadline.remaining())
+            claimed = self._parts.claims.begin(
+                req, claim.claim_id, deadline.remaining()
+            )
         if isinstance(claimed, Failure):
-            self._parts.admission.release(slot.unwrap())
-            return claimed
-        answer = self._dispatch(req, slot.unwrap(), deadline)
-        if isinstance(answer, Success):
-            self._parts.claims.finish(claimed.unwrap(), RELEASE_SECONDS)
-            return Success(answer.unwrap())
-        return Failure(self._end_claim(claimed.unwrap(), answer.failure()))
-
-    def _without_claim(self, req: Request, refusal: Refusal) -> Result[Answer, Refusal]:
-        """Refuse before claiming; an earlier attempt under the key may have run."""
-        if not req.key or refusal.outcome is not Outcome.NOT_RUN:
-            return Failure(refusal)
-        return Failure(
-            Refusal(
-                refusal.reason, Outcome.UNKNOWN, refusal.detail, refusal.retry_after
+            self._parts.admission.release(slot)
+            return self._without_claim(claim, claimed.failure())
+        result = self._attempt(req, offers, slot, deadline, may_repeat=False)
+        if isinstance(result, Success):
+            self._parts.kept.keep(claim.key, result.unwrap())
+            self._parts.ender.finish(claim)
+        elif result.failure().outcome is Outcome.NOT_RUN:
+            return Failure(self._release(claim, result.failure()))
+        return result
+
+    def _without_claim(
+        self, claim: Claim, denied: ClaimDenied
+    ) -> Result[Answer, Refusal]:
+        refusal = denied.refusal
+        if refusal.reason is RefusalReason.NO_QUORUM:
+            # It may yet be committed, but nothing will ever be sent for it.
+            self._parts.ender.release(claim)
+        if denied.finished_at:
+            answer = self._parts.fetcher.fetch(
+                denied.finished_at, claim.key, FETCH_SECONDS
             )
-        )
+            if answer is not None:
+                return Success(answer)
+        return Failure(refusal)
 
-    def _end_claim(self, claim: Claim, error: DispatchError) -> Refusal:
-        if error.kind is not DispatchErrorKind.NOT_SENT:
-            return _failed(error, sent=True)
-        released = self._parts.claims.release(claim, RELEASE_SECONDS)
-        return _failed(error, sent=not released)
+    def _release(self, claim: Claim, refusal: Refusal) -> Refusal:
+        """Say `not-run` only once the key is certainly free again."""
+        if self._parts.claims.release(claim, LOOKUP_SECONDS):
+            return refusal
+        self._parts.ender.release(claim)
+        return _unknown(refusal)
+
+    def _refuse_keyed(self, req: Request, refusal: Refusal) -> Refusal:
+        """Say `not-run` only if no earlier attempt holds the key."""
+        if refusal.outcome is not Outcome.NOT_RUN:
+            return refusal
+        if self._parts.claims.is_free(req, LOOKUP_SECONDS):
+            return refusal
+        return _unknown(refusal)
 
     def _take_slot(
         self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
     ) -> Result[Slot, Refusal]:
+        if not offers:
+            return Failure(NO_INSTANCE_READY)
         if not self._parts.may_dispatch():
             detail = "this instance holds no right to dispatch"
             return _refuse(RefusalReason.ISOLATED, detail, 1.0)
         with self._tracing.span("queue"):
-            return self._parts.admission.acquire(req.service, offers, deadline)
+            return self._parts.admission.acquire(req, offers, deadline)
+
+    def _attempt(
+        self,
+        req: Request,
+        offers: Sequence[SlotOffer],
+        slot: Slot,
+        deadline: Deadline,
+        may_repeat: bool,
+    ) -> Result[Answer, Refusal]:
+        """Send a request, to another instance again if that may be done."""
+        tried: set[str] = set()
+        sent = False
+        while True:
+            tried.add(slot.instance_id)
+            result = self._dispatch(req, slot, deadline)
+            if isinstance(result, Success):
+                self._parts.retries.earn()
+                return Success(result.unwrap())
+            error = result.failure()
+            sent = sent or error.kind is not DispatchErrorKind.NOT_SENT
+            refusal = _failed(error, sent)
+            if (sent and not may_repeat) or len(tried) >= MAX_INSTANCES_TRIED:
+                return Failure(refusal)
+            if deadline.expired() or not self._parts.retries.take():
+                return Failure(refusal)
+            left = [o for o in offers if o.instance.instance_id not in tried]
+            again = self._take_slot(req, left, deadline)
+            if isinstance(again, Failure):
+                return Failure(refusal)
+            slot = again.unwrap()
+            self._metrics.count("retries")
 
     def _dispatch(
         self, req: Request, slot: Slot, deadline: Deadline
@@ -178,15 +250,33 @@
                 if not self._parts.may_send(instance):
                     detail = "the right to send to this instance has ended"
                     return Failure(DispatchError(DispatchErrorKind.NOT_SENT, detail))
-                return self._parts.endpoints.send(
+                self._parts.outliers.begin(instance.instance_id)
+                result = self._parts.endpoints.send(
                     instance, req, uuid.uuid4().hex, deadline.remaining()
                 )
+            self._observe(req, instance, result, self._clock.monotonic() - started)
+            return result
         finally:
-            seconds = self._clock.monotonic() - started
-            self._parts.run_times.observe(req.service, seconds)
-            self._metrics.observe("dispatch", seconds, service=req.service)
             self._parts.admission.release(slot)
 
+    def _observe(
+        self,
+        req: Request,
+        instance: Instance,
+        result: Result[Answer, DispatchError],
+        seconds: float,
+    ) -> None:
+        failed = not isinstance(result, Success)
+        if isinstance(result, Success):
+            failed = result.unwrap().status >= FIRST_FAILING_STATUS
+            self._parts.admission.run_times.observe(req.service, seconds)
+        self._parts.outliers.observe(
+            instance.instance_id,
+            failed,
+            lambda: self._parts.spare_instances(instance),
+        )
+        self._metrics.observe("dispatch", seconds, service=req.service)
+
 
 _REASONS = {
     DispatchErrorKind.NOT_SENT: RefusalReason.CONNECT_FAILED,
@@ -196,12 +286,23 @@
 }
 
 
+def _may_forward(result: Result[Answer, Refusal]) -> bool:
+    if isinstance(result, Success):
+        return False
+    refusal = result.failure()
+    return refusal.reason in FORWARDED_REASONS
+
+
 def _refuse(
     reason: RefusalReason, detail: str, retry_after: float | None = None
 ) -> Failure[Refusal]:
     return Failure(Refusal(reason, Outcome.NOT_RUN, detail, retry_after))
 
 
+def _unknown(refusal: Refusal) -> Refusal:
+    return Refusal(refusal.reason, Outcome.UNKNOWN, refusal.detail, refusal.retry_after)
+
+
 def _failed(error: DispatchError, sent: bool) -> Refusal:
     outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
     return Refusal(_REASONS[error.kind], outcome, error.detail)
--- a/arbutuscleat/settings/control.py
+++ b/arbutuscleat/settings/control.py
@@ -31,6 +31,7 @@
     consensus: ConsensusSettings = ConsensusSettings()
     lease_ms: Milliseconds = 3_000
     margin_ms: Milliseconds = 500
+    claim_retention_ms: Milliseconds = 7_200_000
 
     @model_validator(mode="after")
     def _check_replicas(self) -> "ControlSettings":
--- a/arbutuscleat/state/control_machine.py
+++ b/arbutuscleat/state/control_machine.py
@@ -64,6 +64,7 @@
                     configuration=self.configuration.to_record(),
                     changes=self._changes.to_records(),
                     claims=self.claims.to_records(),
+                    claims_horizon_ms=self.claims.horizon_ms,
                 )
             )
 
@@ -73,10 +74,15 @@
         with self.changed:
             self.configuration = FleetConfiguration.from_record(record.configuration)
             self._changes.restore(record.changes)
-            self.claims.restore(record.claims)
+            self.claims.restore(record.claims, record.claims_horizon_ms or 0)
             self._deltas.clear()
             self.changed.notify_all()
 
+    def claim(self, key: str) -> ClaimRecord | None:
+        """Return the claim of a key, or None."""
+        with self.changed:
+            return self.claims.get(key)
+
     def change_result(self, change_id: str) -> ChangeResult | None:
         """Return the verdict on a change, or None when it is not known."""
         with self.changed:
@@ -105,5 +111,8 @@
             return self.claims.begin(command.begin_claim)
         if command.end_claim is not None:
             return self.claims.end(command.end_claim)
+        if command.forget_claims is not None:
+            self.claims.forget(command.forget_claims.before_ms)
+            return None
         self.configuration.replay(command)
         return None
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -217,6 +217,7 @@
   3: string owner
   4: string owner_incarnation
   5: string claim_id
+  6: i64 key_time_ms
 }
 
 // `released` says that no byte has left; otherwise the claim has ended.
@@ -250,6 +251,11 @@
   2: string incarnation
 }
 
+// Claims whose keys are older are forgotten, and such keys can never run again.
+struct ForgetClaims {
+  1: i64 before_ms
+}
+
 union Command {
   1: Change change
   2: ReportInstance instance
@@ -260,6 +266,7 @@
   7: FinishDrain finish_drain
   8: SuspectMember suspect_member
   9: MarkMemberDown mark_member_down
+  10: ForgetClaims forget_claims
 }
 
 struct Configuration {
@@ -288,12 +295,14 @@
   4: string owner_incarnation
   5: string claim_id
   6: string state
+  7: i64 key_time_ms
 }
 
 struct ControlImage {
   1: Configuration configuration
   2: list<ChangeResult> changes
   3: list<ClaimRecord> claims
+  4: i64 claims_horizon_ms
 }
 
 // ---- control for the entry instances --------------------------------------
@@ -364,6 +373,19 @@
   2: string change_id
 }
 
+struct ClaimLookup {
+  1: i64 request_id
+  2: string key
+  3: i32 timeout_ms
+}
+
+struct ClaimLookupAnswer {
+  1: i64 request_id
+  2: Status status
+  3: string leader
+  4: ClaimRecord claim
+}
+
 struct NodeStatus {
   1: string node_id
   2: string data_centre
@@ -390,6 +412,7 @@
   ProposeAnswer propose(1: ProposeRequest request)
   FetchAnswer fetch(1: FetchRequest request)
   StatusAnswer status(1: StatusRequest request)
+  ClaimLookupAnswer lookup(1: ClaimLookup request)
 }
 
 // ---- between entry instances ----------------------------------------------
@@ -425,7 +448,6 @@
   8: string traceparent
   9: string key
   10: map<string, string> labels
-  11: bool idempotent
 }
 
 struct ForwardAnswer {
@@ -439,8 +461,23 @@
   8: string instance_id
 }
 
+struct KeptAnswerRequest {
+  1: i64 request_id
+  2: string key
+}
+
+struct KeptAnswer {
+  1: i64 request_id
+  2: bool held
+  3: i32 status
+  4: list<HttpHeader> headers
+  5: binary body
+  6: string instance_id
+}
+
 service Entry {
   ShareAnswer share(1: ShareRequest request)
   FetchAnswer fetch(1: FetchRequest request)
   ForwardAnswer forward(1: ForwardRequest request)
+  KeptAnswer kept(1: KeptAnswerRequest request)
 }
--- a/arbutuscleat/wire/gen/Control.py
+++ b/arbutuscleat/wire/gen/Control.py
@@ -67,6 +67,14 @@
         """
         pass
 
+    def lookup(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -267,6 +275,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "status failed: unknown result")
 
+    def lookup(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_lookup(request)
+        return self.recv_lookup()
+
+    def send_lookup(self, request):
+        self._oprot.writeMessageBegin('lookup', TMessageType.CALL, self._seqid)
+        args = lookup_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_lookup(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = lookup_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "lookup failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -278,6 +318,7 @@
         self._processMap["propose"] = Processor.process_propose
         self._processMap["fetch"] = Processor.process_fetch
         self._processMap["status"] = Processor.process_status
+        self._processMap["lookup"] = Processor.process_lookup
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -438,6 +479,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_lookup(self, seqid, iprot, oprot):
+        args = lookup_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = lookup_result()
+        try:
+            result.success = self._handler.lookup(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("lookup", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1189,5 +1253,130 @@
 status_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [StatusAnswer, None], None, ),  # 0
 )
+
+
+class lookup_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = ClaimLookup()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('lookup_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(lookup_args)
+lookup_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [ClaimLookup, None], None, ),  # 1
+)
+
+
+class lookup_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ClaimLookupAnswer()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('lookup_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(lookup_result)
+lookup_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ClaimLookupAnswer, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -2501,16 +2501,18 @@
      - owner
      - owner_incarnation
      - claim_id
+     - key_time_ms
 
     """
 
 
-    def __init__(self, key=None, digest=None, owner=None, owner_incarnation=None, claim_id=None,):
+    def __init__(self, key=None, digest=None, owner=None, owner_incarnation=None, claim_id=None, key_time_ms=None,):
         self.key = key
         self.digest = digest
         self.owner = owner
         self.owner_incarnation = owner_incarnation
         self.claim_id = claim_id
+        self.key_time_ms = key_time_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2546,6 +2548,11 @@
                     self.claim_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.key_time_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2576,6 +2583,10 @@
             oprot.writeFieldBegin('claim_id', TType.STRING, 5)
             oprot.writeString(self.claim_id.encode('utf-8') if sys.version_info[0] == 2 else self.claim_id)
             oprot.writeFieldEnd()
+        if self.key_time_ms is not None:
+            oprot.writeFieldBegin('key_time_ms', TType.I64, 6)
+            oprot.writeI64(self.key_time_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2956,6 +2967,63 @@
         return not (self == other)
 
 
+class ForgetClaims(object):
+    """
+    Attributes:
+     - before_ms
+
+    """
+
+
+    def __init__(self, before_ms=None,):
+        self.before_ms = before_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.before_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ForgetClaims')
+        if self.before_ms is not None:
+            oprot.writeFieldBegin('before_ms', TType.I64, 1)
+            oprot.writeI64(self.before_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Command(object):
     """
     Attributes:
@@ -2968,11 +3036,12 @@
      - finish_drain
      - suspect_member
      - mark_member_down
+     - forget_claims
 
     """
 
 
-    def __init__(self, change=None, instance=None, member=None, begin_claim=None, end_claim=None, begin_drain=None, finish_drain=None, suspect_member=None, mark_member_down=None,):
+    def __init__(self, change=None, instance=None, member=None, begin_claim=None, end_claim=None, begin_drain=None, finish_drain=None, suspect_member=None, mark_member_down=None, forget_claims=None,):
         self.change = change
         self.instance = instance
         self.member = member
@@ -2982,6 +3051,7 @@
         self.finish_drain = finish_drain
         self.suspect_member = suspect_member
         self.mark_member_down = mark_member_down
+        self.forget_claims = forget_claims
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3046,6 +3116,12 @@
                     self.mark_member_down.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.forget_claims = ForgetClaims()
+                    self.forget_claims.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3092,6 +3168,10 @@
             oprot.writeFieldBegin('mark_member_down', TType.STRUCT, 9)
             self.mark_member_down.write(oprot)
             oprot.writeFieldEnd()
+        if self.forget_claims is not None:
+            oprot.writeFieldBegin('forget_claims', TType.STRUCT, 10)
+            self.forget_claims.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3399,17 +3479,19 @@
      - owner_incarnation
      - claim_id
      - state
+     - key_time_ms
 
     """
 
 
-    def __init__(self, key=None, digest=None, owner=None, owner_incarnation=None, claim_id=None, state=None,):
+    def __init__(self, key=None, digest=None, owner=None, owner_incarnation=None, claim_id=None, state=None, key_time_ms=None,):
         self.key = key
         self.digest = digest
         self.owner = owner
         self.owner_incarnation = owner_incarnation
         self.claim_id = claim_id
         self.state = state
+        self.key_time_ms = key_time_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3450,6 +3532,11 @@
                     self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.key_time_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3484,6 +3571,10 @@
             oprot.writeFieldBegin('state', TType.STRING, 6)
             oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
             oprot.writeFieldEnd()
+        if self.key_time_ms is not None:
+            oprot.writeFieldBegin('key_time_ms', TType.I64, 7)
+            oprot.writeI64(self.key_time_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3508,14 +3599,16 @@
      - configuration
      - changes
      - claims
+     - claims_horizon_ms
 
     """
 
 
-    def __init__(self, configuration=None, changes=None, claims=None,):
+    def __init__(self, configuration=None, changes=None, claims=None, claims_horizon_ms=None,):
         self.configuration = configuration
         self.changes = changes
         self.claims = claims
+        self.claims_horizon_ms = claims_horizon_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3554,6 +3647,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.claims_horizon_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3582,6 +3680,10 @@
                 iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.claims_horizon_ms is not None:
+            oprot.writeFieldBegin('claims_horizon_ms', TType.I64, 4)
+            oprot.writeI64(self.claims_horizon_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4305,6 +4407,176 @@
         return not (self == other)
 
 
+class ClaimLookup(object):
+    """
+    Attributes:
+     - request_id
+     - key
+     - timeout_ms
+
+    """
+
+
+    def __init__(self, request_id=None, key=None, timeout_ms=None,):
+        self.request_id = request_id
+        self.key = key
+        self.timeout_ms = timeout_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimLookup')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.timeout_ms is not None:
+            oprot.writeFieldBegin('timeout_ms', TType.I32, 3)
+            oprot.writeI32(self.timeout_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ClaimLookupAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - status
+     - leader
+     - claim
+
+    """
+
+
+    def __init__(self, request_id=None, status=None, leader=None, claim=None,):
+        self.request_id = request_id
+        self.status = status
+        self.leader = leader
+        self.claim = claim
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.claim = ClaimRecord()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimLookupAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 2)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 3)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 4)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class NodeStatus(object):
     """
     Attributes:
@@ -4811,12 +5083,11 @@
      - traceparent
      - key
      - labels
-     - idempotent
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, method=None, path=None, headers=None, body=None, timeout_ms=None, traceparent=None, key=None, labels=None, idempotent=None,):
+    def __init__(self, request_id=None, service_name=None, method=None, path=None, headers=None, body=None, timeout_ms=None, traceparent=None, key=None, labels=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.method = method
@@ -4827,7 +5098,6 @@
         self.traceparent = traceparent
         self.key = key
         self.labels = labels
-        self.idempotent = idempotent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4900,11 +5170,6 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.BOOL:
-                    self.idempotent = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4962,10 +5227,6 @@
                 oprot.writeString(viter145.encode('utf-8') if sys.version_info[0] == 2 else viter145)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
-        if self.idempotent is not None:
-            oprot.writeFieldBegin('idempotent', TType.BOOL, 11)
-            oprot.writeBool(self.idempotent)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5125,6 +5386,195 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class KeptAnswerRequest(object):
+    """
+    Attributes:
+     - request_id
+     - key
+
+    """
+
+
+    def __init__(self, request_id=None, key=None,):
+        self.request_id = request_id
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeptAnswerRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KeptAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - held
+     - status
+     - headers
+     - body
+     - instance_id
+
+    """
+
+
+    def __init__(self, request_id=None, held=None, status=None, headers=None, body=None, instance_id=None,):
+        self.request_id = request_id
+        self.held = held
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.instance_id = instance_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = HttpHeader()
+                        _elem158.read(iprot)
+                        self.headers.append(_elem158)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeptAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 2)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 3)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter159 in self.headers:
+                iter159.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 5)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 6)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(HelloRequest)
 HelloRequest.thrift_spec = (
     None,  # 0
@@ -5344,6 +5794,7 @@
     (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'owner_incarnation', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'claim_id', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'key_time_ms', None, None, ),  # 6
 )
 all_structs.append(EndClaim)
 EndClaim.thrift_spec = (
@@ -5377,6 +5828,11 @@
     (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
 )
+all_structs.append(ForgetClaims)
+ForgetClaims.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'before_ms', None, None, ),  # 1
+)
 all_structs.append(Command)
 Command.thrift_spec = (
     None,  # 0
@@ -5389,6 +5845,7 @@
     (7, TType.STRUCT, 'finish_drain', [FinishDrain, None], None, ),  # 7
     (8, TType.STRUCT, 'suspect_member', [SuspectMember, None], None, ),  # 8
     (9, TType.STRUCT, 'mark_member_down', [MarkMemberDown, None], None, ),  # 9
+    (10, TType.STRUCT, 'forget_claims', [ForgetClaims, None], None, ),  # 10
 )
 all_structs.append(Configuration)
 Configuration.thrift_spec = (
@@ -5420,6 +5877,7 @@
     (4, TType.STRING, 'owner_incarnation', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'claim_id', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'state', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'key_time_ms', None, None, ),  # 7
 )
 all_structs.append(ControlImage)
 ControlImage.thrift_spec = (
@@ -5427,6 +5885,7 @@
     (1, TType.STRUCT, 'configuration', [Configuration, None], None, ),  # 1
     (2, TType.LIST, 'changes', (TType.STRUCT, [ChangeResult, None], False), None, ),  # 2
     (3, TType.LIST, 'claims', (TType.STRUCT, [ClaimRecord, None], False), None, ),  # 3
+    (4, TType.I64, 'claims_horizon_ms', None, None, ),  # 4
 )
 all_structs.append(ProposeRequest)
 ProposeRequest.thrift_spec = (
@@ -5488,6 +5947,21 @@
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.STRING, 'change_id', 'UTF8', None, ),  # 2
 )
+all_structs.append(ClaimLookup)
+ClaimLookup.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'timeout_ms', None, None, ),  # 3
+)
+all_structs.append(ClaimLookupAnswer)
+ClaimLookupAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.I32, 'status', None, None, ),  # 2
+    (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
+    (4, TType.STRUCT, 'claim', [ClaimRecord, None], None, ),  # 4
+)
 all_structs.append(NodeStatus)
 NodeStatus.thrift_spec = (
     None,  # 0
@@ -5543,7 +6017,6 @@
     (8, TType.STRING, 'traceparent', 'UTF8', None, ),  # 8
     (9, TType.STRING, 'key', 'UTF8', None, ),  # 9
     (10, TType.MAP, 'labels', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 10
-    (11, TType.BOOL, 'idempotent', None, None, ),  # 11
 )
 all_structs.append(ForwardAnswer)
 ForwardAnswer.thrift_spec = (
@@ -5557,5 +6030,21 @@
     (7, TType.STRING, 'detail', 'UTF8', None, ),  # 7
     (8, TType.STRING, 'instance_id', 'UTF8', None, ),  # 8
 )
+all_structs.append(KeptAnswerRequest)
+KeptAnswerRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+)
+all_structs.append(KeptAnswer)
+KeptAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.BOOL, 'held', None, None, ),  # 2
+    (3, TType.I32, 'status', None, None, ),  # 3
+    (4, TType.LIST, 'headers', (TType.STRUCT, [HttpHeader, None], False), None, ),  # 4
+    (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
+    (6, TType.STRING, 'instance_id', 'UTF8', None, ),  # 6
+)
 fix_spec(all_structs)
 del all_structs
--- a/tests/fakes/control.py
+++ b/tests/fakes/control.py
@@ -9,6 +9,7 @@
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen.ttypes import (
     ChangeResult,
+    ClaimLookupAnswer,
     ClaimRecord,
     ProposeAnswer,
     Status,
@@ -50,6 +51,12 @@
                 answer.claim = value
             return Success(answer)
 
+    def lookup(self, key, timeout):
+        fault = self.faults.pop(0) if self.faults else None
+        if fault is not None:
+            return Failure(ControlError(ControlErrorKind.NO_QUORUM, "injected"))
+        return Success(ClaimLookupAnswer(claim=self.machine.claim(key)))
+
     def status(self, change_id, timeout):
         return Success(
             StatusAnswer(
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -2,7 +2,15 @@
 
 import random
 
-from arbutuscleat.core import Instance
+from returns.result import Failure
+
+from arbutuscleat.core import (
+    InProgress,
+    Instance,
+    Outcome,
+    Refusal,
+    RefusalReason,
+)
 from arbutuscleat.http import (
     Application,
     CallerFront,
@@ -13,12 +21,24 @@
 from arbutuscleat.membership import AnnouncementTable
 from arbutuscleat.routing import (
     Admission,
+    AnswerFetcher,
+    Forwarder,
+    KeptAnswers,
     LogClaimRegistry,
+    Outliers,
+    RetryBudget,
     Router,
     RouterParts,
     RunTimes,
     build_routing_table,
 )
+from arbutuscleat.routing.forwarder import (
+    NO_PEER,
+    from_forward_answer,
+    from_forward_request,
+    to_forward_answer,
+    to_forward_request,
+)
 from arbutuscleat.state import Member, instance_record, member_record
 from arbutuscleat.telemetry import Metrics, Tracing
 from arbutuscleat.wire.gen.ttypes import (
@@ -83,6 +103,68 @@
     return Command(member=ReportMember(member=member_record(member)))
 
 
+class FakeEnder:
+    """Ends claims at once, unless the test holds it back."""
+
+    def __init__(self, claims):
+        self._claims = claims
+        self.is_held_back = False
+        self.waiting = []
+
+    def finish(self, claim):
+        self._end(claim, False)
+
+    def release(self, claim):
+        self._end(claim, True)
+
+    def go_on(self):
+        self.is_held_back = False
+        waiting, self.waiting = self.waiting, []
+        for claim, released in waiting:
+            self._end(claim, released)
+
+    def _end(self, claim, released):
+        if self.is_held_back:
+            self.waiting.append((claim, released))
+        elif released:
+            if not self._claims.release(claim, 1.0):
+                self.waiting.append((claim, released))
+        else:
+            self._claims.finish(claim, 1.0)
+
+
+class FakeFetcher(AnswerFetcher):
+    """Reads the kept answers of the other fake entries."""
+
+    def __init__(self, entries):
+        self._entries = entries
+
+    def fetch(self, owner, key, timeout):
+        entry = self._entries.get(owner)
+        return None if entry is None or entry.is_cut_off else entry.kept.get(key)
+
+
+class FakeForwarder(Forwarder):
+    """Hands requests to the fake entries of other data centres.
+
+    `is_cut_off` of the other entry loses the answer after the request ran.
+    """
+
+    def __init__(self, entries):
+        self._entries = entries
+
+    def forward(self, req, data_centres, deadline):
+        for entry in self._entries.values():
+            if entry.data_centre in data_centres:
+                message = to_forward_request(req, deadline)
+                result = entry.router.serve_here(from_forward_request(message))
+                if entry.is_cut_off:
+                    reason, detail = RefusalReason.FORWARD_LOST, "injected"
+                    return Failure(Refusal(reason, Outcome.UNKNOWN, detail))
+                return from_forward_answer(to_forward_answer(result))
+        return Failure(NO_PEER)
+
+
 class _View:
     """A configuration view that reads the fake control's machine."""
 
@@ -98,18 +180,34 @@
 class FakeEntry:
     """One entry instance with a pool `portal` of the instances given."""
 
-    def __init__(self, instances=("worker-1", "worker-2"), queue_length=4, slots=8):
-        self.clock = ManualClock()
-        self.control = FakeControl()
-        self.endpoints = FakeEndpoints()
+    def __init__(
+        self,
+        instances=("worker-1", "worker-2"),
+        queue_length=4,
+        slots=8,
+        name="entry-1",
+        data_centre="karachi",
+        beside=None,
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.clock = beside.clock if beside else ManualClock()
+        self.control = beside.control if beside else FakeControl()
+        self.endpoints = beside.endpoints if beside else FakeEndpoints()
+        self.entries = beside.entries if beside else {}
+        self.entries[name] = self
         self.metrics = Metrics()
+        self.outliers = Outliers(self.clock)
+        self.spare = 1
+        self.may_send = lambda instance: True
+        self.is_cut_off = False
         self.announcements = AnnouncementTable(self.clock, 5.0)
         self.has_right = True
         self.draining = False
-        self.control.propose(member_report("entry-1"), 1.0)
+        self.control.propose(member_report(name, data_centre), 1.0)
         self.control.propose(pool_change("c1", "portal", "tier=portal"), 1.0)
-        for name in instances:
-            instance = make_instance(name, slots=slots)
+        for worker in instances:
+            instance = make_instance(worker, data_centre=data_centre, slots=slots)
             self.control.propose(report(instance), 1.0)
             self.announcements.take(instance)
         self.admission = Admission(
@@ -123,22 +221,33 @@
         return self.control.machine.configuration
 
     def table(self):
-        return build_routing_table(self.configuration, "entry-1", "karachi")
+        return build_routing_table(self.configuration, self.name, self.data_centre)
 
     def limit(self, offer):
-        ready = self.announcements.is_ready(offer.instance.instance_id)
+        name = offer.instance.instance_id
+        ready = self.announcements.is_ready(name) and self.outliers.may_use(name)
         return offer.share if ready else 0
 
     def _make_router(self):
+        claims = LogClaimRegistry(self.control, self.name, "1")
+        self.ender = FakeEnder(claims)
+        self.kept = KeptAnswers()
+        self.retries = RetryBudget()
         parts = RouterParts(
             table=self.table,
             may_dispatch=lambda: self.has_right,
-            may_send=lambda instance: self.has_right,
+            may_send=lambda instance: self.has_right and self.may_send(instance),
+            spare_instances=lambda instance: self.spare,
+            is_idempotent=lambda service, method: method in ("GET", "PUT"),
             admission=self.admission,
-            claims=LogClaimRegistry(self.control, "entry-1", "1"),
+            outliers=self.outliers,
+            retries=self.retries,
+            claims=claims,
+            ender=self.ender,
+            kept=self.kept,
+            fetcher=FakeFetcher(self.entries),
+            forwarder=FakeForwarder(self.entries),
             endpoints=self.endpoints,
-            run_times=self.admission.run_times,
-            is_idempotent=lambda service, method: method in ("GET", "PUT"),
         )
         return Router(parts, self.clock, self._tracing(), self.metrics)
 
@@ -156,6 +265,7 @@
             10.0,
             60.0,
             lambda: self.draining,
+            InProgress(),
         )
         reading = ConfigurationFront(
             tokens, self.control, view.changed, lambda: view.configuration
--- /dev/null
+++ b/tests/routing/test_admission.py
@@ -0,0 +1,106 @@
+"""Admission: slots, the bounded queue, early and truthful refusals."""
+
+import threading
+from dataclasses import replace
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from arbutuscleat.core import Deadline, RefusalReason, SystemClock
+from arbutuscleat.routing import Admission, RunTimes, SlotOffer
+from tests.fakes import ManualClock, make_instance
+from tests.routing.test_fault_matrix import request
+
+WAIT_SECONDS = 20.0
+
+
+class AdmissionTest(TestCase):
+    def make(self, clock, queue_length=2, slots=2):
+        self.offer = SlotOffer(make_instance("w1"), slots)
+        self.limits = {"w1": slots}
+        self.admission = Admission(
+            clock,
+            RunTimes(),
+            queue_length,
+            lambda offer: self.limits[offer.instance.instance_id],
+            lambda: 0.0,
+        )
+        self.clock = clock
+        return self.admission
+
+    def acquire(self, seconds=5.0, req=None):
+        deadline = Deadline.after(self.clock, seconds)
+        return self.admission.acquire(req or request(), [self.offer], deadline)
+
+    def test_no_more_slots_than_the_limit(self):
+        self.make(ManualClock())
+        taken = [self.acquire().unwrap() for _ in range(2)]
+        self.assertIsInstance(self.acquire(), Failure)
+        self.admission.release(taken[0])
+        self.assertIsInstance(self.acquire(), Success)
+
+    def test_a_lower_limit_counts_at_once(self):
+        self.make(ManualClock())
+        slot = self.acquire().unwrap()
+        self.limits["w1"] = 1
+        self.assertIsInstance(self.acquire(), Failure)
+        self.admission.release(slot)
+        self.assertIsInstance(self.acquire(), Success)
+
+    def test_what_cannot_make_its_deadline_is_refused_at_once(self):
+        self.make(ManualClock())
+        for _ in range(2):
+            self.acquire()
+        for _ in range(100):
+            self.admission.run_times.observe("portal", 30.0)
+        before = self.clock.monotonic()
+        refusal = self.acquire(seconds=1.0).failure()
+        self.assertEqual(RefusalReason.DEADLINE, refusal.reason)
+        self.assertEqual(before, self.clock.monotonic(), "refused without waiting")
+        self.assertGreater(refusal.retry_after, 1.0)
+
+    def start_waiters(self, number, req=None):
+        results = []
+        threads = [
+            threading.Thread(
+                target=lambda: results.append(self.acquire(WAIT_SECONDS, req)),
+                daemon=True,
+            )
+            for _ in range(number)
+        ]
+        for thread in threads:
+            thread.start()
+        while self.admission.waiting("portal") < number:
+            pass
+        return threads, results
+
+    def test_a_full_queue_refuses_at_once(self):
+        self.make(SystemClock())
+        taken = [self.acquire().unwrap() for _ in range(2)]
+        threads, results = self.start_waiters(2)
+        self.assertEqual(RefusalReason.POOL_FULL, self.acquire().failure().reason)
+        for slot in taken:
+            self.admission.release(slot)
+        for thread in threads:
+            thread.join(WAIT_SECONDS)
+        self.assertEqual([Success] * 2, [type(result) for result in results])
+
+    def test_a_caller_that_hangs_up_leaves_the_queue(self):
+        self.make(SystemClock())
+        for _ in range(2):
+            self.acquire()
+        hung_up = threading.Event()
+        req = replace(request(), is_abandoned=hung_up.is_set)
+        threads, results = self.start_waiters(2, req)
+        hung_up.set()
+        for thread in threads:
+            thread.join(WAIT_SECONDS)
+        self.assertEqual(0, self.admission.waiting("portal"))
+        reasons = {result.failure().reason for result in results}
+        self.assertEqual({RefusalReason.ABANDONED}, reasons)
+
+    def test_no_instance_ready_is_said_at_once(self):
+        self.make(ManualClock())
+        self.limits["w1"] = 0
+        reason = self.acquire().failure().reason
+        self.assertEqual(RefusalReason.NO_INSTANCE_READY, reason)
