Faulty stand-in endpoints, load with faults, overload against two baselines, stops

Cause: a request that waited in the queue kept the offers of the moment it came, so it went on waiting although another worker had become ready (found by the test of planned stops, which failed first).

--- a/arbutuscleat/emulator/__init__.py
+++ b/arbutuscleat/emulator/__init__.py
@@ -1,5 +1,7 @@
 """Stand-ins for endpoints, the platform and callers, and a fleet on loopback."""
 
+from .faults import EndpointFault
+from .faulty_endpoint import FaultyEndpoint, answer_digest
 from .local_fleet import (
     ENDPOINT_TOKEN,
     OPERATOR_TOKEN,
@@ -14,9 +16,12 @@
     "ENDPOINT_TOKEN",
     "LOOPBACK",
     "OPERATOR_TOKEN",
+    "EndpointFault",
     "EndpointPlan",
+    "FaultyEndpoint",
     "FleetPlan",
     "LocalFleet",
     "LocalProcess",
+    "answer_digest",
     "free_ports",
 ]
--- /dev/null
+++ b/arbutuscleat/emulator/announcer.py
@@ -0,0 +1,82 @@
+"""Announcements of a stand-in endpoint."""
+
+import argparse
+import json
+import threading
+import time
+
+import urllib3
+from absl import logging
+
+from .ports import LOOPBACK
+
+ANNOUNCE_TIMEOUT_SECONDS = 2.0
+CONNECTIONS = 64
+
+
+class Announcer:
+    """Announces one endpoint to the entry instances of its data centre, in turn.
+
+    Parameters
+    ----------
+    entries : list of str
+        Base addresses, such as ``http://127.0.0.1:8080``.
+    token : str
+        The endpoints' token.
+    content : dict
+        The announcement without state and sequence number.
+    interval : float
+        Seconds between two announcements.
+    """
+
+    def __init__(self, entries: list[str], token: str, content: dict, interval: float):
+        self._entries = entries
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._content = content
+        self._interval = interval
+        self._sequence = 0
+        self._http = urllib3.PoolManager(retries=False)
+
+    def announce(self, state: str) -> bool:
+        """Announce once; return whether an entry instance took it."""
+        self._sequence += 1
+        content = {**self._content, "state": state, "sequence": self._sequence}
+        for attempt in range(len(self._entries)):
+            base = self._entries[(self._sequence + attempt) % len(self._entries)]
+            try:
+                response = self._http.request(
+                    "POST",
+                    f"{base}/v1/announcements",
+                    body=json.dumps(content).encode(),
+                    headers=self._headers,
+                    timeout=ANNOUNCE_TIMEOUT_SECONDS,
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
+            if response.status == 200:
+                return True
+            logging.warning("announcement refused: %s", response.data[:300])
+        return False
+
+    def run(self, stop: threading.Event) -> None:
+        """Announce until `stop` is set, then say that the endpoint is leaving."""
+        while not stop.is_set():
+            self.announce("ready")
+            stop.wait(self._interval)
+        self.announce("leaving")
+
+
+def announcement(options: argparse.Namespace, port: int) -> dict:
+    """Return the announcement of a stand-in started with `options`."""
+    return {
+        "instance_id": options.instance,
+        "incarnation": f"{time.time_ns():020d}",
+        "host": LOOPBACK,
+        "port": port,
+        "data_centre": options.data_centre,
+        "rack": options.rack,
+        "labels": dict(item.split("=", 1) for item in options.label),
+        "services": options.service,
+        "slots": options.slots,
+        "connections": CONNECTIONS,
+    }
--- a/arbutuscleat/emulator/endpoint.py
+++ b/arbutuscleat/emulator/endpoint.py
@@ -8,15 +8,14 @@
 import time
 from collections import Counter
 
-import urllib3
-from absl import logging
-
 from arbutuscleat.http import HttpServer
 from arbutuscleat.telemetry import configure_logs
 from arbutuscleat.wire import Address
 
+from .announcer import Announcer, announcement
+from .ports import LOOPBACK
+
 REQUEST_ID_HEADER = "Arbutuscleat-Request-Id"
-ANNOUNCE_TIMEOUT_SECONDS = 2.0
 THREADS = 16
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -66,58 +65,6 @@
         return [data]
 
 
-class Announcer:
-    """Announces one endpoint to the entry instances of its data centre, in turn.
-
-    Parameters
-    ----------
-    entries : list of str
-        Base addresses, such as ``http://127.0.0.1:8080``.
-    token : str
-        The endpoints' token.
-    content : dict
-        The announcement without state and sequence number.
-    interval : float
-        Seconds between two announcements.
-    """
-
-    def __init__(self, entries: list[str], token: str, content: dict, interval: float):
-        self._entries = entries
-        self._headers = {"Authorization": f"Bearer {token}"}
-        self._content = content
-        self._interval = interval
-        self._sequence = 0
-        self._http = urllib3.PoolManager(retries=False)
-
-    def announce(self, state: str) -> bool:
-        """Announce once; return whether an entry instance took it."""
-        self._sequence += 1
-        content = {**self._content, "state": state, "sequence": self._sequence}
-        for attempt in range(len(self._entries)):
-            base = self._entries[(self._sequence + attempt) % len(self._entries)]
-            try:
-                response = self._http.request(
-                    "POST",
-                    f"{base}/v1/announcements",
-                    body=json.dumps(content).encode(),
-                    headers=self._headers,
-                    timeout=ANNOUNCE_TIMEOUT_SECONDS,
-                )
-            except urllib3.exceptions.HTTPError:
-                continue
-            if response.status == 200:
-                return True
-            logging.warning("announcement refused: %s", response.data[:300])
-        return False
-
-    def run(self, stop: threading.Event) -> None:
-        """Announce until `stop` is set, then say that the endpoint is leaving."""
-        while not stop.is_set():
-            self.announce("ready")
-            stop.wait(self._interval)
-        self.announce("leaving")
-
-
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the stand-in's options."""
     parser = argparse.ArgumentParser(prog="arbutuscleat-endpoint", description=__doc__)
@@ -141,7 +88,7 @@
     configure_logs(options.instance, "warning")
     application = EndpointApplication(options.instance, options.run_ms / 1000.0)
     server = HttpServer(
-        Address("127.0.0.1", options.port),
+        Address(LOOPBACK, options.port),
         application,
         THREADS,
         MAX_HEADER_BYTES,
@@ -153,28 +100,13 @@
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
     if options.entry:
-        _announcer(options, server.address.port).run(stop)
+        content = announcement(options, server.address.port)
+        interval = options.interval_ms / 1000.0
+        Announcer(options.entry, options.token, content, interval).run(stop)
     stop.wait()
     server.stop()
     return 0
 
 
-def _announcer(options: argparse.Namespace, port: int) -> Announcer:
-    content = {
-        "instance_id": options.instance,
-        "incarnation": f"{time.time_ns():020d}",
-        "host": "127.0.0.1",
-        "port": port,
-        "data_centre": options.data_centre,
-        "rack": options.rack,
-        "labels": dict(item.split("=", 1) for item in options.label),
-        "services": options.service,
-        "slots": options.slots,
-        "connections": 64,
-    }
-    interval = options.interval_ms / 1000.0
-    return Announcer(options.entry, options.token, content, interval)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/arbutuscleat/emulator/local_fleet.py
+++ b/arbutuscleat/emulator/local_fleet.py
@@ -55,6 +55,9 @@
     labels: Sequence[str] = ()
     run_ms: float = 0.0
     slots: int = 8
+    faults: Sequence[str] = ()
+    fault_share: float = 0.0
+    seed: int = 1
 
 
 @dataclass
@@ -167,8 +170,9 @@
 
     def start_endpoint(self, plan: EndpointPlan) -> str:
         """Start a stand-in endpoint and return its base address."""
+        kind = "faulty_endpoint" if plan.faults else "endpoint"
         arguments = [
-            "arbutuscleat.emulator.endpoint",
+            f"arbutuscleat.emulator.{kind}",
             f"--instance={plan.instance_id}",
             f"--data-centre={plan.data_centre}",
             f"--rack={plan.rack}",
@@ -178,6 +182,9 @@
             f"--run-ms={plan.run_ms}",
         ]
         arguments += [f"--label={label}" for label in plan.labels]
+        if plan.faults:
+            arguments += [f"--fault={fault}" for fault in plan.faults]
+            arguments += [f"--fault-share={plan.fault_share}", f"--seed={plan.seed}"]
         arguments += [f"--entry={url}" for url in self.entries(plan.data_centre)]
         self._start(plan.instance_id, arguments, stdout=subprocess.PIPE)
         stdout = self.processes[plan.instance_id].popen.stdout
--- a/arbutuscleat/routing/admission.py
+++ b/arbutuscleat/routing/admission.py
@@ -20,6 +20,8 @@
 
 ABANDONED_CHECK_SECONDS = 0.25
 
+FindOffers = Callable[[], Sequence[SlotOffer]]
+
 NO_INSTANCE_READY = Refusal(
     RefusalReason.NO_INSTANCE_READY,
     Outcome.NOT_RUN,
@@ -30,9 +32,12 @@
 
 @dataclass
 class _Waiter:
-    """A request in a queue."""
+    """A request in a queue.
+
+    Its offers are found anew at each look, since instances come and go meanwhile.
+    """
 
-    offers: dict[str, SlotOffer]
+    find_offers: FindOffers
     turn: threading.Event = field(default_factory=threading.Event)
     slot: Slot | None = None
 
@@ -90,10 +95,11 @@
             return sum(self._in_use.values())
 
     def acquire(
-        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
+        self, req: Request, find_offers: FindOffers, deadline: Deadline
     ) -> Result[Slot, Refusal]:
         """Take a slot of one of the offered instances, waiting for it if need be."""
         service = req.service
+        offers = find_offers()
         with self._lock:
             queue = self._queues.setdefault(service, deque())
             slot = None if queue else self._take_free(offers)
@@ -104,7 +110,7 @@
             refusal = self._refuse_early(service, offers, queue, deadline)
             if refusal is not None:
                 return Failure(refusal)
-            waiter = _Waiter({o.instance.instance_id: o for o in offers})
+            waiter = _Waiter(find_offers)
             queue.append(waiter)
         while not deadline.expired() and not req.is_abandoned():
             pause = min(deadline.remaining(), ABANDONED_CHECK_SECONDS)
@@ -148,7 +154,7 @@
     def _serve_queues(self) -> None:
         for queue in self._queues.values():
             while queue:
-                slot = self._take_free(list(queue[0].offers.values()))
+                slot = self._take_free(queue[0].find_offers())
                 if slot is None:
                     break
                 waiter = queue.popleft()
--- a/arbutuscleat/routing/router.py
+++ b/arbutuscleat/routing/router.py
@@ -13,7 +13,7 @@
 from arbutuscleat.core import Clock, Deadline, Instance, Outcome, Refusal, RefusalReason
 from arbutuscleat.telemetry import Metrics, Tracing
 
-from .admission import NO_INSTANCE_READY, Admission
+from .admission import NO_INSTANCE_READY, Admission, FindOffers
 from .answer_fetcher import AnswerFetcher
 from .claim_ender import ClaimEnder
 from .claims import Claim, ClaimDenied, ClaimRegistry, claim_key
@@ -119,33 +119,38 @@
             detail = f"no pool serves {req.service!r}"
             return _refuse(RefusalReason.UNKNOWN_SERVICE, detail)
         found = table.candidates(req.service, req.labels)
+
+        def find_offers() -> Sequence[SlotOffer]:
+            newest = self._parts.table() or table
+            return newest.candidates(req.service, req.labels).offers
+
         if not found.offers and not found.elsewhere:
             detail = "no instance matches the job's labels"
             return _refuse(RefusalReason.NO_INSTANCE_MATCHES, detail)
-        result = self._serve_local(req, found.offers, deadline)
+        result = self._serve_local(req, find_offers, deadline)
         if forwards and found.elsewhere and _may_forward(result):
             with self._tracing.span("forward"):
                 result = self._parts.forwarder.forward(req, found.elsewhere, deadline)
         return result
 
     def _serve_local(
-        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
+        self, req: Request, find_offers: FindOffers, deadline: Deadline
     ) -> Result[Answer, Refusal]:
         idempotent = self._parts.is_idempotent(req.service, req.method)
-        slot = self._take_slot(req, offers, deadline)
+        slot = self._take_slot(req, find_offers, deadline)
         if isinstance(slot, Failure):
             if idempotent or not req.key:
                 return slot
             return Failure(self._refuse_keyed(req, slot.failure()))
         # Without a key no other attempt can exist, so there is nothing to claim.
         if idempotent or not req.key:
-            return self._attempt(req, offers, slot.unwrap(), deadline, idempotent)
-        return self._serve_claimed(req, offers, slot.unwrap(), deadline)
+            return self._attempt(req, find_offers, slot.unwrap(), deadline, idempotent)
+        return self._serve_claimed(req, find_offers, slot.unwrap(), deadline)
 
     def _serve_claimed(
         self,
         req: Request,
-        offers: Sequence[SlotOffer],
+        find_offers: FindOffers,
         slot: Slot,
         deadline: Deadline,
     ) -> Result[Answer, Refusal]:
@@ -157,7 +162,7 @@
         if isinstance(claimed, Failure):
             self._parts.admission.release(slot)
             return self._without_claim(claim, claimed.failure())
-        result = self._attempt(req, offers, slot, deadline, may_repeat=False)
+        result = self._attempt(req, find_offers, slot, deadline, may_repeat=False)
         if isinstance(result, Success):
             self._parts.kept.keep(claim.key, result.unwrap())
             self._parts.ender.finish(claim)
@@ -196,20 +201,20 @@
         return _unknown(refusal)
 
     def _take_slot(
-        self, req: Request, offers: Sequence[SlotOffer], deadline: Deadline
+        self, req: Request, find_offers: FindOffers, deadline: Deadline
     ) -> Result[Slot, Refusal]:
-        if not offers:
+        if not find_offers():
             return Failure(NO_INSTANCE_READY)
         if not self._parts.may_dispatch():
             detail = "this instance holds no right to dispatch"
             return _refuse(RefusalReason.ISOLATED, detail, 1.0)
         with self._tracing.span("queue"):
-            return self._parts.admission.acquire(req, offers, deadline)
+            return self._parts.admission.acquire(req, find_offers, deadline)
 
     def _attempt(
         self,
         req: Request,
-        offers: Sequence[SlotOffer],
+        find_offers: FindOffers,
         slot: Slot,
         deadline: Deadline,
         may_repeat: bool,
@@ -230,8 +235,7 @@
                 return Failure(refusal)
             if deadline.expired() or not self._parts.retries.take():
                 return Failure(refusal)
-            left = [o for o in offers if o.instance.instance_id not in tried]
-            again = self._take_slot(req, left, deadline)
+            again = self._take_slot(req, _without(find_offers, tried), deadline)
             if isinstance(again, Failure):
                 return Failure(refusal)
             slot = again.unwrap()
@@ -286,6 +290,11 @@
 }
 
 
+def _without(find_offers: FindOffers, tried: set[str]) -> FindOffers:
+    """Return the offers of instances that were not tried yet."""
+    return lambda: [o for o in find_offers() if o.instance.instance_id not in tried]
+
+
 def _may_forward(result: Result[Answer, Refusal]) -> bool:
     if isinstance(result, Success):
         return False
--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,162 @@
+"""Admission under bursts, against an unbounded queue and a fixed split of slots.
+
+One pool of 8 workers with 8 slots in the process itself, run times of 50 ms; the
+arrivals come at five times the pool's capacity for some seconds and at a twentieth
+of it between.  Targets: goodput in the bursts at least 0.9 of the capacity;
+refusals within 50 ms at the 99th percentile.
+"""
+
+import argparse
+import random
+import statistics
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Success
+
+from arbutuscleat.core import Deadline, Instance, SystemClock
+from arbutuscleat.routing import Admission, Request, RunTimes, SlotOffer
+
+WORKERS = 8
+SLOTS = 8
+RUN_SECONDS = 0.05
+DEADLINE_SECONDS = 0.5
+BURST = 5.0
+QUIET = 0.05
+CAPACITY = WORKERS * SLOTS / RUN_SECONDS
+QUEUE_LENGTH = 256
+
+
+@dataclass
+class Tally:
+    """What happened to the requests of one run."""
+
+    served: int = 0
+    late: int = 0
+    refused: int = 0
+    refusal_seconds: list[float] = field(default_factory=list)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+
+class UnboundedAdmission(Admission):
+    """The first baseline: everybody waits, nobody is refused early."""
+
+    def _refuse_early(self, service, offers, queue, deadline):
+        return None
+
+
+def make_offers(share: int, first: int, count: int) -> list[SlotOffer]:
+    """Return offers of some workers."""
+    offers = []
+    for number in range(first, first + count):
+        instance = Instance(
+            *(f"w{number}", "1", "127.0.0.1", 1, "dc", "rack"),
+            *({}, ("portal",), SLOTS, 64),
+        )
+        offers.append(SlotOffer(instance, share))
+    return offers
+
+
+def make_admissions(policy: str, clock) -> list[tuple[Admission, list[SlotOffer]]]:
+    """Return the admission of each entry instance with its offers.
+
+    `fixed split` is two entry instances with half of each worker's slots, of which
+    the balancer sends three quarters of the callers to one.
+    """
+    kind = UnboundedAdmission if policy == "unbounded queue" else Admission
+    parts = 2 if policy == "fixed split" else 1
+    return [
+        (
+            kind(
+                clock,
+                RunTimes(),
+                QUEUE_LENGTH,
+                lambda offer: offer.share,
+                random.Random(1).random,
+            ),
+            make_offers(SLOTS // parts, 0, WORKERS),
+        )
+        for _ in range(parts)
+    ]
+
+
+def serve(admission: Admission, offers, clock, tally: Tally, load: random.Random):
+    """Serve one request."""
+    deadline = Deadline.after(clock, DEADLINE_SECONDS)
+    started = clock.monotonic()
+    request = Request("portal", "GET", "/", (), b"", {}, "", DEADLINE_SECONDS)
+    result = admission.acquire(request, lambda: offers, deadline)
+    if isinstance(result, Failure):
+        with tally.lock:
+            tally.refused += 1
+            tally.refusal_seconds.append(clock.monotonic() - started)
+        return
+    assert isinstance(result, Success)
+    began = clock.monotonic()
+    time.sleep(RUN_SECONDS)
+    admission.run_times.observe("portal", clock.monotonic() - began)
+    admission.release(result.unwrap())
+    with tally.lock:
+        if deadline.expired():
+            tally.late += 1
+        else:
+            tally.served += 1
+
+
+def run(policy: str, seconds: float, seed: int) -> tuple[Tally, float]:
+    """Send one burst with a quiet time before; return its tally and its length."""
+    clock = SystemClock()
+    admissions = make_admissions(policy, clock)
+    rng = random.Random(seed)
+    tally = Tally()
+    threads = []
+    for rate, length in ((QUIET * CAPACITY, 1.0), (BURST * CAPACITY, seconds)):
+        tally = Tally()
+        began = clock.monotonic()
+        due = began
+        while due < began + length:
+            due += rng.expovariate(rate)
+            pause = due - clock.monotonic()
+            if pause > 0:
+                time.sleep(pause)
+            first = 0 if len(admissions) == 1 or rng.random() < 0.75 else 1
+            admission, offers = admissions[first]
+            thread = threading.Thread(
+                target=serve, args=(admission, offers, clock, tally, rng), daemon=True
+            )
+            thread.start()
+            threads.append(thread)
+    for thread in threads:
+        thread.join()
+    return tally, clock.monotonic() - began
+
+
+def main() -> int:
+    """Run each policy and print its figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--rounds", type=int, default=3)
+    options = parser.parse_args()
+    for policy in ("bounded queue", "unbounded queue", "fixed split"):
+        goodput, refused, slow, late = [], [], [], []
+        for seed in range(options.rounds):
+            tally, length = run(policy, options.seconds, seed)
+            total = tally.served + tally.late + tally.refused
+            goodput.append(tally.served / length / CAPACITY)
+            refused.append(tally.refused / total)
+            late.append(tally.late / total)
+            times = sorted(tally.refusal_seconds) or [0.0]
+            slow.append(times[int(0.99 * (len(times) - 1))] * 1000)
+        print(
+            f"{policy}: goodput {statistics.median(goodput):.2f} of the capacity, "
+            f"refused {statistics.median(refused):.2f}, late "
+            f"{statistics.median(late):.2f}, refusals p99 "
+            f"{statistics.median(slow):.1f} ms (medians of {options.rounds})"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -30,7 +30,7 @@
 
     def acquire(self, seconds=5.0, req=None):
         deadline = Deadline.after(self.clock, seconds)
-        return self.admission.acquire(req or request(), [self.offer], deadline)
+        return self.admission.acquire(req or request(), lambda: [self.offer], deadline)
 
     def test_no_more_slots_than_the_limit(self):
         self.make(ManualClock())
