--- a/arbutuscleat/cli/commands.py
+++ b/arbutuscleat/cli/commands.py
@@ -20,7 +20,11 @@
 UNREACHABLE_STATUSES = (503, 504)
 
 _COLUMNS = {
-    "pools": ["name", "service", "min_available", "spare", "membership", "version"],
+    "pools": [
+        *["name", "service", "min_available", "available", "headroom", "spare"],
+        *["membership", "version"],
+    ],
+    "waves": ["name", "instances", "state", "done", "paused_because", "version"],
     "labels": ["target", "name", "labels", "version"],
     "selectors": ["name", "purpose", "jobs", "instances", "pool", "version"],
 }
--- a/arbutuscleat/cli/parser.py
+++ b/arbutuscleat/cli/parser.py
@@ -37,6 +37,7 @@
     _add_pool(commands)
     _add_label(commands)
     _add_selector(commands)
+    _add_wave(commands)
     _add_change(commands)
     _add_reading(commands)
     return parser
@@ -125,6 +126,15 @@
     show.add_argument("name")
 
 
+def _add_wave(commands) -> None:
+    example = "arbutuscleat wave show kernel-update"
+    wave = _command(commands, "wave", "show maintenance waves", example)
+    actions = wave.add_subparsers(dest="action", required=True)
+    _command(actions, "list", "list the waves", "arbutuscleat wave list")
+    show = _command(actions, "show", "show how far a wave has come", example)
+    show.add_argument("name")
+
+
 def _add_reading(commands) -> None:
     _command(commands, "status", "show leader and versions", "arbutuscleat status")
     example = "arbutuscleat explain instance worker-7"
--- a/arbutuscleat/core/__init__.py
+++ b/arbutuscleat/core/__init__.py
@@ -7,6 +7,7 @@
 from .in_progress import InProgress
 from .instance import Assignment, AssignmentPhase, Instance, InstanceState
 from .labels import Labels, is_name, parse_labels, validate_labels
+from .maintenance import FOLLOWING_PHASES, Maintenance, MaintenancePhase
 from .outcome import Outcome
 from .pool import Pool, validate_pool
 from .refusal import Refusal, RefusalReason
@@ -23,6 +24,9 @@
     "InstanceState",
     "InvariantError",
     "Labels",
+    "FOLLOWING_PHASES",
+    "Maintenance",
+    "MaintenancePhase",
     "Outcome",
     "Pool",
     "Refusal",
--- a/arbutuscleat/core/instance.py
+++ b/arbutuscleat/core/instance.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from .labels import Labels
+from .maintenance import Maintenance
 
 
 class InstanceState(str, Enum):
@@ -11,6 +12,8 @@
 
     READY = "ready"
     LEAVING = "leaving"
+    LOST = "lost"
+    """Not announced: the entry instances say that it is silent."""
 
 
 class AssignmentPhase(str, Enum):
@@ -76,6 +79,8 @@
         Counts the announcements within one incarnation.
     assignment : Assignment
         The pool of the instance.
+    maintenance : Maintenance
+        Where the instance stands within a maintenance wave.
     """
 
     instance_id: str
@@ -91,6 +96,7 @@
     state: InstanceState = InstanceState.READY
     sequence: int = 0
     assignment: Assignment = field(default_factory=Assignment)
+    maintenance: Maintenance = field(default_factory=Maintenance)
 
     def order(self) -> tuple[str, int]:
         """Return the key by which announcements of this instance are ordered."""
@@ -100,6 +106,10 @@
         """Return the instance with another assignment."""
         return replace(self, assignment=assignment)
 
+    def takes_work(self) -> bool:
+        """Return whether the log allows to give the instance new work."""
+        return self.assignment.takes_work() and self.maintenance.phase.takes_work()
+
     def placement_labels(self) -> dict[str, str]:
         """Return the labels that selectors see, with the failure domains."""
         return {
--- a/arbutuscleat/daemons/control.py
+++ b/arbutuscleat/daemons/control.py
@@ -19,17 +19,24 @@
     ChangesFront,
     ConfigurationFront,
     HealthFront,
+    HttpPlatform,
     HttpServer,
     MetricsFront,
+    NoPlatform,
     StatusFront,
 )
 from arbutuscleat.maintenance import (
     ClaimHorizon,
     DispatchGate,
+    Maintainer,
+    MaintenanceLimits,
     MemberWatch,
     MoveLimits,
     Mover,
     Planner,
+    PlannerParts,
+    Platform,
+    WavePlanner,
 )
 from arbutuscleat.membership import AckTable, ControlClient, ControlService
 from arbutuscleat.settings import ControlSettings
@@ -112,17 +119,37 @@
         gate = DispatchGate(
             self._acks, self._clock, wait_seconds, self._replica.led_since
         )
+        limits = MaintenanceLimits(
+            drain_seconds=cfg.maintenance.drain_ms / 1000.0,
+            reboot_seconds=cfg.maintenance.reboot_ms / 1000.0,
+            soak_seconds=cfg.maintenance.soak_ms / 1000.0,
+        )
+        parts = PlannerParts(
+            watch=MemberWatch(self._acks, gate, self._clock, cfg.lease_ms / 1000.0),
+            mover=Mover(
+                self._acks, gate, self._clock, MoveLimits(limits.drain_seconds)
+            ),
+            maintainer=Maintainer(
+                self._make_platform(), self._acks, gate, self._clock, limits
+            ),
+            waves=WavePlanner(cfg.maintenance.reserve),
+            horizon=ClaimHorizon(self._clock, cfg.claim_retention_ms / 1000.0),
+        )
         return Planner(
             self._machine,
-            MemberWatch(self._acks, gate, self._clock, cfg.lease_ms / 1000.0),
-            Mover(self._acks, gate, self._clock, MoveLimits()),
-            ClaimHorizon(self._clock, cfg.claim_retention_ms / 1000.0),
+            parts,
             self._replica.leads,
             self._replica.led_since,
             self._replica.propose,
             self._clock,
         )
 
+    def _make_platform(self) -> Platform:
+        platform = self._cfg.platform
+        if platform is None:
+            return NoPlatform()
+        return HttpPlatform(platform.url, platform.token)
+
     def _make_http(self) -> HttpServer:
         cfg = self._cfg
         configuration = ConfigurationFront(
@@ -145,6 +172,7 @@
                 "labels": configuration,
                 "selectors": configuration,
                 "instances": configuration,
+                "waves": configuration,
                 "health": HealthFront(lambda: self._replica.status().failure),
                 "metrics": MetricsFront(self._metrics),
             }
--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -121,7 +121,14 @@
             random.Random().random,
         )
         self._control = ControlClient(self._control_pools(), self._clock)
-        self._reporter = Reporter(self._table, self._view, self._control, self._clock)
+        self._reporter = Reporter(
+            self._table,
+            self._view,
+            self._control,
+            self._clock,
+            cfg.data_centre,
+            2 * cfg.announcements.expiry_ms / 1000.0,
+        )
         self._exchange = PeerExchange(
             self._credentials,
             self._peer_channels(),
@@ -285,6 +292,7 @@
                 "labels": configuration,
                 "selectors": configuration,
                 "instances": configuration,
+                "waves": configuration,
                 "health": HealthFront(self._health_problem),
                 "metrics": MetricsFront(self._metrics),
             }
--- a/arbutuscleat/http/__init__.py
+++ b/arbutuscleat/http/__init__.py
@@ -9,6 +9,7 @@
 from .http_response import HttpResponse, json_response
 from .monitoring_front import HealthFront, MetricsFront
 from .operator_front import ChangesFront, ConfigurationFront, StatusFront
+from .platform_client import HttpPlatform, NoPlatform
 from .server import HttpServer
 
 __all__ = [
@@ -19,10 +20,12 @@
     "EndpointFront",
     "Front",
     "HealthFront",
+    "HttpPlatform",
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
     "MetricsFront",
+    "NoPlatform",
     "StatusFront",
     "UrllibEndpointClient",
     "json_response",
--- a/arbutuscleat/http/operator_front.py
+++ b/arbutuscleat/http/operator_front.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 
 from arbutuscleat.core import Outcome, Refusal, RefusalReason, is_name
+from arbutuscleat.maintenance import waves
 from arbutuscleat.membership import ControlClient, ControlErrorKind
 from arbutuscleat.state import FleetConfiguration, LabelKind
 from arbutuscleat.wire.gen.ttypes import ChangeResult, Command, StatusAnswer
@@ -26,6 +27,7 @@
     node_json,
     pool_json,
     selector_json,
+    wave_json,
 )
 
 PROPOSE_SECONDS = 8.0
@@ -191,6 +193,9 @@
     if path[0] == "pools" and len(path) == 2:
         pool = configuration.pools.get(path[1])
         return pool and pool_json(pool, configuration)
+    if path[0] == "waves" and len(path) == 2:
+        rule = configuration.selectors.get(path[1])
+        return rule and wave_json(rule, configuration)
     if path[0] == "selectors" and len(path) == 2:
         rule = configuration.selectors.get(path[1])
         return rule and selector_json(rule)
@@ -207,6 +212,7 @@
     "pools": lambda cfg: [pool_json(item, cfg) for item in cfg.pools.values()],
     "labels": lambda cfg: [labels_json(item) for item in cfg.labels.values()],
     "selectors": lambda cfg: [selector_json(item) for item in cfg.selectors.values()],
+    "waves": lambda cfg: [wave_json(rule, cfg) for rule in waves(cfg)],
     "instances": lambda cfg: [instance_json(i, cfg) for i in cfg.instances.values()],
 }
 
--- a/arbutuscleat/http/rendering.py
+++ b/arbutuscleat/http/rendering.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from arbutuscleat.core import AssignmentPhase, Instance, Pool, SelectorRule
+from arbutuscleat.maintenance import WavePlanner, WaveView, view_wave
 from arbutuscleat.state import FleetConfiguration, LabelSet
 from arbutuscleat.wire.gen.ttypes import ChangeResult, NodeStatus
 
@@ -10,9 +11,7 @@
 def pool_json(pool: Pool, configuration: FleetConfiguration) -> dict[str, Any]:
     """Return a pool with its members."""
     members = sorted(
-        instance.instance_id
-        for instance in configuration.instances.values()
-        if instance.assignment.pool == pool.name
+        instance.instance_id for instance in configuration.instances_of(pool.name)
     )
     return {
         "name": pool.name,
@@ -21,6 +20,8 @@
         "spare": pool.spare,
         "membership": pool.membership,
         "version": pool.version,
+        "available": configuration.available(pool.name),
+        "headroom": configuration.headroom(pool.name),
         "instances": members,
     }
 
@@ -66,9 +67,39 @@
         "epoch": assignment.epoch,
         "phase": assignment.phase.value,
         "conflict": assignment.conflict,
+        "maintenance": instance.maintenance.phase.value,
+        "wave": instance.maintenance.wave,
+        "maintenance_detail": instance.maintenance.detail,
+        "available": configuration.is_available(instance),
     }
 
 
+def wave_json(rule: SelectorRule, configuration: FleetConfiguration) -> dict[str, Any]:
+    """Return how far a wave has come, and why its instances wait."""
+    view = view_wave(rule, configuration)
+    planner = WavePlanner()
+    return {
+        "name": rule.name,
+        "instances": rule.instances,
+        "version": rule.version,
+        "state": _wave_state(view),
+        "paused_because": view.paused_because(),
+        "done": len(view.done),
+        "under_way": {i.instance_id: i.maintenance.phase.value for i in view.under_way},
+        "failed": {i.instance_id: i.maintenance.detail for i in view.failed},
+        "waiting": {
+            i.instance_id: planner.why_waiting(i, rule, configuration)
+            for i in view.waiting
+        },
+    }
+
+
+def _wave_state(view: WaveView) -> str:
+    if view.paused_because():
+        return "paused"
+    return "over" if view.is_over() else "running"
+
+
 def explain_instance(
     instance: Instance, configuration: FleetConfiguration
 ) -> dict[str, Any]:
--- a/arbutuscleat/maintenance/__init__.py
+++ b/arbutuscleat/maintenance/__init__.py
@@ -2,16 +2,31 @@
 
 from .claim_horizon import ClaimHorizon
 from .dispatch_gate import DispatchGate, GateVerdict
+from .maintainer import Maintainer, MaintenanceLimits
 from .member_watch import MemberWatch
 from .mover import MoveLimits, Mover
-from .planner import Planner
+from .planner import Planner, PlannerParts
+from .platform import OperationKind, OperationState, Platform, PlatformError
+from .wave_planner import WavePlanner
+from .wave_view import WaveView, view_wave, waves
 
 __all__ = [
     "ClaimHorizon",
     "DispatchGate",
     "GateVerdict",
+    "Maintainer",
+    "MaintenanceLimits",
     "MemberWatch",
     "MoveLimits",
     "Mover",
+    "OperationKind",
+    "OperationState",
     "Planner",
+    "PlannerParts",
+    "Platform",
+    "PlatformError",
+    "WavePlanner",
+    "WaveView",
+    "view_wave",
+    "waves",
 ]
--- a/arbutuscleat/maintenance/mover.py
+++ b/arbutuscleat/maintenance/mover.py
@@ -77,7 +77,7 @@
         matching = configuration.pools_matching(instance.instance_id)
         if pool_name in matching or len(matching) > 1:
             return False
-        return configuration.can_spare(instance)
+        return configuration.can_give_up(instance)
 
     def _is_drained(
         self, instance: Instance, configuration: FleetConfiguration, since: float
--- a/arbutuscleat/maintenance/planner.py
+++ b/arbutuscleat/maintenance/planner.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from absl import logging
 from returns.result import Failure, Result
@@ -13,8 +14,10 @@
 from arbutuscleat.wire.gen.ttypes import Command
 
 from .claim_horizon import ClaimHorizon
+from .maintainer import Maintainer
 from .member_watch import MemberWatch
 from .mover import Mover
+from .wave_planner import WavePlanner
 
 ROUND_SECONDS = 0.25
 PROPOSE_SECONDS = 2.0
@@ -22,6 +25,17 @@
 Propose = Callable[[bytes, float], Result[object, ProposalError]]
 
 
+@dataclass(frozen=True)
+class PlannerParts:
+    """What decides, each on one matter."""
+
+    watch: MemberWatch
+    mover: Mover
+    maintainer: Maintainer
+    waves: WavePlanner
+    horizon: ClaimHorizon
+
+
 class Planner:
     """Looks at the state in rounds and proposes what is due.
 
@@ -29,7 +43,7 @@
     ----------
     machine : ControlMachine
         The replicated state.
-    watch, mover, horizon
+    parts : PlannerParts
         What decides.
     leads : callable
         Tells whether this control instance leads and is up to date.
@@ -44,18 +58,14 @@
     def __init__(
         self,
         machine: ControlMachine,
-        watch: MemberWatch,
-        mover: Mover,
-        horizon: ClaimHorizon,
+        parts: PlannerParts,
         leads: Callable[[], bool],
         led_since: Callable[[], float],
         propose: Propose,
         clock: Clock,
     ):
         self._machine = machine
-        self._watch = watch
-        self._mover = mover
-        self._horizon = horizon
+        self._parts = parts
         self._leads = leads
         self._led_since = led_since
         self._propose = propose
@@ -82,14 +92,19 @@
             if isinstance(result, Failure):
                 logging.warning("not proposed: %s", result.failure().kind.value)
                 break
+        # The platform may be slow, so it is asked with no lock held.
+        self._parts.maintainer.ask_platform(self._machine.configuration)
         return len(commands)
 
     def _decide(self) -> list[Command]:
         configuration = self._machine.configuration
+        parts = self._parts
         return [
-            *self._watch.decide(configuration, self._led_since()),
-            *self._mover.decide(configuration),
-            *self._horizon.decide(),
+            *parts.watch.decide(configuration, self._led_since()),
+            *parts.mover.decide(configuration),
+            *parts.maintainer.decide(configuration),
+            *parts.waves.decide(configuration),
+            *parts.horizon.decide(),
         ]
 
     def _run(self) -> None:
--- a/arbutuscleat/membership/announcement_table.py
+++ b/arbutuscleat/membership/announcement_table.py
@@ -44,6 +44,7 @@
     def __init__(self, clock: Clock, expiry_seconds: float):
         self._clock = clock
         self._expiry_seconds = expiry_seconds
+        self._started_at = clock.monotonic()
         self._lock = threading.Lock()
         self._announcements: dict[str, Announcement] = {}
 
@@ -70,6 +71,12 @@
         silence = self._clock.monotonic() - held.received_at
         return silence < self._expiry_seconds
 
+    def silence(self, instance_id: str) -> float:
+        """Return the seconds since an endpoint was heard, or since the start here."""
+        held = self._announcements.get(instance_id)
+        since = held.received_at if held is not None else self._started_at
+        return self._clock.monotonic() - since
+
     def all(self) -> list[Announcement]:
         """Return the newest announcements of all endpoints."""
         with self._lock:
--- a/arbutuscleat/membership/reporter.py
+++ b/arbutuscleat/membership/reporter.py
@@ -5,9 +5,9 @@
 from absl import logging
 from returns.result import Failure
 
-from arbutuscleat.core import Clock, Instance
+from arbutuscleat.core import Clock, Instance, InstanceState
 from arbutuscleat.state import instance_record
-from arbutuscleat.wire.gen.ttypes import Command, ReportInstance
+from arbutuscleat.wire.gen.ttypes import Command, ReportInstance, ReportLost
 
 from .announcement_table import AnnouncementTable
 from .configuration_view import ConfigurationView
@@ -30,6 +30,10 @@
         Where to propose.
     clock : Clock
         Source of time.
+    data_centre : str
+        The data centre of this process.
+    lost_seconds : float
+        Silence after which an endpoint is reported as lost.
     """
 
     def __init__(
@@ -38,11 +42,15 @@
         view: ConfigurationView,
         control: ControlClient,
         clock: Clock,
+        data_centre: str,
+        lost_seconds: float,
     ):
         self._table = table
         self._view = view
         self._control = control
         self._clock = clock
+        self._data_centre = data_centre
+        self._lost_seconds = lost_seconds
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(
@@ -65,17 +73,10 @@
     def report_once(self) -> int:
         """Report what differs; return the number of reports accepted."""
         reported = 0
-        for instance in self._differing():
-            command = Command(
-                instance=ReportInstance(instance=instance_record(instance))
-            )
+        for command in self._commands():
             result = self._control.propose(command, PROPOSE_SECONDS)
             if isinstance(result, Failure):
-                logging.warning(
-                    "instance %s not reported: %s",
-                    instance.instance_id,
-                    result.failure().detail,
-                )
+                logging.warning("not reported: %s", result.failure().detail)
                 return reported
             reported += 1
         return reported
@@ -87,14 +88,37 @@
             if not self._stopping.is_set():
                 self.report_once()
 
-    def _differing(self) -> list[Instance]:
+    def _commands(self) -> list[Command]:
         announced = [item.instance for item in self._table.all()]
         with self._view.changed:
             configuration = self._view.configuration
             if configuration is None:
                 return []
             known = configuration.instances
-            return [item for item in announced if _differs(item, known)]
+            fresh = [_report(item) for item in announced if _differs(item, known)]
+            lost = [_lost(i) for i in known.values() if self._is_lost(i)]
+        return [*fresh, *lost]
+
+    def _is_lost(self, instance: Instance) -> bool:
+        if instance.data_centre != self._data_centre:
+            return False
+        if instance.state is InstanceState.LOST:
+            return False
+        return self._table.silence(instance.instance_id) > self._lost_seconds
+
+
+def _report(instance: Instance) -> Command:
+    return Command(instance=ReportInstance(instance=instance_record(instance)))
+
+
+def _lost(instance: Instance) -> Command:
+    return Command(
+        lost=ReportLost(
+            instance_id=instance.instance_id,
+            incarnation=instance.incarnation,
+            sequence=instance.sequence,
+        )
+    )
 
 
 def _differs(announced: Instance, known: dict[str, Instance]) -> bool:
--- a/arbutuscleat/routing/local_capacity.py
+++ b/arbutuscleat/routing/local_capacity.py
@@ -66,7 +66,7 @@
         if configuration is None:
             return False
         held = configuration.instances.get(instance.instance_id)
-        if held is None or not held.assignment.takes_work():
+        if held is None or not held.takes_work():
             return False
         if held.assignment.epoch != instance.assignment.epoch:
             return False
@@ -90,7 +90,7 @@
         if configuration is None:
             return False
         held = configuration.instances.get(instance_id)
-        return held is None or not held.assignment.takes_work()
+        return held is None or not held.takes_work()
 
     def _take_version(self, configuration: FleetConfiguration) -> None:
         self._held_shares = slot_shares(
--- a/arbutuscleat/routing/routing_table.py
+++ b/arbutuscleat/routing/routing_table.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 
 from arbutuscleat.core import (
-    AssignmentPhase,
     Instance,
     Labels,
     Selector,
@@ -156,9 +155,9 @@
 def _routes(configuration: FleetConfiguration) -> dict[str, tuple[Route, ...]]:
     routes: dict[str, list[Route]] = {}
     for instance in configuration.instances.values():
-        assignment = instance.assignment
-        if assignment.phase is not AssignmentPhase.ASSIGNED:
+        if not instance.takes_work():
             continue
         labels = configuration.instance_labels(instance)
-        routes.setdefault(assignment.pool, []).append(Route(instance, labels))
+        pool = instance.assignment.pool
+        routes.setdefault(pool, []).append(Route(instance, labels))
     return {pool: tuple(found) for pool, found in routes.items()}
--- a/arbutuscleat/settings/__init__.py
+++ b/arbutuscleat/settings/__init__.py
@@ -1,6 +1,11 @@
 """Settings: validated models of the JSON-with-comments files."""
 
-from .control import ConsensusSettings, ControlSettings
+from .control import (
+    ConsensusSettings,
+    ControlSettings,
+    MaintenanceSettings,
+    PlatformSettings,
+)
 from .entry import (
     AnnouncementSettings,
     EntrySettings,
@@ -26,7 +31,9 @@
     "LimitSettings",
     "Listen",
     "LogSettings",
+    "MaintenanceSettings",
     "Node",
+    "PlatformSettings",
     "ProcessSettings",
     "ServiceSettings",
     "SettingsError",
--- a/arbutuscleat/settings/control.py
+++ b/arbutuscleat/settings/control.py
@@ -5,7 +5,7 @@
 
 from pydantic import Field, model_validator
 
-from .fields import Milliseconds, Node, ProcessSettings, Section
+from .fields import Milliseconds, Node, ProcessSettings, Secret, Section
 
 
 class ConsensusSettings(Section):
@@ -23,6 +23,22 @@
         return self
 
 
+class PlatformSettings(Section):
+    """Where the platform is asked to reboot instances."""
+
+    url: Annotated[str, Field(pattern=r"^https?://[^/]+")]
+    token: Secret
+
+
+class MaintenanceSettings(Section):
+    """Bounds of maintenance waves and moves."""
+
+    drain_ms: Milliseconds = 120_000
+    reboot_ms: Milliseconds = 900_000
+    soak_ms: Milliseconds = 60_000
+    reserve: Annotated[int, Field(ge=0, le=100)] = 1
+
+
 class ControlSettings(ProcessSettings):
     """Settings of one control instance."""
 
@@ -32,6 +48,8 @@
     lease_ms: Milliseconds = 3_000
     margin_ms: Milliseconds = 500
     claim_retention_ms: Milliseconds = 7_200_000
+    platform: PlatformSettings | None = None
+    maintenance: MaintenanceSettings = MaintenanceSettings()
 
     @model_validator(mode="after")
     def _check_replicas(self) -> "ControlSettings":
--- a/arbutuscleat/settings/loader.py
+++ b/arbutuscleat/settings/loader.py
@@ -10,6 +10,7 @@
 
 MAX_SETTINGS_BYTES = 1024 * 1024
 FOUND_SHOWN_CHARACTERS = 60
+_SECRETS = ("shared_key", "endpoint_token", "operators.", "platform.token")
 
 S = TypeVar("S", bound=pydantic.BaseModel)
 
@@ -89,4 +90,4 @@
 
 
 def _is_secret(path: str) -> bool:
-    return path.startswith(("shared_key", "endpoint_token", "operators."))
+    return path.startswith(_SECRETS)
--- a/arbutuscleat/state/fleet_configuration.py
+++ b/arbutuscleat/state/fleet_configuration.py
@@ -9,18 +9,27 @@
 from dataclasses import replace
 
 from arbutuscleat.core import (
+    FOLLOWING_PHASES,
     Assignment,
     AssignmentPhase,
     Instance,
     InstanceState,
     Labels,
+    MaintenancePhase,
     Pool,
+    SelectorPurpose,
     SelectorRule,
     ValidationError,
+    parse_selector,
     validate_pool,
     validate_selector_rule,
 )
-from arbutuscleat.wire.gen.ttypes import Command, ConfigObject, Configuration
+from arbutuscleat.wire.gen.ttypes import (
+    AdvanceMaintenance,
+    Command,
+    ConfigObject,
+    Configuration,
+)
 
 from .label_set import LabelKind, LabelSet, validate_label_set
 from .member import Member
@@ -80,6 +89,8 @@
         """Return whether an instance counts for the budget of its pool."""
         if not instance.assignment.takes_work():
             return False
+        if instance.maintenance.phase is not MaintenancePhase.NONE:
+            return False
         if instance.state is not InstanceState.READY:
             return False
         return not self.is_cut_off(instance.data_centre)
@@ -99,10 +110,29 @@
         return self.available(pool) - minimum
 
     def can_spare(self, instance: Instance) -> bool:
-        """Return whether a pool's budget allows to take an instance away."""
-        if not self.is_available(instance):
+        """Return whether a pool's budget allows to take an instance out of service.
+
+        An instance that has fallen silent may come back by itself; a pool that is
+        short needs it then, and not in the middle of a wave.
+        """
+        if instance.maintenance.phase is MaintenancePhase.FAILED:
             return True
-        return self.headroom(instance.assignment.pool) > 0
+        needed = 1 if self.is_available(instance) else 0
+        return self.headroom(instance.assignment.pool) >= needed
+
+    def can_give_up(self, instance: Instance) -> bool:
+        """Return whether a pool's budget allows to give an instance to another pool.
+
+        An instance that has failed costs no availability now, but its pool counts
+        on its return.
+        """
+        pool = self.pools.get(instance.assignment.pool)
+        if pool is None:
+            return True
+        if self.is_available(instance) and self.headroom(pool.name) < 1:
+            return False
+        staying = sum(i.assignment.takes_work() for i in self.instances_of(pool.name))
+        return staying > pool.min_available
 
     def object_version(self, content: ConfigObject) -> int:
         """Return the version of the object that `content` would replace; 0 if new."""
@@ -157,12 +187,95 @@
         known = self.instances.get(reported.instance_id)
         if known is not None and reported.order() <= known.order():
             return False
-        assignment = known.assignment if known is not None else Assignment()
         self.version += 1
-        self._put_instance(reported.assigned(assignment))
+        if known is not None:
+            reported = replace(
+                reported, assignment=known.assignment, maintenance=known.maintenance
+            )
+        self._put_instance(reported)
         self._match_and_assign(reported.instance_id)
         return True
 
+    def report_lost(self, instance_id: str, incarnation: str, sequence: int) -> bool:
+        """Note that an endpoint has fallen silent after this announcement."""
+        known = self.instances.get(instance_id)
+        if known is None or known.incarnation != incarnation:
+            return False
+        if known.sequence > sequence or known.state is InstanceState.LOST:
+            return False
+        self.version += 1
+        self._put_instance(replace(known, state=InstanceState.LOST, sequence=sequence))
+        return True
+
+    def grant_maintenance(self, instance_id: str, wave: str, wave_version: int) -> bool:
+        """Let a wave take an instance out of service, if its pool can spare it."""
+        instance = self.instances.get(instance_id)
+        rule = self.selectors.get(wave)
+        if instance is None or rule is None or rule.version != wave_version:
+            return False
+        if not self.is_due(instance, rule) or not self.can_spare(instance):
+            return False
+        self.version += 1
+        self._put_instance(
+            replace(
+                instance,
+                maintenance=replace(
+                    instance.maintenance,
+                    phase=MaintenancePhase.DRAINING,
+                    wave=wave,
+                    wave_version=wave_version,
+                    since_version=self.version,
+                    incarnation_before=instance.incarnation,
+                    detail="",
+                ),
+            )
+        )
+        return True
+
+    def advance_maintenance(self, step: AdvanceMaintenance) -> bool:
+        """Take an instance to the next step of its wave."""
+        instance = self.instances.get(step.instance_id)
+        if instance is None:
+            return False
+        now = instance.maintenance
+        following = MaintenancePhase(step.to_phase)
+        if (now.wave, now.wave_version) != (step.wave, step.wave_version):
+            return False
+        if now.phase != step.from_phase or following not in FOLLOWING_PHASES[now.phase]:
+            return False
+        self.version += 1
+        maintained = dict(now.maintained)
+        if following is MaintenancePhase.NONE:
+            maintained[now.wave] = now.wave_version
+        changed = replace(
+            now,
+            phase=following,
+            since_version=self.version,
+            detail=step.detail or "",
+            maintained=maintained,
+        )
+        self._put_instance(replace(instance, maintenance=changed))
+        return True
+
+    def is_due(self, instance: Instance, rule: SelectorRule) -> bool:
+        """Return whether a wave is to take an instance that no wave is at work on."""
+        if rule.purpose is not SelectorPurpose.MAINTENANCE:
+            return False
+        maintenance = instance.maintenance
+        if maintenance.phase.is_under_way():
+            return False
+        if instance.assignment.phase is AssignmentPhase.DRAINING:
+            return False  # It is being moved; the move ends first.
+        if maintenance.has_been_through(rule.name, rule.version):
+            return False
+        if maintenance.phase is MaintenancePhase.FAILED:
+            # The same wave does not try twice; a changed selector does.
+            same = (maintenance.wave, maintenance.wave_version)
+            if same == (rule.name, rule.version):
+                return False
+        labels = self.instance_labels(instance)
+        return parse_selector(rule.instances).matches(labels)
+
     def report_member(self, member: Member) -> bool:
         """List a member; return whether the log listed it otherwise before."""
         known = self.members.get(member.node_id)
@@ -196,9 +309,11 @@
             return False
         if instance.assignment.phase is not AssignmentPhase.ASSIGNED:
             return False
+        if instance.maintenance.phase.is_under_way():
+            return False  # The wave ends first.
         # Judged here, where the log orders everything: no race and no change of
         # leader can spend a budget twice.
-        if not self.can_spare(instance):
+        if not self.can_give_up(instance):
             return False
         self.version += 1
         self._put_assignment(
@@ -233,6 +348,14 @@
         elif command.mark_member_down is not None:
             down = command.mark_member_down
             self.mark_member_down(down.node_id, down.incarnation)
+        elif command.lost is not None:
+            lost = command.lost
+            self.report_lost(lost.instance_id, lost.incarnation, lost.sequence)
+        elif command.grant_maintenance is not None:
+            grant = command.grant_maintenance
+            self.grant_maintenance(grant.instance_id, grant.wave, grant.wave_version)
+        elif command.advance_maintenance is not None:
+            self.advance_maintenance(command.advance_maintenance)
         elif command.begin_drain is not None:
             drain = command.begin_drain
             self.begin_drain(drain.instance_id, drain.epoch)
--- a/arbutuscleat/state/records.py
+++ b/arbutuscleat/state/records.py
@@ -5,6 +5,8 @@
     AssignmentPhase,
     Instance,
     InstanceState,
+    Maintenance,
+    MaintenancePhase,
     Pool,
     SelectorPurpose,
     SelectorRule,
@@ -111,6 +113,15 @@
             conflict=record.conflict or "",
             since_version=record.since_version or 0,
         ),
+        maintenance=Maintenance(
+            phase=MaintenancePhase(record.maintenance_phase or MaintenancePhase.NONE),
+            wave=record.wave or "",
+            wave_version=record.wave_version or 0,
+            since_version=record.maintenance_since or 0,
+            incarnation_before=record.incarnation_before or "",
+            detail=record.maintenance_detail or "",
+            maintained=dict(record.maintained or {}),
+        ),
     )
 
 
@@ -134,6 +145,13 @@
         phase=instance.assignment.phase.value,
         conflict=instance.assignment.conflict,
         since_version=instance.assignment.since_version,
+        maintenance_phase=instance.maintenance.phase.value,
+        wave=instance.maintenance.wave,
+        wave_version=instance.maintenance.wave_version,
+        maintenance_since=instance.maintenance.since_version,
+        incarnation_before=instance.maintenance.incarnation_before,
+        maintenance_detail=instance.maintenance.detail,
+        maintained=dict(instance.maintenance.maintained),
     )
 
 
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -175,6 +175,13 @@
   15: string phase
   16: string conflict
   17: i64 since_version
+  18: string maintenance_phase
+  19: string wave
+  20: i64 wave_version
+  21: i64 maintenance_since
+  22: string incarnation_before
+  23: string maintenance_detail
+  24: map<string, i64> maintained
 }
 
 struct MemberRecord {
@@ -240,6 +247,30 @@
   2: i64 epoch
 }
 
+// An endpoint has ceased to announce itself.
+struct ReportLost {
+  1: string instance_id
+  2: string incarnation
+  3: i64 sequence
+}
+
+// The right to take an instance out of service for a wave; counts as unavailable
+// from the moment it is committed.
+struct GrantMaintenance {
+  1: string instance_id
+  2: string wave
+  3: i64 wave_version
+}
+
+struct AdvanceMaintenance {
+  1: string instance_id
+  2: string wave
+  3: i64 wave_version
+  4: string from_phase
+  5: string to_phase
+  6: string detail
+}
+
 // A member is not heard any more; those who are left take note first.
 struct SuspectMember {
   1: string node_id
@@ -267,6 +298,9 @@
   8: SuspectMember suspect_member
   9: MarkMemberDown mark_member_down
   10: ForgetClaims forget_claims
+  11: ReportLost lost
+  12: GrantMaintenance grant_maintenance
+  13: AdvanceMaintenance advance_maintenance
 }
 
 struct Configuration {
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -1817,11 +1817,18 @@
      - phase
      - conflict
      - since_version
+     - maintenance_phase
+     - wave
+     - wave_version
+     - maintenance_since
+     - incarnation_before
+     - maintenance_detail
+     - maintained
 
     """
 
 
-    def __init__(self, instance_id=None, incarnation=None, host=None, port=None, data_centre=None, rack=None, labels=None, services=None, slots=None, connections=None, state=None, sequence=None, pool=None, epoch=None, phase=None, conflict=None, since_version=None,):
+    def __init__(self, instance_id=None, incarnation=None, host=None, port=None, data_centre=None, rack=None, labels=None, services=None, slots=None, connections=None, state=None, sequence=None, pool=None, epoch=None, phase=None, conflict=None, since_version=None, maintenance_phase=None, wave=None, wave_version=None, maintenance_since=None, incarnation_before=None, maintenance_detail=None, maintained=None,):
         self.instance_id = instance_id
         self.incarnation = incarnation
         self.host = host
@@ -1839,6 +1846,13 @@
         self.phase = phase
         self.conflict = conflict
         self.since_version = since_version
+        self.maintenance_phase = maintenance_phase
+        self.wave = wave
+        self.wave_version = wave_version
+        self.maintenance_since = maintenance_since
+        self.incarnation_before = incarnation_before
+        self.maintenance_detail = maintenance_detail
+        self.maintained = maintained
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1945,6 +1959,47 @@
                     self.since_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.maintenance_phase = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRING:
+                    self.wave = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.wave_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.maintenance_since = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRING:
+                    self.incarnation_before = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRING:
+                    self.maintenance_detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.MAP:
+                    self.maintained = {}
+                    (_ktype44, _vtype45, _size43) = iprot.readMapBegin()
+                    for _i47 in range(_size43):
+                        _key48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val49 = iprot.readI64()
+                        self.maintained[_key48] = _val49
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1982,16 +2037,16 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.labels))
-            for kiter43, viter44 in self.labels.items():
-                oprot.writeString(kiter43.encode('utf-8') if sys.version_info[0] == 2 else kiter43)
-                oprot.writeString(viter44.encode('utf-8') if sys.version_info[0] == 2 else viter44)
+            for kiter50, viter51 in self.labels.items():
+                oprot.writeString(kiter50.encode('utf-8') if sys.version_info[0] == 2 else kiter50)
+                oprot.writeString(viter51.encode('utf-8') if sys.version_info[0] == 2 else viter51)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter45 in self.services:
-                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
+            for iter52 in self.services:
+                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots is not None:
@@ -2030,6 +2085,38 @@
             oprot.writeFieldBegin('since_version', TType.I64, 17)
             oprot.writeI64(self.since_version)
             oprot.writeFieldEnd()
+        if self.maintenance_phase is not None:
+            oprot.writeFieldBegin('maintenance_phase', TType.STRING, 18)
+            oprot.writeString(self.maintenance_phase.encode('utf-8') if sys.version_info[0] == 2 else self.maintenance_phase)
+            oprot.writeFieldEnd()
+        if self.wave is not None:
+            oprot.writeFieldBegin('wave', TType.STRING, 19)
+            oprot.writeString(self.wave.encode('utf-8') if sys.version_info[0] == 2 else self.wave)
+            oprot.writeFieldEnd()
+        if self.wave_version is not None:
+            oprot.writeFieldBegin('wave_version', TType.I64, 20)
+            oprot.writeI64(self.wave_version)
+            oprot.writeFieldEnd()
+        if self.maintenance_since is not None:
+            oprot.writeFieldBegin('maintenance_since', TType.I64, 21)
+            oprot.writeI64(self.maintenance_since)
+            oprot.writeFieldEnd()
+        if self.incarnation_before is not None:
+            oprot.writeFieldBegin('incarnation_before', TType.STRING, 22)
+            oprot.writeString(self.incarnation_before.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation_before)
+            oprot.writeFieldEnd()
+        if self.maintenance_detail is not None:
+            oprot.writeFieldBegin('maintenance_detail', TType.STRING, 23)
+            oprot.writeString(self.maintenance_detail.encode('utf-8') if sys.version_info[0] == 2 else self.maintenance_detail)
+            oprot.writeFieldEnd()
+        if self.maintained is not None:
+            oprot.writeFieldBegin('maintained', TType.MAP, 24)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.maintained))
+            for kiter53, viter54 in self.maintained.items():
+                oprot.writeString(kiter53.encode('utf-8') if sys.version_info[0] == 2 else kiter53)
+                oprot.writeI64(viter54)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2831,6 +2918,276 @@
         return not (self == other)
 
 
+class ReportLost(object):
+    """
+    Attributes:
+     - instance_id
+     - incarnation
+     - sequence
+
+    """
+
+
+    def __init__(self, instance_id=None, incarnation=None, sequence=None,):
+        self.instance_id = instance_id
+        self.incarnation = incarnation
+        self.sequence = sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportLost')
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 1)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantMaintenance(object):
+    """
+    Attributes:
+     - instance_id
+     - wave
+     - wave_version
+
+    """
+
+
+    def __init__(self, instance_id=None, wave=None, wave_version=None,):
+        self.instance_id = instance_id
+        self.wave = wave
+        self.wave_version = wave_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.wave = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.wave_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantMaintenance')
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 1)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.wave is not None:
+            oprot.writeFieldBegin('wave', TType.STRING, 2)
+            oprot.writeString(self.wave.encode('utf-8') if sys.version_info[0] == 2 else self.wave)
+            oprot.writeFieldEnd()
+        if self.wave_version is not None:
+            oprot.writeFieldBegin('wave_version', TType.I64, 3)
+            oprot.writeI64(self.wave_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdvanceMaintenance(object):
+    """
+    Attributes:
+     - instance_id
+     - wave
+     - wave_version
+     - from_phase
+     - to_phase
+     - detail
+
+    """
+
+
+    def __init__(self, instance_id=None, wave=None, wave_version=None, from_phase=None, to_phase=None, detail=None,):
+        self.instance_id = instance_id
+        self.wave = wave
+        self.wave_version = wave_version
+        self.from_phase = from_phase
+        self.to_phase = to_phase
+        self.detail = detail
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.wave = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.wave_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.from_phase = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.to_phase = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdvanceMaintenance')
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 1)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.wave is not None:
+            oprot.writeFieldBegin('wave', TType.STRING, 2)
+            oprot.writeString(self.wave.encode('utf-8') if sys.version_info[0] == 2 else self.wave)
+            oprot.writeFieldEnd()
+        if self.wave_version is not None:
+            oprot.writeFieldBegin('wave_version', TType.I64, 3)
+            oprot.writeI64(self.wave_version)
+            oprot.writeFieldEnd()
+        if self.from_phase is not None:
+            oprot.writeFieldBegin('from_phase', TType.STRING, 4)
+            oprot.writeString(self.from_phase.encode('utf-8') if sys.version_info[0] == 2 else self.from_phase)
+            oprot.writeFieldEnd()
+        if self.to_phase is not None:
+            oprot.writeFieldBegin('to_phase', TType.STRING, 5)
+            oprot.writeString(self.to_phase.encode('utf-8') if sys.version_info[0] == 2 else self.to_phase)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 6)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SuspectMember(object):
     """
     Attributes:
@@ -3037,11 +3394,14 @@
      - suspect_member
      - mark_member_down
      - forget_claims
+     - lost
+     - grant_maintenance
+     - advance_maintenance
 
     """
 
 
-    def __init__(self, change=None, instance=None, member=None, begin_claim=None, end_claim=None, begin_drain=None, finish_drain=None, suspect_member=None, mark_member_down=None, forget_claims=None,):
+    def __init__(self, change=None, instance=None, member=None, begin_claim=None, end_claim=None, begin_drain=None, finish_drain=None, suspect_member=None, mark_member_down=None, forget_claims=None, lost=None, grant_maintenance=None, advance_maintenance=None,):
         self.change = change
         self.instance = instance
         self.member = member
@@ -3052,6 +3412,9 @@
         self.suspect_member = suspect_member
         self.mark_member_down = mark_member_down
         self.forget_claims = forget_claims
+        self.lost = lost
+        self.grant_maintenance = grant_maintenance
+        self.advance_maintenance = advance_maintenance
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3122,6 +3485,24 @@
                     self.forget_claims.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.lost = ReportLost()
+                    self.lost.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.grant_maintenance = GrantMaintenance()
+                    self.grant_maintenance.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.advance_maintenance = AdvanceMaintenance()
+                    self.advance_maintenance.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3172,6 +3553,18 @@
             oprot.writeFieldBegin('forget_claims', TType.STRUCT, 10)
             self.forget_claims.write(oprot)
             oprot.writeFieldEnd()
+        if self.lost is not None:
+            oprot.writeFieldBegin('lost', TType.STRUCT, 11)
+            self.lost.write(oprot)
+            oprot.writeFieldEnd()
+        if self.grant_maintenance is not None:
+            oprot.writeFieldBegin('grant_maintenance', TType.STRUCT, 12)
+            self.grant_maintenance.write(oprot)
+            oprot.writeFieldEnd()
+        if self.advance_maintenance is not None:
+            oprot.writeFieldBegin('advance_maintenance', TType.STRUCT, 13)
+            self.advance_maintenance.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3228,55 +3621,55 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.pools = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = PoolRecord()
-                        _elem51.read(iprot)
-                        self.pools.append(_elem51)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = PoolRecord()
+                        _elem60.read(iprot)
+                        self.pools.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.labels = []
-                    (_etype55, _size52) = iprot.readListBegin()
-                    for _i56 in range(_size52):
-                        _elem57 = LabelsRecord()
-                        _elem57.read(iprot)
-                        self.labels.append(_elem57)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = LabelsRecord()
+                        _elem66.read(iprot)
+                        self.labels.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.selectors = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = SelectorRecord()
-                        _elem63.read(iprot)
-                        self.selectors.append(_elem63)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = SelectorRecord()
+                        _elem72.read(iprot)
+                        self.selectors.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.instances = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = InstanceRecord()
-                        _elem69.read(iprot)
-                        self.instances.append(_elem69)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = InstanceRecord()
+                        _elem78.read(iprot)
+                        self.instances.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = MemberRecord()
-                        _elem75.read(iprot)
-                        self.members.append(_elem75)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = MemberRecord()
+                        _elem84.read(iprot)
+                        self.members.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3297,36 +3690,36 @@
         if self.pools is not None:
             oprot.writeFieldBegin('pools', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.pools))
-            for iter76 in self.pools:
-                iter76.write(oprot)
+            for iter85 in self.pools:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.labels))
-            for iter77 in self.labels:
-                iter77.write(oprot)
+            for iter86 in self.labels:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.selectors is not None:
             oprot.writeFieldBegin('selectors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.selectors))
-            for iter78 in self.selectors:
-                iter78.write(oprot)
+            for iter87 in self.selectors:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.instances is not None:
             oprot.writeFieldBegin('instances', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.instances))
-            for iter79 in self.instances:
-                iter79.write(oprot)
+            for iter88 in self.instances:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter80 in self.members:
-                iter80.write(oprot)
+            for iter89 in self.members:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3628,22 +4021,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = ChangeResult()
-                        _elem86.read(iprot)
-                        self.changes.append(_elem86)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = ChangeResult()
+                        _elem95.read(iprot)
+                        self.changes.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = ClaimRecord()
-                        _elem92.read(iprot)
-                        self.claims.append(_elem92)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = ClaimRecord()
+                        _elem101.read(iprot)
+                        self.claims.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3669,15 +4062,15 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter93 in self.changes:
-                iter93.write(oprot)
+            for iter102 in self.changes:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter94 in self.claims:
-                iter94.write(oprot)
+            for iter103 in self.claims:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims_horizon_ms is not None:
@@ -4018,10 +4411,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.busy = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.busy.append(_elem100)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.busy.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4059,8 +4452,8 @@
         if self.busy is not None:
             oprot.writeFieldBegin('busy', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.busy))
-            for iter101 in self.busy:
-                oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
+            for iter110 in self.busy:
+                oprot.writeString(iter110.encode('utf-8') if sys.version_info[0] == 2 else iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -4138,11 +4531,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.acks = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = MemberAck()
-                        _elem107.read(iprot)
-                        self.acks.append(_elem107)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = MemberAck()
+                        _elem116.read(iprot)
+                        self.acks.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4180,8 +4573,8 @@
         if self.acks is not None:
             oprot.writeFieldBegin('acks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.acks))
-            for iter108 in self.acks:
-                iter108.write(oprot)
+            for iter117 in self.acks:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait_ms is not None:
@@ -4262,11 +4655,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.deltas = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = ConfigDelta()
-                        _elem114.read(iprot)
-                        self.deltas.append(_elem114)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = ConfigDelta()
+                        _elem123.read(iprot)
+                        self.deltas.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4309,8 +4702,8 @@
         if self.deltas is not None:
             oprot.writeFieldBegin('deltas', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.deltas))
-            for iter115 in self.deltas:
-                iter115.write(oprot)
+            for iter124 in self.deltas:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_ms is not None:
@@ -4741,11 +5134,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = NodeStatus()
-                        _elem121.read(iprot)
-                        self.entries.append(_elem121)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = NodeStatus()
+                        _elem130.read(iprot)
+                        self.entries.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4796,8 +5189,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter122 in self.entries:
-                iter122.write(oprot)
+            for iter131 in self.entries:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.change is not None:
@@ -4867,11 +5260,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = InstanceRecord()
-                        _elem128.read(iprot)
-                        self.announcements.append(_elem128)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = InstanceRecord()
+                        _elem137.read(iprot)
+                        self.announcements.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4900,8 +5293,8 @@
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter129 in self.announcements:
-                iter129.write(oprot)
+            for iter138 in self.announcements:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5131,11 +5524,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = HttpHeader()
-                        _elem135.read(iprot)
-                        self.headers.append(_elem135)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = HttpHeader()
+                        _elem144.read(iprot)
+                        self.headers.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5162,11 +5555,11 @@
             elif fid == 10:
                 if ftype == TType.MAP:
                     self.labels = {}
-                    (_ktype137, _vtype138, _size136) = iprot.readMapBegin()
-                    for _i140 in range(_size136):
-                        _key141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.labels[_key141] = _val142
+                    (_ktype146, _vtype147, _size145) = iprot.readMapBegin()
+                    for _i149 in range(_size145):
+                        _key150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val151 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels[_key150] = _val151
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -5199,8 +5592,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter143 in self.headers:
-                iter143.write(oprot)
+            for iter152 in self.headers:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5222,9 +5615,9 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.labels))
-            for kiter144, viter145 in self.labels.items():
-                oprot.writeString(kiter144.encode('utf-8') if sys.version_info[0] == 2 else kiter144)
-                oprot.writeString(viter145.encode('utf-8') if sys.version_info[0] == 2 else viter145)
+            for kiter153, viter154 in self.labels.items():
+                oprot.writeString(kiter153.encode('utf-8') if sys.version_info[0] == 2 else kiter153)
+                oprot.writeString(viter154.encode('utf-8') if sys.version_info[0] == 2 else viter154)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5297,11 +5690,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = HttpHeader()
-                        _elem151.read(iprot)
-                        self.headers.append(_elem151)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = HttpHeader()
+                        _elem160.read(iprot)
+                        self.headers.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5350,8 +5743,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter152 in self.headers:
-                iter152.write(oprot)
+            for iter161 in self.headers:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5504,11 +5897,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = HttpHeader()
-                        _elem158.read(iprot)
-                        self.headers.append(_elem158)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = HttpHeader()
+                        _elem167.read(iprot)
+                        self.headers.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5547,8 +5940,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter159 in self.headers:
-                iter159.write(oprot)
+            for iter168 in self.headers:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5746,6 +6139,13 @@
     (15, TType.STRING, 'phase', 'UTF8', None, ),  # 15
     (16, TType.STRING, 'conflict', 'UTF8', None, ),  # 16
     (17, TType.I64, 'since_version', None, None, ),  # 17
+    (18, TType.STRING, 'maintenance_phase', 'UTF8', None, ),  # 18
+    (19, TType.STRING, 'wave', 'UTF8', None, ),  # 19
+    (20, TType.I64, 'wave_version', None, None, ),  # 20
+    (21, TType.I64, 'maintenance_since', None, None, ),  # 21
+    (22, TType.STRING, 'incarnation_before', 'UTF8', None, ),  # 22
+    (23, TType.STRING, 'maintenance_detail', 'UTF8', None, ),  # 23
+    (24, TType.MAP, 'maintained', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 24
 )
 all_structs.append(MemberRecord)
 MemberRecord.thrift_spec = (
@@ -5816,6 +6216,30 @@
     (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
 )
+all_structs.append(ReportLost)
+ReportLost.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+)
+all_structs.append(GrantMaintenance)
+GrantMaintenance.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'wave', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'wave_version', None, None, ),  # 3
+)
+all_structs.append(AdvanceMaintenance)
+AdvanceMaintenance.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'wave', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'wave_version', None, None, ),  # 3
+    (4, TType.STRING, 'from_phase', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'to_phase', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'detail', 'UTF8', None, ),  # 6
+)
 all_structs.append(SuspectMember)
 SuspectMember.thrift_spec = (
     None,  # 0
@@ -5846,6 +6270,9 @@
     (8, TType.STRUCT, 'suspect_member', [SuspectMember, None], None, ),  # 8
     (9, TType.STRUCT, 'mark_member_down', [MarkMemberDown, None], None, ),  # 9
     (10, TType.STRUCT, 'forget_claims', [ForgetClaims, None], None, ),  # 10
+    (11, TType.STRUCT, 'lost', [ReportLost, None], None, ),  # 11
+    (12, TType.STRUCT, 'grant_maintenance', [GrantMaintenance, None], None, ),  # 12
+    (13, TType.STRUCT, 'advance_maintenance', [AdvanceMaintenance, None], None, ),  # 13
 )
 all_structs.append(Configuration)
 Configuration.thrift_spec = (
--- /dev/null
+++ b/tests/maintenance/test_waves.py
@@ -0,0 +1,250 @@
+"""The wave rows of the fault matrix: granted, rebooted, returned, soaking."""
+
+import random
+
+from testtools import TestCase
+
+from arbutuscleat.core import MaintenancePhase
+from arbutuscleat.emulator.wave_fleet import FleetShape, WaveFleet
+from arbutuscleat.maintenance import view_wave
+from arbutuscleat.wire.gen.ttypes import Command
+from tests.fakes import pool_change
+from tests.state.commands import labels_change
+
+SMALL = FleetShape(pools=2, workers=8, min_available=6, reboot_limit=300.0)
+STEP_SECONDS = 5.0
+MANY_STEPS = 2_000
+
+
+class WaveRows(TestCase):
+    def fleet(self, shape=SMALL, seed=1, **changes):
+        fleet = WaveFleet(shape, random.Random(seed), **changes)
+        fleet.set_wave("update", "tier")
+        return fleet
+
+    def view(self, fleet, name="update"):
+        configuration = fleet.machine.configuration
+        return view_wave(configuration.selectors[name], configuration)
+
+    def run_until(self, fleet, condition, seconds=STEP_SECONDS):
+        for _ in range(MANY_STEPS):
+            if condition():
+                return
+            fleet.step(seconds)
+            self.assertEqual([], fleet.moments_short)
+        self.fail("the wave did not get there")
+
+    def finish(self, fleet, name="update"):
+        self.run_until(fleet, lambda: self.view(fleet, name).is_over())
+
+    def test_a_whole_wave_stays_within_the_budgets(self):
+        fleet = self.fleet()
+        self.finish(fleet)
+        self.assertEqual(16, len(self.view(fleet).done))
+        self.assertEqual(16, len(fleet.platform.taken))
+
+    def test_one_canary_first(self):
+        fleet = self.fleet()
+        self.run_until(fleet, lambda: self.view(fleet).under_way)
+        self.run_until(fleet, lambda: len(self.view(fleet).under_way) > 1)
+        back = [
+            i
+            for i in self.view(fleet).under_way
+            if i.maintenance.phase is MaintenancePhase.SOAKING
+        ]
+        self.assertEqual(1, len(back), "nothing else before the canary was back")
+
+    def test_one_rack_of_a_pool_at_a_time(self):
+        fleet = self.fleet(FleetShape(pools=1, workers=8, per_rack=2, min_available=1))
+
+        def racks():
+            return {
+                i.rack
+                for i in fleet.machine.configuration.instances.values()
+                if i.maintenance.phase
+                in (MaintenancePhase.DRAINING, MaintenancePhase.REBOOTING)
+            }
+
+        for _ in range(400):
+            fleet.step(STEP_SECONDS)
+            self.assertLessEqual(len(racks()), 1)
+        self.assertEqual(8, len(self.view(fleet).done))
+
+    def test_a_failing_canary_pauses_the_wave(self):
+        fleet = self.fleet(failing_returns=1.0)
+        self.run_until(fleet, lambda: self.view(fleet).failed)
+        for _ in range(100):
+            fleet.step(STEP_SECONDS)
+        self.assertEqual(1, len(fleet.platform.taken))
+        self.assertIn("canary", self.view(fleet).paused_because())
+
+    def test_correlated_failures_pause_the_wave(self):
+        fleet = self.fleet()
+        self.run_until(fleet, lambda: self.view(fleet).done)
+        fleet.failing_returns = 1.0
+        self.run_until(fleet, lambda: self.view(fleet).paused_because())
+        taken = len(fleet.platform.taken)
+        for _ in range(100):
+            fleet.step(STEP_SECONDS)
+        self.assertEqual(taken, len(fleet.platform.taken))
+
+    def test_a_changed_selector_starts_anew_after_a_pause(self):
+        fleet = self.fleet(failing_returns=1.0)
+        self.run_until(fleet, lambda: self.view(fleet).paused_because())
+        fleet.failing_returns = 0.0
+        fleet.set_wave("update", "tier,!broken")
+        self.finish(fleet)
+        self.assertEqual(16, len(self.view(fleet).done))
+
+    def test_lost_late_and_doubled_answers_of_the_platform(self):
+        fleet = self.fleet()
+        fleet.platform.lost_share = 0.8
+        self.finish(fleet)
+        self.assertEqual(16, len(self.view(fleet).done))
+        starts = [endpoint.starts for endpoint in fleet.endpoints.values()]
+        self.assertEqual({2}, set(starts), "each rebooted once")
+
+    def test_a_new_leader_in_the_middle_of_any_step(self):
+        for seed in range(5):
+            fleet = self.fleet(seed=seed)
+            rng = random.Random(seed)
+            while not self.view(fleet).is_over():
+                fleet.step(STEP_SECONDS)
+                self.assertEqual([], fleet.moments_short)
+                if rng.random() < 0.05:
+                    fleet.lead()
+            self.assertEqual(16, len(fleet.platform.taken))
+
+    def test_two_waves_over_the_same_instances(self):
+        fleet = self.fleet()
+        fleet.set_wave("firmware", "tier=pool-0")
+        self.finish(fleet)
+        self.finish(fleet, "firmware")
+        self.assertEqual(16, len(self.view(fleet).done))
+        self.assertEqual(8, len(self.view(fleet, "firmware").done))
+
+    def test_an_instance_that_vanishes_while_it_soaks_fails_visibly(self):
+        fleet = self.fleet()
+
+        def soaking():
+            return [
+                i.instance_id
+                for i in self.view(fleet).under_way
+                if i.maintenance.phase is MaintenancePhase.SOAKING
+            ]
+
+        self.run_until(fleet, soaking)
+        name = soaking()[0]
+        fleet.crash(name, 100.0)
+        self.run_until(fleet, lambda: self.view(fleet).failed)
+        failed = self.view(fleet).failed[0]
+        self.assertEqual(name, failed.instance_id)
+        self.assertIn("lost", failed.maintenance.detail)
+        self.finish(fleet)
+        self.assertEqual(16, len(self.view(fleet).done), "it came back and soaked")
+
+    def test_an_instance_that_comes_back_late_soaks_first(self):
+        shape = FleetShape(pools=1, reboot=400.0, reboot_limit=300.0)
+        fleet = self.fleet(shape)
+        self.run_until(fleet, lambda: self.view(fleet).failed)
+        self.run_until(fleet, lambda: self.view(fleet).done)
+        self.assertFalse(self.view(fleet).failed)
+
+    def test_an_instance_relabelled_within_a_wave(self):
+        fleet = self.fleet()
+        self.run_until(fleet, lambda: self.view(fleet).under_way)
+        name = self.view(fleet).under_way[0].instance_id
+        fleet.commit(labels_change("relabel", name, {"tier": "pool-1"}))
+        self.finish(fleet)
+        moved = lambda: (
+            fleet.machine.configuration.instances[name].assignment.pool == "pool-1"
+        )
+        self.run_until(fleet, moved)
+
+    def test_a_budget_without_room_makes_the_wave_wait_visibly(self):
+        fleet = self.fleet(FleetShape(pools=1, min_available=8))
+        for _ in range(50):
+            fleet.step(STEP_SECONDS)
+        self.assertFalse(fleet.platform.taken)
+        from arbutuscleat.http.rendering import wave_json
+
+        configuration = fleet.machine.configuration
+        shown = wave_json(configuration.selectors["update"], configuration)
+        self.assertIn("no headroom", shown["waiting"]["w0-0"])
+
+    def test_the_log_refuses_grants_beyond_the_budget(self):
+        """As of two leaders who decide from the same state."""
+        fleet = self.fleet(FleetShape(pools=1, min_available=7))
+        from arbutuscleat.wire.gen.ttypes import GrantMaintenance
+
+        version = fleet.machine.configuration.selectors["update"].version
+        for name in ("w0-0", "w0-1", "w0-0"):
+            grant = GrantMaintenance(name, "update", version)
+            fleet.commit(Command(grant_maintenance=grant))
+        self.assertEqual(1, len(self.view(fleet).under_way))
+
+    def test_a_second_loss_right_after_a_repair(self):
+        shape = FleetShape(pools=1, workers=8, min_available=5, reserve=1)
+        fleet = self.fleet(shape)
+        self.run_until(fleet, lambda: len(self.view(fleet).done) == 3)
+        fleet.crash("w0-7", 200.0)
+        fleet.crash("w0-6", 200.0)
+        for _ in range(MANY_STEPS):
+            if self.view(fleet).is_over():
+                break
+            fleet.step(STEP_SECONDS)
+            self.assertEqual([], fleet.moments_short)
+        self.assertTrue(self.view(fleet).is_over())
+
+
+class HistoryTest(TestCase):
+    """Seeded histories of waves, failures, races of operators, new leaders."""
+
+    def test_budgets_are_only_ever_missed_by_failures(self):
+        for seed in range(25):
+            self.assertEqual([], run_history(seed), f"seed {seed}")
+
+
+def run_history(seed, steps=150):
+    """Return the moments at which a pool was short for another reason than failures."""
+    rng = random.Random(seed)
+    shape = FleetShape(
+        pools=3,
+        workers=rng.choice([4, 8]),
+        per_rack=2,
+        min_available=rng.choice([2, 3]),
+        reserve=rng.choice([0, 1]),
+        reboot=rng.choice([20.0, 60.0]),
+        soak=20.0,
+        reboot_limit=120.0,
+    )
+    fleet = WaveFleet(shape, rng, failing_returns=rng.choice([0.0, 0.05, 0.3]))
+    fleet.platform.lost_share = rng.choice([0.0, 0.3])
+    names = list(fleet.endpoints)
+    for number in range(steps):
+        chance = rng.random()
+        if chance < 0.04:
+            fleet.set_wave(rng.choice(["a", "b"]), rng.choice(["tier", "tier=pool-1"]))
+        elif chance < 0.07:
+            fleet.crash(rng.choice(names), rng.choice([20.0, 200.0]))
+        elif chance < 0.08:
+            rack = fleet.endpoints[rng.choice(names)].instance.rack
+            for endpoint in fleet.endpoints.values():
+                if endpoint.instance.rack == rack:
+                    fleet.crash(endpoint.instance.instance_id, 60.0)
+        elif chance < 0.10:
+            fleet.lead()
+        elif chance < 0.14:
+            _race(fleet, rng, number, names)
+        fleet.step(rng.choice([1.0, 5.0, 20.0]))
+    return fleet.moments_short
+
+
+def _race(fleet, rng, number, names):
+    """Two operators under equal versions, on labels and on a budget."""
+    name = rng.choice(names)
+    tier = f"pool-{rng.randrange(3)}"
+    for operator in ("x", "y"):
+        change = labels_change(f"{number}-{operator}", name, {"tier": tier})
+        fleet.commit(change)
+    fleet.commit(pool_change(f"{number}-p", "pool-0", "tier=pool-0", 1, 2))
