A refused client gets its refusal although it goes on sending

The server closed the connection with unread data, which resets it, so the client could lose the answer. Shown each time by the new test with a body of 400 kB.

Change: after a refusal of a malformed request the server half-closes and reads on, within 1 MB and 0.5 s.

--- a/arbutuscleat/http/server.py
+++ b/arbutuscleat/http/server.py
@@ -19,6 +19,9 @@
 LISTEN_BACKLOG = 256
 STOP_SECONDS = 5
 NEXT_REQUEST_MS = 20
+REFUSED_SECONDS = 0.5
+REFUSED_BYTES = 1024 * 1024
+REFUSED_CHUNK_BYTES = 65_536
 MIN_IDLE_WORKERS = 4
 
 _REASONS = {413: RefusalReason.TOO_LARGE, 414: RefusalReason.TOO_LARGE}
@@ -41,6 +44,7 @@
         lines += ["Connection: close", "", ""]
         try:
             self.conn.wfile.write("\r\n".join(lines).encode() + response.body)
+            _let_finish(self.conn.socket)
         except OSError:
             pass  # The client has gone.
 
@@ -156,3 +160,19 @@
         return not sock.recv(1, socket.MSG_PEEK)
     except OSError:
         return True
+
+
+def _let_finish(sock: socket.socket) -> None:
+    """Read, within bounds, what a refused client goes on sending.
+
+    Closing a connection with unread data resets it, and the client may lose the
+    refusal.
+    """
+    sock.shutdown(socket.SHUT_WR)
+    sock.settimeout(REFUSED_SECONDS)
+    left = REFUSED_BYTES
+    while left > 0:
+        data = sock.recv(REFUSED_CHUNK_BYTES)
+        if not data:
+            return
+        left -= len(data)
--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -145,6 +145,11 @@
         good = self.exchange(http("GET", SERVICE, Connection="close"))
         self.assertIn(b"Arbutuscleat-Outcome: ran", good)
 
+    def test_the_refusal_of_a_large_body_reaches_a_caller_that_goes_on_sending(self):
+        for _ in range(20):
+            answer = self.exchange(http("POST", SERVICE, b"x" * 400_000))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer[:40])
+
     def test_half_a_request_runs_nothing(self):
         whole = http("POST", SERVICE, b"a body of some length")
         for size in range(1, len(whole)):
