--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -45,6 +45,8 @@
     RouterParts,
     RoutingTableHolder,
     RunTimes,
+    SlotBorrower,
+    SlotTransfers,
     ThriftAnswerFetcher,
     ThriftForwarder,
 )
@@ -94,12 +96,14 @@
             self._clock, cfg.announcements.expiry_ms / 1000.0
         )
         self._outliers = Outliers(self._clock)
+        self._transfers = SlotTransfers()
         self._capacity = LocalCapacity(
             cfg.node_id,
             cfg.data_centre,
             self._view,
             self._table,
             self._outliers,
+            self._transfers,
             self._rights.may_dispatch,
         )
         self._view.add_listener(
@@ -120,6 +124,16 @@
             self._capacity.limit,
             random.Random().random,
         )
+        self._borrower = SlotBorrower(
+            cfg.node_id,
+            incarnation,
+            self._peer_channels(),
+            self._admission,
+            self._transfers,
+            self._tables,
+            self._view,
+            self._clock,
+        )
         self._control = ControlClient(self._control_pools(), self._clock)
         self._reporter = Reporter(
             self._table,
@@ -172,6 +186,7 @@
             self._exchange,
             router.serve_here,
             self._kept,
+            self._borrower,
             self._tracing,
             self._in_progress,
         )
@@ -200,6 +215,7 @@
         self._subscription.start()
         self._reporter.start()
         self._ender.start()
+        self._borrower.start()
         self._rechecker.start()
         self._http.start()
         logging.info("entry instance listens on %s", self._http.address)
@@ -215,6 +231,7 @@
         self._http.stop()
         self._subscription.stop()
         self._reporter.stop()
+        self._borrower.stop()
         self._exchange.stop()
         self._thrift.stop()
         self._control.close()
--- a/arbutuscleat/emulator/local_fleet.py
+++ b/arbutuscleat/emulator/local_fleet.py
@@ -36,12 +36,18 @@
         Control instances, spread over the data centres.
     sample_ratio : float
         Share of traces that the entry instances keep.
+    platform_url : str
+        Where control asks for reboots; empty for nowhere.
+    soak_ms : int
+        How long a rebooted instance soaks.
     """
 
     data_centres: tuple[str, ...] = ("karachi", "qasim")
     entries_per_data_centre: int = 2
     controls: int = 3
     sample_ratio: float = 0.05
+    platform_url: str = ""
+    soak_ms: int = 1_000
 
 
 @dataclass(frozen=True)
@@ -247,6 +253,10 @@
         settings = _common(name, data_centre, http_port, node["port"])
         settings["data_folder"] = str(self.folder / "data" / name)
         settings["replicas"] = replicas
+        settings["maintenance"] = {"soak_ms": self.plan.soak_ms}
+        if self.plan.platform_url:
+            platform = {"url": self.plan.platform_url, "token": OPERATOR_TOKEN}
+            settings["platform"] = platform
         self._write(name, http_port, settings)
 
     def _write_entry(self, node, http_port, control, entries) -> None:
--- a/arbutuscleat/routing/__init__.py
+++ b/arbutuscleat/routing/__init__.py
@@ -35,7 +35,9 @@
 from .routing_table_holder import RoutingTableHolder
 from .run_times import RunTimes
 from .slot import Slot, SlotOffer
+from .slot_borrower import SlotBorrower
 from .slot_shares import SlotShares, slot_shares
+from .slot_transfers import SlotTransfers
 
 __all__ = [
     "Admission",
@@ -68,8 +70,10 @@
     "RoutingTableHolder",
     "RunTimes",
     "Slot",
+    "SlotBorrower",
     "SlotOffer",
     "SlotShares",
+    "SlotTransfers",
     "SuccessRateRule",
     "ThriftAnswerFetcher",
     "ThriftForwarder",
--- a/arbutuscleat/routing/admission.py
+++ b/arbutuscleat/routing/admission.py
@@ -89,6 +89,30 @@
         with self._lock:
             return list(self._in_use)
 
+    def waiting_total(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def full_offers(self) -> list[SlotOffer]:
+        """Return the offers of those who wait, for which all slots are taken here."""
+        with self._lock:
+            found = {}
+            for queue in self._queues.values():
+                for offer in queue[0].find_offers() if queue else ():
+                    name = offer.instance.instance_id
+                    limit = self._limit(offer)
+                    if self._in_use.get(name, 0) >= limit > 0:
+                        found[name] = offer
+            return list(found.values())
+
+    def lend(self, offer: SlotOffer, give: Callable[[int], int]) -> int:
+        """Let `give` take some of the slots that are free here; return how many."""
+        with self._lock:
+            if any(self._queues.values()):
+                return give(0)
+            in_use = self._in_use.get(offer.instance.instance_id, 0)
+            return give(max(0, self._limit(offer) - in_use))
+
     def total_in_use(self) -> int:
         """Return the slots taken on all instances."""
         with self._lock:
@@ -140,8 +164,6 @@
         best_load = 1.0
         for offer in offers:
             in_use = self._in_use.get(offer.instance.instance_id, 0)
-            if in_use >= best_load * offer.share:
-                continue
             limit = self._limit(offer)
             if limit and in_use / limit < best_load:
                 best, best_load = offer, in_use / limit
--- a/arbutuscleat/routing/entry_service.py
+++ b/arbutuscleat/routing/entry_service.py
@@ -8,6 +8,8 @@
 from arbutuscleat.membership import PeerExchange
 from arbutuscleat.telemetry import Tracing
 from arbutuscleat.wire.gen.ttypes import (
+    BorrowAnswer,
+    BorrowRequest,
     FetchAnswer,
     FetchRequest,
     ForwardAnswer,
@@ -22,6 +24,7 @@
 from .forwarder import from_forward_request, to_forward_answer
 from .kept_answers import KeptAnswers
 from .request import Answer, Request
+from .slot_borrower import SlotBorrower
 
 
 class EntryService:
@@ -35,6 +38,8 @@
         Serves a request here, without forwarding it again.
     kept : KeptAnswers
         Answers of finished requests.
+    borrower : SlotBorrower
+        Gives slots to peers.
     tracing : Tracing
         One span for each hop.
     in_progress : InProgress
@@ -46,12 +51,14 @@
         exchange: PeerExchange,
         serve: Callable[[Request], Result[Answer, Refusal]],
         kept: KeptAnswers,
+        borrower: SlotBorrower,
         tracing: Tracing,
         in_progress: InProgress,
     ):
         self._exchange = exchange
         self._serve = serve
         self._kept = kept
+        self._borrower = borrower
         self._tracing = tracing
         self._in_progress = in_progress
 
@@ -63,6 +70,10 @@
         """Answer a peer whose version is older."""
         return self._exchange.fetch(request)
 
+    def borrow(self, request: BorrowRequest) -> BorrowAnswer:
+        """Give slots to a peer that is short."""
+        return self._borrower.lend(request)
+
     def forward(self, request: ForwardRequest) -> ForwardAnswer:
         """Serve a request that another data centre has forwarded."""
         span = self._tracing.span("forwarded", request.traceparent)
--- a/arbutuscleat/routing/local_capacity.py
+++ b/arbutuscleat/routing/local_capacity.py
@@ -14,6 +14,7 @@
 from .outliers import Outliers
 from .slot import SlotOffer
 from .slot_shares import SlotShares, slot_shares
+from .slot_transfers import SlotTransfers
 
 
 class LocalCapacity:
@@ -29,6 +30,8 @@
         Which endpoints are alive.
     outliers : Outliers
         Which instances are taken out.
+    transfers : SlotTransfers
+        Which slots have moved between the members.
     may_dispatch : callable
         Tells whether this process holds the right to dispatch.
     """
@@ -40,6 +43,7 @@
         view: ConfigurationView,
         announcements: AnnouncementTable,
         outliers: Outliers,
+        transfers: SlotTransfers,
         may_dispatch: Callable[[], bool],
     ):
         self._node_id = node_id
@@ -47,6 +51,7 @@
         self._view = view
         self._announcements = announcements
         self._outliers = outliers
+        self._transfers = transfers
         self._may_dispatch = may_dispatch
         self._held_shares = SlotShares(-1, 0)
         view.add_listener(self._take_version)
@@ -58,7 +63,9 @@
             return 0
         if not self.is_usable(instance):
             return 0
-        return min(offer.share, self._held_shares.of(instance.slots))
+        share = min(offer.share, self._held_shares.of(instance.slots))
+        moved = self._transfers.adjustment(instance.instance_id)
+        return max(0, share + moved) if share else 0
 
     def is_usable(self, instance: Instance) -> bool:
         """Return whether the instance may be given new work at this moment."""
@@ -96,3 +103,4 @@
         self._held_shares = slot_shares(
             configuration.members.values(), self._node_id, self._data_centre
         )
+        self._transfers.take_version(configuration.members.values())
--- a/arbutuscleat/state/fleet_configuration.py
+++ b/arbutuscleat/state/fleet_configuration.py
@@ -131,8 +131,12 @@
             return True
         if self.is_available(instance) and self.headroom(pool.name) < 1:
             return False
-        staying = sum(i.assignment.takes_work() for i in self.instances_of(pool.name))
-        return staying > pool.min_available
+        in_service = sum(
+            other.assignment.takes_work()
+            and other.maintenance.phase is MaintenancePhase.NONE
+            for other in self.instances_of(pool.name)
+        )
+        return in_service > pool.min_available
 
     def object_version(self, content: ConfigObject) -> int:
         """Return the version of the object that `content` would replace; 0 if new."""
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -509,9 +509,27 @@
   6: string instance_id
 }
 
+// Asks a peer for some of its slots of one instance.  The same transfer id gets the
+// same answer again.
+struct BorrowRequest {
+  1: i64 request_id
+  2: string node_id
+  3: string incarnation
+  4: string instance_id
+  5: i32 wanted
+  6: i64 transfer_id
+}
+
+struct BorrowAnswer {
+  1: i64 request_id
+  2: string incarnation
+  3: i32 given
+}
+
 service Entry {
   ShareAnswer share(1: ShareRequest request)
   FetchAnswer fetch(1: FetchRequest request)
   ForwardAnswer forward(1: ForwardRequest request)
   KeptAnswer kept(1: KeptAnswerRequest request)
+  BorrowAnswer borrow(1: BorrowRequest request)
 }
--- a/arbutuscleat/wire/gen/Entry.py
+++ b/arbutuscleat/wire/gen/Entry.py
@@ -51,6 +51,14 @@
         """
         pass
 
+    def borrow(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -187,6 +195,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "kept failed: unknown result")
 
+    def borrow(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_borrow(request)
+        return self.recv_borrow()
+
+    def send_borrow(self, request):
+        self._oprot.writeMessageBegin('borrow', TMessageType.CALL, self._seqid)
+        args = borrow_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_borrow(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = borrow_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "borrow failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -196,6 +236,7 @@
         self._processMap["fetch"] = Processor.process_fetch
         self._processMap["forward"] = Processor.process_forward
         self._processMap["kept"] = Processor.process_kept
+        self._processMap["borrow"] = Processor.process_borrow
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -310,6 +351,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_borrow(self, seqid, iprot, oprot):
+        args = borrow_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = borrow_result()
+        try:
+            result.success = self._handler.borrow(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("borrow", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -811,5 +875,130 @@
 kept_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [KeptAnswer, None], None, ),  # 0
 )
+
+
+class borrow_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = BorrowRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('borrow_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(borrow_args)
+borrow_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [BorrowRequest, None], None, ),  # 1
+)
+
+
+class borrow_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = BorrowAnswer()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('borrow_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(borrow_result)
+borrow_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [BorrowAnswer, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -5968,6 +5968,197 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class BorrowRequest(object):
+    """
+    Attributes:
+     - request_id
+     - node_id
+     - incarnation
+     - instance_id
+     - wanted
+     - transfer_id
+
+    """
+
+
+    def __init__(self, request_id=None, node_id=None, incarnation=None, instance_id=None, wanted=None, transfer_id=None,):
+        self.request_id = request_id
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.instance_id = instance_id
+        self.wanted = wanted
+        self.transfer_id = transfer_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.transfer_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BorrowRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 2)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 4)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 5)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        if self.transfer_id is not None:
+            oprot.writeFieldBegin('transfer_id', TType.I64, 6)
+            oprot.writeI64(self.transfer_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BorrowAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - incarnation
+     - given
+
+    """
+
+
+    def __init__(self, request_id=None, incarnation=None, given=None,):
+        self.request_id = request_id
+        self.incarnation = incarnation
+        self.given = given
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.given = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BorrowAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.given is not None:
+            oprot.writeFieldBegin('given', TType.I32, 3)
+            oprot.writeI32(self.given)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(HelloRequest)
 HelloRequest.thrift_spec = (
     None,  # 0
@@ -6473,5 +6664,22 @@
     (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
     (6, TType.STRING, 'instance_id', 'UTF8', None, ),  # 6
 )
+all_structs.append(BorrowRequest)
+BorrowRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'node_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'instance_id', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'wanted', None, None, ),  # 5
+    (6, TType.I64, 'transfer_id', None, None, ),  # 6
+)
+all_structs.append(BorrowAnswer)
+BorrowAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'given', None, None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/tests/maintenance/test_waves.py
+++ b/tests/maintenance/test_waves.py
@@ -15,6 +15,9 @@
 STEP_SECONDS = 5.0
 MANY_STEPS = 2_000
 
+# Seeds that once showed a budget missed.
+FOUND_SEEDS = (26, 39, 43, 49, 59, 70, 97, 128, 346, 367, 489, 606, 658)
+
 
 class WaveRows(TestCase):
     def fleet(self, shape=SMALL, seed=1, **changes):
@@ -201,7 +204,7 @@
     """Seeded histories of waves, failures, races of operators, new leaders."""
 
     def test_budgets_are_only_ever_missed_by_failures(self):
-        for seed in range(25):
+        for seed in [*range(25), *FOUND_SEEDS]:
             self.assertEqual([], run_history(seed), f"seed {seed}")
 
 
