Planner rounds look only at what is unsettled; the fleet's state in three modules

Change: index, steps and validation are modules of their own; moving, maintained and misplaced instances are kept in an index; the wave planner rests until the version changes.

--- a/arbutuscleat/emulator/wave_fleet.py
+++ b/arbutuscleat/emulator/wave_fleet.py
@@ -256,13 +256,17 @@
         self.clock.elapsed += seconds
         for endpoint in self.endpoints.values():
             self._step_endpoint(endpoint)
-        self._planner.round()
+        self.round()
         for pool in self.machine.configuration.pools.values():
             left = self.available(pool.name, with_failed=True)
             if left < pool.min_available:
                 moment = f"{self.clock.elapsed:g} s: {pool.name} has {left}"
                 self.moments_short.append(moment)
 
+    def round(self) -> int:
+        """Let control decide once; return the number of commands."""
+        return self._planner.round()
+
     # ---- details ----
 
     def _step_endpoint(self, endpoint: SimulatedEndpoint) -> None:
--- a/arbutuscleat/maintenance/maintainer.py
+++ b/arbutuscleat/maintenance/maintainer.py
@@ -85,7 +85,7 @@
         """Return the steps that are due; asks the platform for none of them."""
         commands = []
         steps = {}
-        for instance in list(configuration.instances.values()):
+        for instance in configuration.unsettled():
             if instance.maintenance.phase is MaintenancePhase.NONE:
                 continue
             key = (instance.instance_id, instance.maintenance.since_version)
@@ -100,7 +100,7 @@
     def ask_platform(self, configuration: FleetConfiguration) -> None:
         """Ask the platform to reboot what is to be rebooted, once more if need be."""
         now = self._clock.monotonic()
-        for instance in list(configuration.instances.values()):
+        for instance in configuration.unsettled():
             if instance.maintenance.phase is not MaintenancePhase.REBOOTING:
                 continue
             key = (instance.instance_id, instance.maintenance.since_version)
--- a/arbutuscleat/maintenance/mover.py
+++ b/arbutuscleat/maintenance/mover.py
@@ -57,17 +57,17 @@
         """Return the commands that are due."""
         commands = []
         draining = {}
-        for instance in list(configuration.instances.values()):
-            phase = instance.assignment.phase
-            if phase is AssignmentPhase.DRAINING:
-                key = (instance.instance_id, instance.assignment.epoch)
-                since = self._seen_draining.get(key, self._clock.monotonic())
-                draining[key] = since
-                if self._is_drained(instance, configuration, since):
-                    commands.append(_finish(instance))
-            elif phase is AssignmentPhase.ASSIGNED:
-                if self._may_leave(instance, configuration):
-                    commands.append(_begin(instance, "move"))
+        for instance in configuration.unsettled():
+            if instance.assignment.phase is not AssignmentPhase.DRAINING:
+                continue
+            key = (instance.instance_id, instance.assignment.epoch)
+            since = self._seen_draining.get(key, self._clock.monotonic())
+            draining[key] = since
+            if self._is_drained(instance, configuration, since):
+                commands.append(_finish(instance))
+        for instance in configuration.misplaced():
+            if self._may_leave(instance, configuration):
+                commands.append(_begin(instance, "move"))
         self._seen_draining = draining
         return commands
 
--- a/arbutuscleat/maintenance/wave_planner.py
+++ b/arbutuscleat/maintenance/wave_planner.py
@@ -15,6 +15,7 @@
 from .wave_view import WaveView, view_wave, waves
 
 RESERVE = 1
+NEVER = -1
 
 
 class WavePlanner:
@@ -29,15 +30,19 @@
 
     def __init__(self, reserve: int = RESERVE):
         self._reserve = reserve
+        self._idle_at = NEVER
 
     def decide(self, configuration: FleetConfiguration) -> list[Command]:
         """Return the grants that are due."""
+        if configuration.version == self._idle_at:
+            return []  # Nothing has changed since there was nothing to do.
         commands: list[Command] = []
         granted: Counter[str] = Counter()
         for rule in waves(configuration):
             view = view_wave(rule, configuration)
             if view.waiting and not view.paused_because():
                 commands.extend(self._grants(view, configuration, granted))
+        self._idle_at = NEVER if commands else configuration.version
         return commands
 
     def why_waiting(
--- /dev/null
+++ b/arbutuscleat/state/fleet_steps.py
@@ -0,0 +1,200 @@
+"""The steps of the fleet: how instances and members change through the log.
+
+Every step is judged here, where the log orders everything: no race and no change of
+leader can spend a budget twice or take a step out of order.
+"""
+
+from dataclasses import replace
+
+from arbutuscleat.core import (
+    FOLLOWING_PHASES,
+    Assignment,
+    AssignmentPhase,
+    Instance,
+    InstanceState,
+    MaintenancePhase,
+)
+from arbutuscleat.wire.gen.ttypes import (
+    AdvanceMaintenance,
+)
+
+from .fleet_index import FleetIndex
+from .member import Member
+
+MAX_CONFLICTS_LISTED = 5
+
+
+class FleetSteps(FleetIndex):
+    """Reports, moves, maintenance and the watch over members."""
+
+    def report_instance(self, reported: Instance) -> bool:
+        """Take over what an instance announced; return whether it was new."""
+        known = self.instances.get(reported.instance_id)
+        if known is not None and reported.order() <= known.order():
+            return False
+        self.version += 1
+        if known is not None:
+            reported = replace(
+                reported, assignment=known.assignment, maintenance=known.maintenance
+            )
+        self._put_instance(reported)
+        self._match_and_assign(reported.instance_id)
+        return True
+
+    def report_lost(self, instance_id: str, incarnation: str, sequence: int) -> bool:
+        """Note that an endpoint has fallen silent after this announcement."""
+        known = self.instances.get(instance_id)
+        if known is None or known.incarnation != incarnation:
+            return False
+        if known.sequence > sequence or known.state is InstanceState.LOST:
+            return False
+        self.version += 1
+        self._put_instance(replace(known, state=InstanceState.LOST, sequence=sequence))
+        return True
+
+    def report_member(self, member: Member) -> bool:
+        """List a member; return whether the log listed it otherwise before."""
+        known = self.members.get(member.node_id)
+        if known == replace(member, since_version=known.since_version if known else 0):
+            return False
+        self._put_member(member)
+        return True
+
+    def suspect_member(self, node_id: str, incarnation: str) -> bool:
+        """Note that control has ceased to hear a member."""
+        known = self.members.get(node_id)
+        if known is None or known.incarnation != incarnation or known.suspect:
+            return False
+        self._put_member(replace(known, suspect=True))
+        return True
+
+    def mark_member_down(self, node_id: str, incarnation: str) -> bool:
+        """Count no longer on a suspected member."""
+        known = self.members.get(node_id)
+        if known is None or known.incarnation != incarnation:
+            return False
+        if not known.suspect or not known.live:
+            return False
+        self._put_member(replace(known, live=False))
+        return True
+
+    def begin_drain(self, instance_id: str, epoch: int) -> bool:
+        """Give an instance no new work, as the first step of a move."""
+        instance = self.instances.get(instance_id)
+        if instance is None or instance.assignment.epoch != epoch:
+            return False
+        if instance.assignment.phase is not AssignmentPhase.ASSIGNED:
+            return False
+        if instance.maintenance.phase.is_under_way():
+            return False  # The wave ends first.
+        # Judged here, where the log orders everything: no race and no change of
+        # leader can spend a budget twice.
+        if not self.can_give_up(instance):
+            return False
+        self.version += 1
+        self._put_assignment(
+            instance, replace(instance.assignment, phase=AssignmentPhase.DRAINING)
+        )
+        return True
+
+    def finish_drain(self, instance_id: str, epoch: int) -> bool:
+        """Assign a drained instance to the pool that it matches now, if any."""
+        instance = self.instances.get(instance_id)
+        if instance is None or instance.assignment.epoch != epoch:
+            return False
+        if instance.assignment.phase is not AssignmentPhase.DRAINING:
+            return False
+        self.version += 1
+        released = Assignment(epoch=epoch, since_version=self.version)
+        self._put_instance(instance.assigned(released))
+        self._assign(self.instances[instance_id])
+        return True
+
+    def grant_maintenance(self, instance_id: str, wave: str, wave_version: int) -> bool:
+        """Let a wave take an instance out of service, if its pool can spare it."""
+        instance = self.instances.get(instance_id)
+        rule = self.selectors.get(wave)
+        if instance is None or rule is None or rule.version != wave_version:
+            return False
+        if not self.is_due(instance, rule) or not self.can_spare(instance):
+            return False
+        self.version += 1
+        self._put_instance(
+            replace(
+                instance,
+                maintenance=replace(
+                    instance.maintenance,
+                    phase=MaintenancePhase.DRAINING,
+                    wave=wave,
+                    wave_version=wave_version,
+                    since_version=self.version,
+                    incarnation_before=instance.incarnation,
+                    detail="",
+                ),
+            )
+        )
+        return True
+
+    def advance_maintenance(self, step: AdvanceMaintenance) -> bool:
+        """Take an instance to the next step of its wave."""
+        instance = self.instances.get(step.instance_id)
+        if instance is None:
+            return False
+        now = instance.maintenance
+        following = MaintenancePhase(step.to_phase)
+        if (now.wave, now.wave_version) != (step.wave, step.wave_version):
+            return False
+        if now.phase != step.from_phase or following not in FOLLOWING_PHASES[now.phase]:
+            return False
+        self.version += 1
+        maintained = dict(now.maintained)
+        if following is MaintenancePhase.NONE:
+            maintained[now.wave] = now.wave_version
+        changed = replace(
+            now,
+            phase=following,
+            since_version=self.version,
+            detail=step.detail or "",
+            maintained=maintained,
+        )
+        self._put_instance(replace(instance, maintenance=changed))
+        return True
+
+    def _match_and_assign(self, instance_id: str) -> None:
+        instance = self.instances.get(instance_id)
+        if instance is None:
+            return  # Labelled before its first announcement.
+        self._matches.set_instance(instance_id, self.instance_labels(instance))
+        self._assign(instance)
+
+    def _assign_all(self) -> None:
+        for instance in list(self.instances.values()):
+            self._assign(instance)
+
+    def _assign(self, instance: Instance) -> None:
+        """Give an unassigned instance its pool, or note the conflict."""
+        assignment = instance.assignment
+        matching = self._matches.pools_of(instance.instance_id)
+        conflict = conflict_text(matching) if len(matching) > 1 else ""
+        if assignment.phase is AssignmentPhase.UNASSIGNED and len(matching) == 1:
+            assignment = Assignment(
+                pool=next(iter(matching)),
+                epoch=assignment.epoch + 1,
+                phase=AssignmentPhase.ASSIGNED,
+                since_version=self.version,
+            )
+        elif assignment.conflict != conflict:
+            assignment = replace(assignment, conflict=conflict)
+        if assignment != instance.assignment:
+            self._put_instance(instance.assigned(assignment))
+        else:
+            self._note_placement(instance)
+
+    def _put_assignment(self, instance: Instance, assignment: Assignment) -> None:
+        dated = replace(assignment, since_version=self.version)
+        self._put_instance(instance.assigned(dated))
+
+
+def conflict_text(pools: frozenset[str]) -> str:
+    """Return what is wrong with an instance that matches several pools."""
+    return f"would match {len(pools)} pools: {', '.join(sorted(pools))}"
--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from .state import report_claims, report_configuration
+from .state import report_claims, report_configuration, report_planner
 from .traffic import report_group, report_requests, report_subscriptions
 
 
@@ -10,6 +10,7 @@
     """Print every slope."""
     report_configuration()
     report_claims()
+    report_planner()
     report_requests()
     report_group()
     report_subscriptions()
--- a/benchmarks/capacity/state.py
+++ b/benchmarks/capacity/state.py
@@ -1,9 +1,11 @@
 """State in bytes and processor time, by number of instances and claims."""
 
+import random
 import time
 import tracemalloc
 
 from arbutuscleat.core import Instance
+from arbutuscleat.emulator.wave_fleet import FleetShape, WaveFleet
 from arbutuscleat.routing import build_routing_table
 from arbutuscleat.state import ClaimTable, ControlMachine, instance_record
 from arbutuscleat.wire import decode, encode
@@ -132,4 +134,20 @@
         owner=f"entry-{number % 9}",
         owner_incarnation=f"{number % 9:032x}",
         claim_id=f"{number:032x}",
+        key_time_ms=1_796_000_000_000 + number,
     )
+
+
+def report_planner() -> None:
+    """Print what a round of the planner costs, without and with a wave."""
+    idle, waving = [], []
+    for size in INSTANCES:
+        shape = FleetShape(pools=POOLS, workers=size // POOLS, min_available=4)
+        fleet = WaveFleet(shape, random.Random(1))
+        fleet.step(1.0)
+        idle.append((size, timed(fleet.round) * 1000))
+        fleet.set_wave("update", "tier")
+        fleet.step(1.0)
+        waving.append((size, timed(fleet.round) * 1000))
+    show("planner round, nothing to do", "ms", idle, TARGET_INSTANCES)
+    show("planner round, wave under way", "ms", waving, TARGET_INSTANCES)
