Leadership handed over at a planned stop; silent members marked down sooner

Cause: a planned stop of the leader left claims waiting for an election timeout. With a frozen and a killed entry instance a change would have taken silence, suspicion and the leases one after the other, about 6.5 s by the limits, against 4 s.

Change: a stopping leader steps down and asks a peer that holds everything to take over; a silent member is marked down as soon as all leases from before any version that it lacks have ended; leases of 2.5 s with 0.3 s margin. The replica's timers tick ten times a second.

--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -34,7 +34,7 @@
     election_seconds: float = 1.5
     election_spread: float = 1.5
     call_seconds: float = 1.0
-    tick_seconds: float = 0.05
+    tick_seconds: float = 0.1
     max_batch_entries: int = 1024
     max_batch_bytes: int = 1024 * 1024
     snapshot_entries: int = 4096
--- a/arbutuscleat/consensus/elections.py
+++ b/arbutuscleat/consensus/elections.py
@@ -6,7 +6,12 @@
 
 from absl import logging
 
-from arbutuscleat.wire.gen.ttypes import VoteAnswer, VoteRequest
+from arbutuscleat.wire.gen.ttypes import (
+    TakeOverAnswer,
+    TakeOverRequest,
+    VoteAnswer,
+    VoteRequest,
+)
 
 from .replica_state import ReplicaState
 from .role import Role
@@ -85,6 +90,24 @@
                 incarnation=state.incarnation,
             )
 
+    def take_over(self, request: TakeOverRequest) -> TakeOverAnswer:
+        """Ask for votes at once, since the leader of this term is about to stop.
+
+        The leader has stepped down before it asked, so no pre-vote is needed.
+        """
+        state = self._state
+        with state.disk_lock, state.lock:
+            accepted = (
+                state.role is Role.FOLLOWER
+                and state.is_voter()
+                and request.term == state.term
+            )
+            if accepted:
+                self._become_candidate()
+        if accepted:
+            self._count()
+        return TakeOverAnswer(request_id=request.request_id, accepted=accepted)
+
     def _start_round(self) -> None:
         state = self._state
         state.round += 1
--- a/arbutuscleat/consensus/peer.py
+++ b/arbutuscleat/consensus/peer.py
@@ -11,14 +11,21 @@
     AppendRequest,
     SnapshotAnswer,
     SnapshotChunk,
+    TakeOverAnswer,
+    TakeOverRequest,
     VoteAnswer,
     VoteRequest,
 )
 
-PeerRequest = VoteRequest | AppendRequest | SnapshotChunk
-PeerAnswer = VoteAnswer | AppendAnswer | SnapshotAnswer
+PeerRequest = VoteRequest | AppendRequest | SnapshotChunk | TakeOverRequest
+PeerAnswer = VoteAnswer | AppendAnswer | SnapshotAnswer | TakeOverAnswer
 
-_METHODS = {VoteRequest: "vote", AppendRequest: "append", SnapshotChunk: "install"}
+_METHODS = {
+    VoteRequest: "vote",
+    AppendRequest: "append",
+    SnapshotChunk: "install",
+    TakeOverRequest: "take_over",
+}
 
 
 class Peer(ABC):
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -20,6 +20,8 @@
     IdentityRecord,
     SnapshotAnswer,
     SnapshotChunk,
+    TakeOverAnswer,
+    TakeOverRequest,
     VoteAnswer,
     VoteRequest,
 )
@@ -37,6 +39,8 @@
 from .snapshots import Snapshots
 from .state_machine import StateMachine
 
+WRITER_IDLE_SECONDS = 1.0
+
 
 @dataclass(frozen=True)
 class ReplicaStatus:
@@ -104,7 +108,8 @@
             self._spawn(f"replica-peer-{name}", self._converse, peer)
 
     def stop(self) -> None:
-        """Stop the tasks and wait for them."""
+        """Hand the leadership over, stop the tasks and wait for them."""
+        self.hand_over()
         self._state.stopping.set()
         with self._state.lock:
             self._state.changed.notify_all()
@@ -114,6 +119,29 @@
         for thread in self._threads:
             thread.join()
 
+    def hand_over(self) -> bool:
+        """Step down and let the peer that holds everything ask for votes.
+
+        Returns
+        -------
+        bool
+            Whether a peer has taken the request.
+        """
+        state = self._state
+        with state.lock:
+            if state.role is not Role.LEADER:
+                return False
+            last = state.log.last_index
+            ready = [n for n, p in state.progress.items() if p.match_index >= last]
+            voters = [name for name in state.membership.voters() if name in ready]
+            request = TakeOverRequest(term=state.term)
+            state.become_follower("")
+        for name in voters:
+            answer = self._peers[name].send(request, state.cfg.call_seconds)
+            if isinstance(answer, Success) and answer.unwrap().accepted:
+                return True
+        return False
+
     # ---- for clients ----
 
     def propose(self, payload: bytes, timeout: float) -> Result[object, ProposalError]:
@@ -194,6 +222,10 @@
         """Answer a leader that sends a piece of a snapshot."""
         return self._snapshots.handle(request)
 
+    def handle_take_over(self, request: TakeOverRequest) -> TakeOverAnswer:
+        """Answer a leader that is about to stop."""
+        return self._elections.take_over(request)
+
     # ---- steps of the tasks ----
 
     def tick(self) -> None:
@@ -247,7 +279,7 @@
             with state.lock:
                 waiting = state.log.unsynced() is not None and state.role is Role.LEADER
                 if not waiting and not state.stopping.is_set():
-                    state.clock.wait(state.unsynced, state.cfg.tick_seconds)
+                    state.clock.wait(state.unsynced, WRITER_IDLE_SECONDS)
 
     def _write_or_leave_to_writer(self) -> None:
         """Write at once when nobody writes; else the writer takes all that wait.
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -171,6 +171,7 @@
             progress.stranger = ""
         logging.info("replica %s: leads term %d", self.node_id, self.term)
         self.append(EntryKind.NO_OPERATION, b"")
+        self.unsynced.notify()
 
     def append(self, kind: int, payload: bytes) -> LogEntry:
         """Add an entry of the current term; `write_unsynced` makes it durable."""
--- a/arbutuscleat/consensus/roster.py
+++ b/arbutuscleat/consensus/roster.py
@@ -45,6 +45,7 @@
             ]
             replicas = ReplicaSet(replicas=[*listed, record])
             state.append(EntryKind.VOTERS, encode(replicas))
+            state.unsynced.notify()
         logging.info(
             "replica %s is listed as %s under incarnation %s",
             record.node_id,
--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -289,6 +289,7 @@
             lambda: self._view.configuration,
         )
         self._metrics.gauge("configuration_version", lambda: float(self._view.version))
+        self._metrics.gauge("version_in_force", lambda: float(self._tables.version()))
         self._metrics.gauge(
             "slots_in_use", lambda: float(self._admission.total_in_use())
         )
--- a/arbutuscleat/maintenance/member_watch.py
+++ b/arbutuscleat/maintenance/member_watch.py
@@ -1,10 +1,10 @@
-"""The member watch: marks silent entry instances down, in two logged steps.
+"""The member watch: marks silent entry instances down.
 
-A member that control has ceased to hear is suspected first.  Those who are left
-take note of that version, and so grant no more leases to it.  Once every lease
-that it may hold has ended, it is marked down, and the others need its lease and
-its share of slots no longer.  A data centre in which nobody is heard stays as it
-is.
+A silent member holds leases only of those who have not acknowledged a version that
+it lacks.  Once somebody has, and every lease from before has ended, it is marked
+down, and the others need its lease and its share of slots no longer.  Where no
+newer version exists, suspecting the member makes one.  A data centre in which nobody
+is heard stays as it is.
 """
 
 from arbutuscleat.core import Clock
@@ -48,12 +48,12 @@
         """Return the commands that are due."""
         commands = []
         for member in list(configuration.members.values()):
-            if not member.live:
+            if not member.live or not self._is_silent(member, led_since):
                 continue
-            if not member.suspect:
-                if self._is_silent(member, led_since):
-                    commands.append(_suspect(member))
-            elif self._may_mark_down(member, configuration):
+            missing = self._acks.held_version(member.node_id, member.incarnation) + 1
+            if missing > configuration.version:
+                commands.append(_suspect(member))
+            elif self._may_mark_down(member, missing, configuration):
                 commands.append(_mark_down(member))
         return commands
 
@@ -62,13 +62,15 @@
         # A new leader has heard nobody yet.
         return self._clock.monotonic() - max(heard, led_since) > self._silence_seconds
 
-    def _may_mark_down(self, member: Member, configuration: FleetConfiguration) -> bool:
+    def _may_mark_down(
+        self, member: Member, version: int, configuration: FleetConfiguration
+    ) -> bool:
         here = [
             other
             for other in configuration.members.values()
             if other.data_centre == member.data_centre
         ]
-        verdict = self._gate.check(here, member.since_version)
+        verdict = self._gate.check(here, version)
         return verdict.is_open and member.node_id in verdict.silent
 
 
--- a/arbutuscleat/membership/ack_table.py
+++ b/arbutuscleat/membership/ack_table.py
@@ -94,6 +94,14 @@
                 return NEVER
             return record.heard_at
 
+    def held_version(self, node_id: str, incarnation: str) -> int:
+        """Return the newest version that a member acknowledged; -1 for none."""
+        with self._lock:
+            record = self._records.get(node_id)
+            if record is None or record.incarnation != incarnation or not record.acks:
+                return -1
+            return record.acks[-1][0]
+
     def acked_at(self, node_id: str, incarnation: str, version: int) -> float | None:
         """Return when a member first acknowledged `version` or a later one."""
         with self._lock:
--- a/arbutuscleat/membership/control_service.py
+++ b/arbutuscleat/membership/control_service.py
@@ -23,6 +23,8 @@
     Status,
     StatusAnswer,
     StatusRequest,
+    TakeOverAnswer,
+    TakeOverRequest,
     VoteAnswer,
     VoteRequest,
 )
@@ -83,6 +85,10 @@
         """Answer a leader that sends a snapshot."""
         return self._replica.handle_install(request)
 
+    def take_over(self, request: TakeOverRequest) -> TakeOverAnswer:
+        """Answer a leader that is about to stop."""
+        return self._replica.handle_take_over(request)
+
     # ---- commands ----
 
     def propose(self, request: ProposeRequest) -> ProposeAnswer:
--- a/arbutuscleat/settings/control.py
+++ b/arbutuscleat/settings/control.py
@@ -45,8 +45,8 @@
     data_folder: Path
     replicas: Annotated[list[Node], Field(min_length=1, max_length=9)]
     consensus: ConsensusSettings = ConsensusSettings()
-    lease_ms: Milliseconds = 3_000
-    margin_ms: Milliseconds = 500
+    lease_ms: Milliseconds = 2_500
+    margin_ms: Milliseconds = 300
     claim_retention_ms: Milliseconds = 7_200_000
     platform: PlatformSettings | None = None
     maintenance: MaintenanceSettings = MaintenanceSettings()
--- a/arbutuscleat/settings/entry.py
+++ b/arbutuscleat/settings/entry.py
@@ -59,7 +59,7 @@
     services: dict[Name, ServiceSettings] = Field(default_factory=dict)
     limits: LimitSettings = LimitSettings()
     announcements: AnnouncementSettings = AnnouncementSettings()
-    lease_ms: Milliseconds = 3_000
+    lease_ms: Milliseconds = 2_500
 
     @model_validator(mode="after")
     def _check_peers(self) -> "EntrySettings":
--- a/arbutuscleat/state/fleet_steps.py
+++ b/arbutuscleat/state/fleet_steps.py
@@ -69,13 +69,11 @@
         return True
 
     def mark_member_down(self, node_id: str, incarnation: str) -> bool:
-        """Count no longer on a suspected member."""
+        """Count no longer on a silent member."""
         known = self.members.get(node_id)
-        if known is None or known.incarnation != incarnation:
-            return False
-        if not known.suspect or not known.live:
+        if known is None or known.incarnation != incarnation or not known.live:
             return False
-        self._put_member(replace(known, live=False))
+        self._put_member(replace(known, suspect=True, live=False))
         return True
 
     def begin_drain(self, instance_id: str, epoch: int) -> bool:
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -111,6 +111,17 @@
   4: string incarnation
 }
 
+// Sent by a leader that is about to stop: the peer asks for votes at once.
+struct TakeOverRequest {
+  1: i64 request_id
+  2: i64 term
+}
+
+struct TakeOverAnswer {
+  1: i64 request_id
+  2: bool accepted
+}
+
 // The durable vote of a replica.
 struct VoteRecord {
   1: i64 term
@@ -443,6 +454,7 @@
   VoteAnswer vote(1: VoteRequest request)
   AppendAnswer append(1: AppendRequest request)
   SnapshotAnswer install(1: SnapshotChunk request)
+  TakeOverAnswer take_over(1: TakeOverRequest request)
   ProposeAnswer propose(1: ProposeRequest request)
   FetchAnswer fetch(1: FetchRequest request)
   StatusAnswer status(1: StatusRequest request)
--- a/arbutuscleat/wire/gen/Control.py
+++ b/arbutuscleat/wire/gen/Control.py
@@ -43,6 +43,14 @@
         """
         pass
 
+    def take_over(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
     def propose(self, request):
         """
         Parameters:
@@ -179,6 +187,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "install failed: unknown result")
 
+    def take_over(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_take_over(request)
+        return self.recv_take_over()
+
+    def send_take_over(self, request):
+        self._oprot.writeMessageBegin('take_over', TMessageType.CALL, self._seqid)
+        args = take_over_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_take_over(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = take_over_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "take_over failed: unknown result")
+
     def propose(self, request):
         """
         Parameters:
@@ -315,6 +355,7 @@
         self._processMap["vote"] = Processor.process_vote
         self._processMap["append"] = Processor.process_append
         self._processMap["install"] = Processor.process_install
+        self._processMap["take_over"] = Processor.process_take_over
         self._processMap["propose"] = Processor.process_propose
         self._processMap["fetch"] = Processor.process_fetch
         self._processMap["status"] = Processor.process_status
@@ -410,6 +451,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_take_over(self, seqid, iprot, oprot):
+        args = take_over_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = take_over_result()
+        try:
+            result.success = self._handler.take_over(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("take_over", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_propose(self, seqid, iprot, oprot):
         args = propose_args()
         args.read(iprot)
@@ -880,6 +944,131 @@
 )
 
 
+class take_over_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = TakeOverRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_over_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_over_args)
+take_over_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [TakeOverRequest, None], None, ),  # 1
+)
+
+
+class take_over_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = TakeOverAnswer()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_over_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_over_result)
+take_over_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [TakeOverAnswer, None], None, ),  # 0
+)
+
+
 class propose_args(object):
     """
     Attributes:
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -1246,6 +1246,142 @@
         return not (self == other)
 
 
+class TakeOverRequest(object):
+    """
+    Attributes:
+     - request_id
+     - term
+
+    """
+
+
+    def __init__(self, request_id=None, term=None,):
+        self.request_id = request_id
+        self.term = term
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TakeOverRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TakeOverAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - accepted
+
+    """
+
+
+    def __init__(self, request_id=None, accepted=None,):
+        self.request_id = request_id
+        self.accepted = accepted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TakeOverAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.BOOL, 2)
+            oprot.writeBool(self.accepted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class VoteRecord(object):
     """
     Attributes:
@@ -6262,6 +6398,18 @@
     (3, TType.BOOL, 'accepted', None, None, ),  # 3
     (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
 )
+all_structs.append(TakeOverRequest)
+TakeOverRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+)
+all_structs.append(TakeOverAnswer)
+TakeOverAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.BOOL, 'accepted', None, None, ),  # 2
+)
 all_structs.append(VoteRecord)
 VoteRecord.thrift_spec = (
     None,  # 0
--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -3,7 +3,12 @@
 import sys
 
 from .state import report_claims, report_configuration, report_planner
-from .traffic import report_group, report_requests, report_subscriptions
+from .traffic import (
+    report_claims_cost,
+    report_group,
+    report_requests,
+    report_subscriptions,
+)
 
 
 def main() -> int:
@@ -12,6 +17,7 @@
     report_claims()
     report_planner()
     report_requests()
+    report_claims_cost()
     report_group()
     report_subscriptions()
     return 0
--- a/benchmarks/capacity/traffic.py
+++ b/benchmarks/capacity/traffic.py
@@ -5,6 +5,7 @@
 
 from arbutuscleat.emulator import ENDPOINT_TOKEN, EndpointPlan, FleetPlan, LocalFleet
 
+from ..consensus import lone_seconds
 from ..fleets import put_change, running_fleet, set_pool, start_endpoints
 from ..load import run_load
 from ..processes import cpu_seconds, resident_mb
@@ -17,6 +18,7 @@
 TARGET_GROUP = 9
 TARGET_ENTRIES = 9 * 24
 CHANGES = 200
+LONE_CLAIMS = 2_000
 
 
 def loopback_bytes() -> int:
@@ -102,7 +104,29 @@
         url = fleet.entries("karachi")[0]
         headers = {"Authorization": f"Bearer {ENDPOINT_TOKEN}"}
         _report_load(fleet, "refused announcement", f"{url}/v1/announcements", headers)
-        _report_load(fleet, "claimed request", f"{url}/v1/services/portal/x", {})
+        target = f"{url}/v1/services/portal/x"
+        _report_load(fleet, "request without a key", target, {})
+
+
+def report_claims_cost() -> None:
+    """Print what a claim and its end cost the members of a group of five."""
+    plan = FleetPlan(("karachi",), entries_per_data_centre=0, controls=5)
+    with running_fleet(plan, "capacity-claims") as fleet:
+        addresses = {node["node_id"]: node["port"] for node in fleet.control_nodes}
+        lone_seconds(addresses, 50)
+        names = list(fleet.processes)
+        before = {n: cpu_seconds(fleet.processes[n].popen.pid) for n in names}
+        sent = loopback_bytes()
+        lone_seconds(addresses, LONE_CLAIMS)
+        size = (loopback_bytes() - sent) / LONE_CLAIMS
+        spent = sorted(
+            (cpu_seconds(fleet.processes[n].popen.pid) - before[n]) / LONE_CLAIMS
+            for n in names
+        )
+        print(
+            f"one claim: leader {spent[-1] * 1e6:.0f} us of a core, follower "
+            f"{spent[0] * 1e6:.0f} us, whole traffic {size:.0f} bytes"
+        )
 
 
 def _report_load(fleet: LocalFleet, what: str, url: str, headers: dict) -> None:
--- a/benchmarks/change_rollout.py
+++ b/benchmarks/change_rollout.py
@@ -1,11 +1,13 @@
 """From the accepted answer of a change to its being in force everywhere.
 
-Target: under 1 s on loopback.  Each round changes one label set, then asks every
-entry instance until it shows the new version.
+Targets: under 1 s on loopback with all well; under 4 s at the others when one entry
+instance is frozen and another was killed.  Each round changes one label set, then asks
+every entry instance until requests are placed by the new version.
 """
 
 import argparse
 import json
+import signal
 import statistics
 import sys
 import time
@@ -15,8 +17,8 @@
 from .fleets import OPERATOR_HEADERS, running_fleet
 
 PLAN = FleetPlan(
-    data_centres=("karachi", "qasim", "gwadar", "sonmiani"),
-    entries_per_data_centre=2,
+    data_centres=("karachi", "qasim", "gwadar"),
+    entries_per_data_centre=3,
     controls=3,
 )
 
@@ -39,20 +41,36 @@
     return time.monotonic() - started, response.json()["version"]
 
 
-def wait_in_force(fleet: LocalFleet, version: int) -> float:
-    """Return the seconds until every entry instance shows `version`."""
+def wait_in_force(fleet: LocalFleet, version: int, without: set[str]) -> float:
+    """Return the seconds until requests are placed by `version` everywhere."""
     started = time.monotonic()
     for name, url in fleet.http_urls.items():
-        if name.startswith("control"):
+        if name.startswith("control") or name in without:
             continue
-        while True:
-            target = f"{url}/v1/labels/service/bench"
-            reply = fleet.request("GET", target, OPERATOR_HEADERS)
-            if reply.status == 200 and reply.json()["version"] >= version:
-                break
+        while _version_in_force(fleet, url) < version:
+            pass
     return time.monotonic() - started
 
 
+def _version_in_force(fleet: LocalFleet, url: str) -> float:
+    text = fleet.request("GET", f"{url}/v1/metrics", {}).data.decode()
+    lines = dict(line.rsplit(" ", 1) for line in text.splitlines())
+    return float(lines["version_in_force"])
+
+
+def measure(
+    fleet: LocalFleet, changes: int, version: int, without: set[str]
+) -> tuple[list[float], list[float], int]:
+    """Make some changes; return the times to accept and to be in force, in ms."""
+    accepted = []
+    in_force = []
+    for _ in range(changes):
+        seconds, version = change_labels(fleet, version, version)
+        accepted.append(seconds * 1000)
+        in_force.append(wait_in_force(fleet, version, without) * 1000)
+    return accepted, in_force, version
+
+
 def _print_times(what: str, times: list[float]) -> None:
     print(f"{what} p50 {statistics.median(times):.1f} ms, max {max(times):.1f} ms")
 
@@ -62,17 +80,20 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--changes", type=int, default=50)
     options = parser.parse_args()
-    accepted = []
-    in_force = []
     with running_fleet(PLAN, "change-rollout") as fleet:
-        version = 0
-        for number in range(options.changes):
-            seconds, version = change_labels(fleet, number, version)
-            accepted.append(seconds * 1000)
-            in_force.append(wait_in_force(fleet, version) * 1000)
-    print(f"{options.changes} changes, 8 entry instances, target 1000 ms")
-    _print_times("accepted after", accepted)
-    _print_times("in force everywhere another", in_force)
+        accepted, in_force, version = measure(fleet, options.changes, 0, set())
+        print(f"{options.changes} changes, 9 entry instances, all well")
+        _print_times("accepted after", accepted)
+        _print_times("in force everywhere another", in_force)
+        frozen, killed = "entry-karachi-1", "entry-qasim-1"
+        process = fleet.processes[frozen].popen
+        process.send_signal(signal.SIGSTOP)
+        fleet.processes.pop(killed).kill()
+        accepted, in_force, _ = measure(fleet, 5, version, {frozen, killed})
+        process.send_signal(signal.SIGCONT)
+        print("5 changes right after one was frozen and one killed")
+        _print_times("accepted after", accepted)
+        _print_times("in force at the others another", in_force)
     return 0
 
 
--- a/tests/consensus/test_fault_matrix.py
+++ b/tests/consensus/test_fault_matrix.py
@@ -1,5 +1,6 @@
 """The consensus rows of the fault matrix: one replica, every fault at its steps."""
 
+from returns.result import Success
 from testtools import TestCase
 
 from arbutuscleat.consensus import FOUNDER_INCARNATION, DamagedFileError, Role
@@ -12,6 +13,7 @@
     ReplicaRecord,
     ReplicaSet,
     SnapshotAnswer,
+    TakeOverRequest,
     VoteAnswer,
 )
 from tests import promises
@@ -180,6 +182,32 @@
         self.assertEqual(Role.FOLLOWER, bench.replica.status().role)
         self.assertEqual("c", bench.replica.status().leader)
 
+    def test_a_planned_stop_hands_the_leadership_over(self):
+        leader = Bench().lead()
+        leader.acknowledge("b")
+        follower = Bench()
+        follower.append([], term=leader.state.term, leader="c")
+        peer = leader.replica._peers["b"]
+        peer.send = lambda request, timeout: Success(
+            follower.replica.handle_take_over(request)
+        )
+        self.assertTrue(leader.replica.hand_over())
+        self.assertFalse(leader.replica.leads())
+        self.assertEqual(Role.CANDIDATE, follower.replica.status().role)
+        self.assertEqual(leader.state.term + 1, follower.state.term)
+
+    def test_only_a_voter_of_the_same_term_takes_over(self):
+        cases = [(Bench(founder=False), 0), (Bench(), 5), (Bench().lead(), 1)]
+        for bench, term in cases:
+            answer = bench.replica.handle_take_over(TakeOverRequest(1, term))
+            self.assertFalse(answer.accepted)
+
+    def test_nobody_who_lacks_entries_is_asked_to_take_over(self):
+        leader = Bench().lead()
+        leader.acknowledge("b")
+        leader.propose("x")
+        self.assertFalse(leader.replica.hand_over())
+
     def test_two_leaders_in_one_term_stop_the_process(self):
         bench = Bench().lead()
         self.assertRaises(InvariantError, bench.append, [], bench.state.term)
