--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -163,6 +163,7 @@
             self._rights,
             self._exchange.acks,
             self._clock,
+            self._exchange.wake,
         )
         self._endpoints = UrllibEndpointClient(
             self._clock,
--- a/arbutuscleat/membership/subscription.py
+++ b/arbutuscleat/membership/subscription.py
@@ -36,6 +36,8 @@
         Returns what this process and its peers hold.
     clock : Clock
         Source of time.
+    on_version : callable
+        Called after each new version.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         rights: DispatchRights,
         acks: Callable[[], list[MemberAck]],
         clock: Clock,
+        on_version: Callable[[], None],
     ):
         self._credentials = credentials
         self._channels = channels
@@ -55,6 +58,7 @@
         self._rights = rights
         self._acks = acks
         self._clock = clock
+        self._on_version = on_version
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="subscription", daemon=True
@@ -91,6 +95,7 @@
         answer = result.unwrap()
         if self._view.take(answer):
             logging.info("configuration version %d", self._view.version)
+            self._on_version()
         if answer.lease_ms:
             self._rights.note_control_lease(sent_at, answer.lease_ms / 1000.0)
         if answer.status != Status.OK:
--- /dev/null
+++ b/benchmarks/replay.py
@@ -0,0 +1,94 @@
+"""A restart after 10,000 changes, with snapshots against without."""
+
+import argparse
+import random
+import shutil
+import sys
+import time
+
+from arbutuscleat.consensus import (
+    FolderDisk,
+    Replica,
+    ReplicaConfig,
+    initialise,
+    open_identity,
+)
+from arbutuscleat.core import SystemClock
+from arbutuscleat.state import ControlMachine
+from arbutuscleat.wire import encode
+from arbutuscleat.wire.gen.ttypes import Change, Command, ConfigObject, LabelsRecord
+
+from .fleets import FOLDER
+
+
+def command(number: int) -> bytes:
+    """Return one of many changes of labels."""
+    record = LabelsRecord(
+        kind="service", name=f"service-{number % 500}", labels={"n": str(number)}
+    )
+    expected = max(0, number - 499) if number >= 500 else 0
+    content = ConfigObject(labels=record)
+    return encode(
+        Command(change=Change(f"c{number}", f"d{number}", "op", expected, content))
+    )
+
+
+def open_replica(folder, cfg: ReplicaConfig) -> tuple[Replica, ControlMachine]:
+    """Open the replica of a data folder, a group of one."""
+    disk = FolderDisk(folder)
+    machine = ControlMachine()
+    identity = open_identity(disk, "a", "1")
+    clock = SystemClock()
+    return (
+        Replica(identity, cfg, disk, [], machine, clock, random.Random(1)),
+        machine,
+    )
+
+
+def fill(folder, cfg: ReplicaConfig, changes: int) -> None:
+    """Make changes through a replica that leads alone."""
+    initialise(FolderDisk(folder), "a", ["a"])
+    replica, _ = open_replica(folder, cfg)
+    replica.start()
+    while not replica.leads():
+        time.sleep(0.05)
+    for number in range(changes):
+        replica.propose(command(number), 5.0).unwrap()
+    time.sleep(1.0)
+    replica.stop()
+
+
+def reopen_seconds(folder, cfg: ReplicaConfig, changes: int) -> float:
+    """Return the time until a restarted replica has every change applied."""
+    started = time.perf_counter()
+    replica, machine = open_replica(folder, cfg)
+    opened = time.perf_counter() - started
+    replica.start()
+    while not replica.leads():
+        time.sleep(0.005)
+    led = time.perf_counter()
+    replica.stop()
+    assert machine.version == changes, machine.version
+    print(f"  opened in {opened * 1000:.0f} ms, whole {(led - started) * 1000:.0f} ms")
+    return opened
+
+
+def main() -> int:
+    """Run both ways and print their times."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--changes", type=int, default=10_000)
+    options = parser.parse_args()
+    for name, entries in (("with snapshots", 4_096), ("without", 10**9)):
+        folder = FOLDER / "replay" / name.replace(" ", "-")
+        shutil.rmtree(folder, ignore_errors=True)
+        cfg = ReplicaConfig(snapshot_entries=entries, election_seconds=0.2)
+        fill(folder, cfg, options.changes)
+        print(f"{name}:")
+        reopen_seconds(folder, cfg, options.changes)
+        for path in sorted(folder.iterdir()):
+            print(f"  {path.name} {path.stat().st_size} bytes")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/membership/data_centre.py
+++ b/tests/membership/data_centre.py
@@ -142,6 +142,7 @@
             self.rights,
             self.exchange.acks,
             clock,
+            lambda: None,
         )
         self.view.restore()
 
