--- a/arbutuscleat/consensus/snapshots.py
+++ b/arbutuscleat/consensus/snapshots.py
@@ -57,7 +57,10 @@
                     state.fail(exc)
                 return
             with state.lock:
+                # Entries that came meanwhile are durable with the rest.
                 state.log.mark_synced(batch)
+                if state.role is Role.LEADER:
+                    state.advance_commit()
 
     def next_request(self, peer: str) -> SnapshotChunk:
         """Return the next chunk for `peer`; `lock` is held."""
--- a/tests/consensus/test_fault_matrix.py
+++ b/tests/consensus/test_fault_matrix.py
@@ -370,6 +370,17 @@
                 bench.append([], previous=(6, 1), commit=6)
                 promises.committed_stays(applied, bench.machine.applied)
 
+    def test_what_the_shortened_log_makes_durable_is_committed(self):
+        bench = Bench(group=("a",)).with_config(snapshot_entries=4, kept_entries=2)
+        bench.time_out()
+        for text in "abcd":
+            bench.propose(text)
+        bench.replica.write_unsynced()
+        bench.propose("e")
+        bench.replica.tick()
+        self.assertEqual(bench.state.log.last_index, bench.state.log.synced_index)
+        self.assertEqual(bench.state.log.last_index, bench.state.commit_index)
+
     def chunks(self, size):
         bench = self.filled().with_config(snapshot_chunk_bytes=size)
         bench.append([], previous=(6, 1), commit=6)
