--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,13 @@
 bench: $(VENV)/.ready
 	$(BIN)/python -m benchmarks.request_path
 	$(BIN)/python -m benchmarks.change_rollout
+	$(BIN)/python -m benchmarks.consensus
+	$(BIN)/python -m benchmarks.replay
+	$(BIN)/python -m benchmarks.overload
+	$(BIN)/python -m benchmarks.outlier_rules
+	$(BIN)/python -m benchmarks.waves
+	$(BIN)/python -m benchmarks.spare_pool
+	$(BIN)/python -m benchmarks.load_with_faults
 
 capacity: $(VENV)/.ready
 	$(BIN)/python -m benchmarks.capacity
