A wave is viewed once to show it; one copy of a constant

Cause: reading the whole change showed that the page of a wave viewed the wave anew for each waiting instance, that is, every instance for every instance, with the configuration's lock held; and that the split of the fleet's state had left MAX_CONFLICTS_LISTED in three modules, used in one.

Change: why_waiting takes the view that its caller has; the two dead copies are gone. Behaviour as before: make check passes, 76 tests of maintenance, state, http and membership pass. The gain was not measured; racks and headroom are still looked up for each waiting instance.

--- a/arbutuscleat/http/rendering.py
+++ b/arbutuscleat/http/rendering.py
@@ -88,7 +88,7 @@
         "under_way": {i.instance_id: i.maintenance.phase.value for i in view.under_way},
         "failed": {i.instance_id: i.maintenance.detail for i in view.failed},
         "waiting": {
-            i.instance_id: planner.why_waiting(i, rule, configuration)
+            i.instance_id: planner.why_waiting(i, view, configuration)
             for i in view.waiting
         },
     }
--- a/arbutuscleat/maintenance/wave_planner.py
+++ b/arbutuscleat/maintenance/wave_planner.py
@@ -46,13 +46,12 @@
         return commands
 
     def why_waiting(
-        self, instance: Instance, rule: SelectorRule, configuration: FleetConfiguration
+        self, instance: Instance, view: WaveView, configuration: FleetConfiguration
     ) -> str:
         """Return why an instance that a wave matches is not taken now."""
-        view = view_wave(rule, configuration)
         if view.paused_because():
             return f"the wave is paused: {view.paused_because()}"
-        if not configuration.is_due(instance, rule):
+        if not configuration.is_due(instance, view.rule):
             return "another wave or a move is at work on it"
         if len(view.under_way) >= view.allowed_at_once():
             return f"{view.allowed_at_once()} at once until more have come back"
--- a/arbutuscleat/state/fleet_index.py
+++ b/arbutuscleat/state/fleet_index.py
@@ -27,8 +27,6 @@
 from .pool_matches import PoolMatches
 from .pool_members import PoolMembers
 
-MAX_CONFLICTS_LISTED = 5
-
 
 class FleetIndex:
     """Pools, labels, selectors, instances and members under one version."""
--- a/arbutuscleat/state/fleet_steps.py
+++ b/arbutuscleat/state/fleet_steps.py
@@ -21,8 +21,6 @@
 from .fleet_index import FleetIndex
 from .member import Member
 
-MAX_CONFLICTS_LISTED = 5
-
 
 class FleetSteps(FleetIndex):
     """Reports, moves, maintenance and the watch over members."""
