--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 
 thrift:
 	thrift -r --gen py -out . arbutuscleat/wire/arbutuscleat.thrift
-	rm -f __init__.py arbutuscleat/wire/gen/*-remote
+	thrift --gen py:slots -out . arbutuscleat/wire/jobs.thrift
+	rm -f __init__.py arbutuscleat/wire/gen/*-remote arbutuscleat/wire/gen_jobs/*-remote
 
 breaks: $(VENV)/.ready
 	$(BIN)/python -m tests.breaks
--- /dev/null
+++ b/arbutuscleat/access/__init__.py
@@ -0,0 +1,7 @@
+"""Access: how a call finds the control instance that leads, and what it does there."""
+
+from .control_link import ControlLink, LinkOutcome
+from .job_service import JobService
+from .joiner import Joiner
+
+__all__ = ["ControlLink", "JobService", "Joiner", "LinkOutcome"]
--- /dev/null
+++ b/arbutuscleat/access/job_service.py
@@ -0,0 +1,352 @@
+"""The service of a control instance for entry instances and other control instances.
+
+Only the leader answers for jobs, workers and the configuration; the others say who
+leads.  Answers that something does not exist wait until a quorum has confirmed the
+leadership, since a later leader may know better.
+"""
+
+import re
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+from returns.result import Failure, Result
+
+from arbutuscleat.consensus import ProposalError, ProposalErrorKind, Replica, Role
+from arbutuscleat.core import Clock
+from arbutuscleat.jobs import AcceptResult, JobTable, Queue, QueueConfig
+from arbutuscleat.wire import encode
+from arbutuscleat.wire.gen.ttypes import (
+    AppendAnswer,
+    AppendRequest,
+    SnapshotAnswer,
+    SnapshotChunk,
+    TakeOverAnswer,
+    TakeOverRequest,
+    VoteAnswer,
+    VoteRequest,
+)
+from arbutuscleat.wire.gen_jobs.ttypes import (
+    AnnounceRequest,
+    CancelJob,
+    ConfigRequest,
+    ControlAnswer,
+    JobAnswer,
+    JobCommand,
+    JobRequest,
+    JoinAnswer,
+    JoinRequest,
+    LocateAnswer,
+    LocateRequest,
+    RemoveWorker,
+    SetConfig,
+    SubmitRequest,
+    Verdict,
+    WaveRequest,
+    WorkerRecord,
+)
+
+COMMIT_SECONDS = 2.0
+"""How long a command may take to be committed; an election takes less."""
+
+BARRIER_SECONDS = 1.0
+"""How long a quorum may take to confirm the leadership."""
+
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+
+_VERDICTS = {
+    ProposalErrorKind.NOT_LEADER: Verdict.NOT_LEADER,
+    ProposalErrorKind.NO_QUORUM: Verdict.NO_QUORUM,
+    ProposalErrorKind.LOST: Verdict.NOT_LEADER,
+    ProposalErrorKind.UNKNOWN: Verdict.UNKNOWN,
+}
+
+
+class JobService:
+    """Handler of the thrift service `JobControl`.
+
+    Parameters
+    ----------
+    replica : Replica
+        This process's member of the consensus group.
+    table : JobTable
+        Its state.
+    decode_config : callable
+        Turns the operator's text into a `QueueConfig`.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        table: JobTable,
+        decode_config: Callable[[bytes], QueueConfig],
+        clock: Clock,
+    ):
+        self._replica = replica
+        self._table = table
+        self._decode_config = decode_config
+        self._clock = clock
+
+    def leads(self) -> bool:
+        """Return whether this process leads and hears a quorum."""
+        return self._replica.leads()
+
+    # ---- consensus ----
+
+    def vote(self, request: VoteRequest) -> VoteAnswer:
+        """Answer a replica that asks for a vote."""
+        return self._replica.handle_vote(request)
+
+    def append(self, request: AppendRequest) -> AppendAnswer:
+        """Take entries or a heartbeat."""
+        return self._replica.handle_append(request)
+
+    def install(self, request: SnapshotChunk) -> SnapshotAnswer:
+        """Take a piece of a snapshot."""
+        return self._replica.handle_install(request)
+
+    def take_over(self, request: TakeOverRequest) -> TakeOverAnswer:
+        """Take the leadership of a leader that is about to stop."""
+        return self._replica.handle_take_over(request)
+
+    def locate(self, request: LocateRequest) -> LocateAnswer:
+        """Tell who leads and who is listed."""
+        return LocateAnswer(
+            request_id=request.request_id,
+            leader=self._replica.status().leader,
+            members=self._replica.members(),
+        )
+
+    def join(self, request: JoinRequest) -> JoinAnswer:
+        """Let a replica be listed."""
+        accepted = self._replica.admit(request.node_id, request.incarnation)
+        return JoinAnswer(
+            request_id=request.request_id,
+            accepted=accepted,
+            leader=self._replica.status().leader,
+        )
+
+    # ---- callers ----
+
+    def submit(self, request: SubmitRequest) -> JobAnswer:
+        """Accept a job: the answer is given once it is stored."""
+        queue, job_id, refusal = self._find(request)
+        if queue is None:
+            return refusal
+        if not _JOB_ID.fullmatch(job_id):
+            return self._job_answer(request, Verdict.INVALID, detail="not a job id")
+        record = request.job
+        record.job_id = job_id
+        record.queue = queue.name
+        record.service_name = queue.service_name
+        record.accepted_at_ms = self._now_ms()
+        result = self._propose(JobCommand(accept=record))
+        if isinstance(result, Failure):
+            return self._job_answer(request, _VERDICTS[result.failure().kind])
+        if result.unwrap() is AcceptResult.CONFLICT:
+            return self._job_answer(
+                request, Verdict.CONFLICT, detail="the id is a job of another queue"
+            )
+        logging.info(
+            "job %s of queue %s: %s", job_id, queue.name, result.unwrap().value
+        )
+        return self._job_answer(request, Verdict.DONE)
+
+    def look_up(self, request: JobRequest) -> JobAnswer:
+        """Tell the state of a job, or how many jobs of a queue wait."""
+        queue, job_id, refusal = self._find(request)
+        if queue is None:
+            return refusal
+        if not job_id:
+            with self._table.lock:
+                pending = self._table.pending(queue.name)
+            return self._job_answer(request, Verdict.DONE, pending=pending)
+        with self._table.lock:
+            job = self._table.jobs.get(job_id)
+            if job is not None and job.record.queue == queue.name:
+                return self._job_answer(request, Verdict.DONE, state=job.phase().value)
+        return self._confirmed(request, Verdict.NO_JOB)
+
+    def cancel(self, request: JobRequest) -> JobAnswer:
+        """Cancel a job: the answer is given once that is stored."""
+        queue, job_id, refusal = self._find(request)
+        if queue is None:
+            return refusal
+        with self._table.lock:
+            job = self._table.jobs.get(job_id)
+            known = job is not None and job.record.queue == queue.name
+        if not known:
+            return self._confirmed(request, Verdict.NO_JOB)
+        command = JobCommand(cancel=CancelJob(job_id=job_id, at_ms=self._now_ms()))
+        result = self._propose(command)
+        if isinstance(result, Failure):
+            return self._job_answer(request, _VERDICTS[result.failure().kind])
+        logging.info("job %s is cancelled", job_id)
+        return self._job_answer(request, Verdict.DONE)
+
+    # ---- workers and operators ----
+
+    def announce(self, request: AnnounceRequest) -> ControlAnswer:
+        """Take what a worker says of itself; logged only when something changes."""
+        if not self.leads():
+            return self._control_answer(request, Verdict.NOT_LEADER)
+        record = request.worker
+        with self._table.lock:
+            held = self._table.workers.get(record.worker_id)
+        if request.leaving:
+            if held is None:
+                return self._control_answer(request, Verdict.DONE)
+            born_ms = record.born_ms or held.born_ms
+            command = JobCommand(
+                remove_worker=RemoveWorker(worker_id=record.worker_id, born_ms=born_ms)
+            )
+            logging.info("worker %s leaves", record.worker_id)
+        elif held is not None and _is_same(held, record):
+            return self._control_answer(request, Verdict.DONE)
+        else:
+            command = JobCommand(worker=record)
+            logging.info(
+                "worker %s of %s at %s:%d, born %d%s",
+                record.worker_id,
+                record.service_name,
+                record.host,
+                record.port,
+                record.born_ms,
+                ", drains" if record.draining else "",
+            )
+        result = self._propose(command)
+        if isinstance(result, Failure):
+            return self._control_answer(request, _VERDICTS[result.failure().kind])
+        return self._control_answer(request, Verdict.DONE)
+
+    def configure(self, request: ConfigRequest) -> ControlAnswer:
+        """Take a version of the configuration, or return the newest."""
+        if not self.leads():
+            return self._control_answer(request, Verdict.NOT_LEADER)
+        if request.is_read:
+            return self._read_config(request)
+        command = SetConfig(version=request.version, content=request.content)
+        result = self._propose(JobCommand(config=command))
+        if isinstance(result, Failure):
+            return self._control_answer(request, _VERDICTS[result.failure().kind])
+        logging.info(
+            "configuration %d: %s",
+            request.version,
+            "in force" if result.unwrap() else "not newer than the one in force",
+        )
+        return self._control_answer(request, Verdict.DONE)
+
+    def wave(self, request: WaveRequest) -> ControlAnswer:
+        """Take a wave, or tell whether it is complete."""
+        if not self.leads():
+            return self._control_answer(request, Verdict.NOT_LEADER)
+        if not request.is_read:
+            result = self._propose(JobCommand(wave=request.wave))
+            if isinstance(result, Failure):
+                return self._control_answer(request, _VERDICTS[result.failure().kind])
+            logging.info(
+                "wave %d of %d machines, %d at once",
+                request.wave.wave,
+                len(request.wave.machines),
+                request.wave.cap,
+            )
+            return self._control_answer(request, Verdict.DONE)
+        with self._table.lock:
+            wave = self._table.waves.get(request.wave.wave)
+        if wave is None:
+            return self._confirmed_control(request, Verdict.NO_JOB)
+        answer = self._control_answer(request, Verdict.DONE)
+        answer.finished = wave.is_complete()
+        return answer
+
+    # ---- details ----
+
+    def _find(
+        self, request: SubmitRequest | JobRequest
+    ) -> tuple[Queue | None, str, Any]:
+        if not self.leads():
+            return None, "", self._job_answer(request, Verdict.NOT_LEADER)
+        config = self._table.config
+        if config is None:
+            return None, "", self._confirmed(request, Verdict.NO_CONFIG)
+        queue = config.find(request.host, request.path)
+        if queue is None:
+            return None, "", self._confirmed(request, Verdict.NO_QUEUE)
+        return queue, request.path[len(queue.path_prefix) :], None
+
+    def _confirmed(self, request: Any, verdict: int) -> JobAnswer:
+        barrier = self._replica.read_barrier(BARRIER_SECONDS)
+        if isinstance(barrier, Failure):
+            verdict = _VERDICTS[barrier.failure().kind]
+        return self._job_answer(request, verdict)
+
+    def _confirmed_control(self, request: Any, verdict: int) -> ControlAnswer:
+        barrier = self._replica.read_barrier(BARRIER_SECONDS)
+        if isinstance(barrier, Failure):
+            verdict = _VERDICTS[barrier.failure().kind]
+        return self._control_answer(request, verdict)
+
+    def _read_config(self, request: ConfigRequest) -> ControlAnswer:
+        barrier = self._replica.read_barrier(BARRIER_SECONDS)
+        if isinstance(barrier, Failure):
+            return self._control_answer(request, _VERDICTS[barrier.failure().kind])
+        with self._table.lock:
+            content = self._table.config_content
+        verdict = Verdict.DONE if content else Verdict.NO_CONFIG
+        answer = self._control_answer(request, verdict)
+        answer.content = content
+        return answer
+
+    def _propose(self, command: JobCommand) -> Result[Any, ProposalError]:
+        return self._replica.propose(encode(command), COMMIT_SECONDS)
+
+    def _leader(self) -> str:
+        status = self._replica.status()
+        return "" if status.role is Role.LEADER else status.leader
+
+    def _job_answer(
+        self,
+        request: Any,
+        verdict: int,
+        state: str = "",
+        pending: int = 0,
+        detail: str = "",
+    ) -> JobAnswer:
+        return JobAnswer(
+            request_id=request.request_id,
+            verdict=verdict,
+            leader=self._leader() if verdict != Verdict.DONE else "",
+            state=state,
+            pending=pending,
+            retry_after_ms=0,
+            detail=detail,
+        )
+
+    def _control_answer(self, request: Any, verdict: int) -> ControlAnswer:
+        leads = self._replica.status()
+        return ControlAnswer(
+            request_id=request.request_id,
+            verdict=verdict,
+            leader=leads.leader,
+            detail="",
+            content=b"",
+            finished=False,
+        )
+
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
+
+def _is_same(held: WorkerRecord, record: WorkerRecord) -> bool:
+    """Return whether an announcement changes nothing but its sequence number."""
+    if held.born_ms != record.born_ms or record.sequence < held.sequence:
+        return record.born_ms <= held.born_ms
+    return (
+        held.service_name == record.service_name
+        and (held.host, held.port) == (record.host, record.port)
+        and (held.cpu, held.mem_mb, held.gpu) == (record.cpu, record.mem_mb, record.gpu)
+        and list(held.labels) == list(record.labels)
+        and held.draining == record.draining
+    )
--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -28,6 +28,11 @@
         Entries kept in front of a snapshot for followers that lag a little.
     snapshot_chunk_bytes : int
         Size of the pieces in which a snapshot is sent.
+    max_voters : int
+        Voters beyond which a learner is promoted only in place of a silent voter;
+        0 promotes every learner.
+    voter_silence_seconds : float
+        Silence after which a voter's place goes to a learner, with `max_voters`.
     """
 
     heartbeat_seconds: float = 0.5
@@ -40,3 +45,5 @@
     snapshot_entries: int = 4096
     kept_entries: int = 512
     snapshot_chunk_bytes: int = 256 * 1024
+    max_voters: int = 0
+    voter_silence_seconds: float = 2.0
--- a/arbutuscleat/consensus/peer.py
+++ b/arbutuscleat/consensus/peer.py
@@ -50,9 +50,15 @@
 class ThriftPeer(Peer):
     """A replica behind a thrift channel."""
 
-    def __init__(self, node_id: str, address: Address, credentials: Credentials):
+    def __init__(
+        self,
+        node_id: str,
+        address: Address,
+        credentials: Credentials,
+        client_class: type = Control.Client,
+    ):
         self._node_id = node_id
-        self._channel = Channel(Control.Client, address, credentials)
+        self._channel = Channel(client_class, address, credentials)
 
     @property
     def node_id(self) -> str:
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
@@ -72,6 +72,8 @@
         Source of time.
     rng : random.Random
         Source of election timeouts.
+    make_peer : callable, optional
+        Makes the peer of a node id; without it the group is the given peers.
     """
 
     def __init__(
@@ -83,11 +85,13 @@
         machine: StateMachine,
         clock: Clock,
         rng: random.Random,
+        make_peer: Callable[[str], Peer] | None = None,
     ):
         self._state = ReplicaState(
             identity.node_id, identity.incarnation, cfg, disk, machine, clock, rng
         )
         self._peers = {peer.node_id: peer for peer in peers}
+        self._make_peer = make_peer
         self._state.progress = {name: Progress() for name in self._peers}
         self._elections = Elections(self._state)
         self._replication = Replication(self._state)
@@ -106,6 +110,7 @@
 
     def start(self) -> None:
         """Start the tasks."""
+        self._meet_listed_peers()
         self._tasks.start()
 
     def stop(self) -> None:
@@ -163,7 +168,7 @@
         deadline = Deadline.after(state.clock, timeout)
         asked_at = state.clock.monotonic()
         with state.lock:
-            for progress in state.progress.values():
+            for progress in list(state.progress.values()):
                 progress.send_at = asked_at
             state.changed.notify_all()
             while state.role is Role.LEADER:
@@ -202,6 +207,33 @@
                 failure=state.failure,
             )
 
+    def admit(self, node_id: str, incarnation: str) -> bool:
+        """Let a replica that asks to join be listed; False unless this one leads.
+
+        Parameters
+        ----------
+        node_id, incarnation : str
+            How the replica presents itself.
+        """
+        state = self._state
+        with state.lock:
+            if state.role is not Role.LEADER or self._make_peer is None:
+                return False
+            record = state.membership.record(node_id)
+            progress = self._meet_peer(node_id)
+            if record is None or record.incarnation != incarnation:
+                progress.stranger = incarnation
+        return True
+
+    def members(self) -> list[str]:
+        """Return the node ids that the log lists."""
+        with self._state.lock:
+            return [item.node_id for item in self._state.membership.current.replicas]
+
+    def term(self) -> int:
+        """Return the current term."""
+        return self._state.term
+
     # ---- for peers ----
 
     def handle_vote(self, request: VoteRequest) -> VoteAnswer:
@@ -224,6 +256,7 @@
 
     def tick(self) -> None:
         """Look at the timers once."""
+        self._meet_listed_peers()
         self._step_down_without_quorum()
         self._elections.tick()
         self._roster.tick()
@@ -243,6 +276,8 @@
         self, peer: str, request: PeerRequest, answer: PeerAnswer, sent_at: float
     ) -> None:
         """Take the answer of `peer` to a request sent at `sent_at`."""
+        if peer not in self._state.progress:
+            return  # No longer listed.
         match request, answer:
             case VoteRequest(), VoteAnswer():
                 self._elections.take_answer(peer, request, answer)
@@ -255,6 +290,34 @@
 
     # ---- details ----
 
+    def _meet_listed_peers(self) -> None:
+        """Converse with each replica that the log lists, and with no other."""
+        state = self._state
+        if self._make_peer is None:
+            return
+        with state.lock:
+            listed = {item.node_id for item in state.membership.current.replicas}
+            for node_id in listed - {state.node_id}:
+                self._meet_peer(node_id)
+            for node_id in set(state.progress) - listed:
+                if state.progress[node_id].stranger and state.role is Role.LEADER:
+                    continue
+                del state.progress[node_id]
+                self._tasks.forget(node_id)
+
+    def _meet_peer(self, node_id: str) -> Progress:
+        """Return the progress of a peer, made when it is new; `lock` is held."""
+        state = self._state
+        progress = state.progress.get(node_id)
+        if progress is None:
+            assert self._make_peer is not None
+            progress = Progress(next_index=state.log.last_index + 1)
+            if state.role is Role.LEADER:
+                progress.acknowledged_at = state.clock.monotonic()
+            state.progress[node_id] = progress
+            self._tasks.meet(self._make_peer(node_id))
+        return progress
+
     def _write_or_leave_to_writer(self) -> None:
         """Write at once when nobody writes; else the writer takes all that wait.
 
@@ -275,7 +338,9 @@
         state = self._state
         if state.role is not Role.LEADER:
             return self._elections.next_request(peer)
-        progress = state.progress[peer]
+        progress = state.progress.get(peer)
+        if progress is None:
+            return None
         request: PeerRequest | None = self._replication.next_request(peer)
         behind_base = state.log.term_at(progress.next_index - 1) is None
         if request is None and behind_base and self._replication.may_send(progress):
--- a/arbutuscleat/consensus/replica_tasks.py
+++ b/arbutuscleat/consensus/replica_tasks.py
@@ -13,6 +13,8 @@
 from .role import Role
 
 WRITER_IDLE_SECONDS = 1.0
+# A disk that hangs must not hold up the end of the process.
+STOP_SECONDS = 2.0
 
 TakeAnswer = Callable[[str, PeerRequest, PeerAnswer, float], None]
 
@@ -40,7 +42,8 @@
         take_answer: TakeAnswer,
     ):
         self._state = state
-        self._peers = peers
+        self._peers = dict(peers)
+        self._started = False
         self._tick = tick
         self._write_unsynced = write_unsynced
         self._next_request = next_request
@@ -51,9 +54,22 @@
         """Start the tasks."""
         self._spawn("replica-timers", self._watch_timers)
         self._spawn("replica-writer", self._write_entries)
+        self._started = True
         for name, peer in self._peers.items():
             self._spawn(f"replica-peer-{name}", self._converse, peer)
 
+    def meet(self, peer: Peer) -> None:
+        """Converse with one more peer."""
+        self._peers[peer.node_id] = peer
+        if self._started:
+            self._spawn(f"replica-peer-{peer.node_id}", self._converse, peer)
+
+    def forget(self, node_id: str) -> None:
+        """End the conversation with a peer that is no longer listed."""
+        peer = self._peers.pop(node_id, None)
+        if peer is not None:
+            peer.close()
+
     def stop(self) -> None:
         """Stop the tasks and wait for them."""
         state = self._state
@@ -62,10 +78,10 @@
             state.changed.notify_all()
             state.unsynced.notify_all()
             state.heard.notify_all()
-        for peer in self._peers.values():
+        for peer in list(self._peers.values()):
             peer.close()
         for thread in self._threads:
-            thread.join()
+            thread.join(STOP_SECONDS)
 
     def _spawn(self, name: str, target, *args) -> None:
         thread = threading.Thread(target=target, args=args, name=name, daemon=True)
@@ -89,7 +105,7 @@
 
     def _converse(self, peer: Peer) -> None:
         state = self._state
-        while not state.stopping.is_set():
+        while not state.stopping.is_set() and self._peers.get(peer.node_id) is peer:
             with state.lock:
                 request = self._next_request(peer.node_id)
                 if request is None:
@@ -104,5 +120,8 @@
         state = self._state
         if state.role is not Role.LEADER:
             return 1.0
-        due = state.progress[peer].send_at - state.clock.monotonic()
+        progress = state.progress.get(peer)
+        if progress is None:
+            return 1.0
+        due = progress.send_at - state.clock.monotonic()
         return max(0.001, due)
--- a/arbutuscleat/consensus/roster.py
+++ b/arbutuscleat/consensus/roster.py
@@ -36,16 +36,22 @@
             if state.role is not Role.LEADER or not self._is_settled():
                 return
             record = self._next_record()
-            if record is None:
+            dropped = None if record is not None else self._replaced_voter()
+            if record is None and dropped is None:
                 return
+            changed = dropped if record is None else record.node_id
             listed = [
                 item
                 for item in state.membership.current.replicas
-                if item.node_id != record.node_id
+                if item.node_id != changed
             ]
-            replicas = ReplicaSet(replicas=[*listed, record])
-            state.append(EntryKind.VOTERS, encode(replicas))
+            if record is not None:
+                listed.append(record)
+            state.append(EntryKind.VOTERS, encode(ReplicaSet(replicas=listed)))
             state.unsynced.notify()
+        if record is None:
+            logging.info("replica %s is no longer listed", dropped)
+            return
         logging.info(
             "replica %s is listed as %s under incarnation %s",
             record.node_id,
@@ -67,12 +73,45 @@
                     node_id=node_id, incarnation=progress.stranger, voter=False
                 )
         for record in state.membership.current.replicas:
-            if not record.voter and self._has_caught_up(record.node_id):
+            if not record.voter and self._may_vote(record.node_id):
                 return ReplicaRecord(
                     node_id=record.node_id, incarnation=record.incarnation, voter=True
                 )
         return None
 
+    def _may_vote(self, node_id: str) -> bool:
+        if not self._has_caught_up(node_id):
+            return False
+        state = self._state
+        wanted = state.cfg.max_voters
+        if not wanted:
+            return True
+        if self._silence(node_id) > state.cfg.voter_silence_seconds:
+            return False
+        voters = state.membership.voters()
+        # One more voter for a moment: the silent one is dropped in the next step.
+        silent = any(self._is_silent(voter) for voter in voters)
+        return len(voters) < wanted or (len(voters) == wanted and silent)
+
+    def _replaced_voter(self) -> str | None:
+        state = self._state
+        voters = state.membership.voters()
+        if not state.cfg.max_voters or len(voters) <= state.cfg.max_voters:
+            return None
+        return next((voter for voter in voters if self._is_silent(voter)), None)
+
+    def _is_silent(self, node_id: str) -> bool:
+        return self._silence(node_id) > self._state.cfg.voter_silence_seconds
+
+    def _silence(self, node_id: str) -> float:
+        state = self._state
+        if node_id == state.node_id:
+            return 0.0
+        progress = state.progress.get(node_id)
+        if progress is None:
+            return float("inf")
+        return state.clock.monotonic() - progress.acknowledged_at
+
     def _has_caught_up(self, node_id: str) -> bool:
         state = self._state
         progress = state.progress.get(node_id)
--- a/arbutuscleat/core/clock.py
+++ b/arbutuscleat/core/clock.py
@@ -34,8 +34,11 @@
     """The machine's own clocks."""
 
     def monotonic(self) -> float:
-        """Return the monotonic clock in seconds."""
-        return time.monotonic()
+        """Return the seconds since the machine started, suspended time included.
+
+        A lease must end while the machine that holds it is suspended.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime:
         """Return the wall-clock time in UTC."""
--- a/arbutuscleat/http/application.py
+++ b/arbutuscleat/http/application.py
@@ -5,11 +5,11 @@
 from absl import logging
 
 from arbutuscleat.core import Outcome, Refusal, RefusalReason
+from arbutuscleat.web.http_request import BodyError, read_request
+from arbutuscleat.web.http_response import HttpResponse
+from arbutuscleat.web.problem import problem_response, refuse
 
 from .front import Front
-from .http_request import BodyError, read_request
-from .http_response import HttpResponse
-from .problem import problem_response, refuse
 
 
 class Application:
--- a/arbutuscleat/http/auth.py
+++ b/arbutuscleat/http/auth.py
@@ -3,7 +3,7 @@
 import hmac
 from collections.abc import Mapping
 
-from .http_request import HttpRequest
+from arbutuscleat.web.http_request import HttpRequest
 
 _SCHEME = "bearer "
 
--- a/arbutuscleat/http/caller_front.py
+++ b/arbutuscleat/http/caller_front.py
@@ -16,11 +16,11 @@
 )
 from arbutuscleat.routing import Answer, Request, Router
 from arbutuscleat.telemetry import TRACEPARENT, Metrics, Tracing, current_trace_id
+from arbutuscleat.web.http_request import HttpRequest
+from arbutuscleat.web.http_response import HttpResponse
+from arbutuscleat.web.problem import OUTCOME_HEADER, problem_response, refuse
 
 from .front import Front
-from .http_request import HttpRequest
-from .http_response import HttpResponse
-from .problem import OUTCOME_HEADER, problem_response, refuse
 
 KEY_HEADER = "idempotency-key"
 LABELS_HEADER = "arbutuscleat-labels"
--- a/arbutuscleat/http/endpoint_client.py
+++ b/arbutuscleat/http/endpoint_client.py
@@ -22,9 +22,9 @@
     Request,
 )
 from arbutuscleat.telemetry import TRACEPARENT, current_traceparent
+from arbutuscleat.web.http_request import HOP_BY_HOP
 
 from .endpoint_connections import EndpointConnections
-from .http_request import HOP_BY_HOP
 
 REQUEST_ID_HEADER = "Arbutuscleat-Request-Id"
 READ_CHUNK_BYTES = 256 * 1024
--- a/arbutuscleat/http/endpoint_front.py
+++ b/arbutuscleat/http/endpoint_front.py
@@ -9,12 +9,12 @@
 from arbutuscleat.core import Instance, InstanceState, RefusalReason, validate_labels
 from arbutuscleat.membership import AnnouncementTable, ConfigurationView
 from arbutuscleat.settings.fields import Name, Section
+from arbutuscleat.web.http_request import HttpRequest
+from arbutuscleat.web.http_response import HttpResponse, json_response
+from arbutuscleat.web.problem import refuse
 
 from .auth import token_owner
 from .front import Front
-from .http_request import HttpRequest
-from .http_response import HttpResponse, json_response
-from .problem import refuse
 
 ENDPOINT = "endpoint"
 
--- a/arbutuscleat/http/front.py
+++ b/arbutuscleat/http/front.py
@@ -2,8 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-from .http_request import HttpRequest
-from .http_response import HttpResponse
+from arbutuscleat.web.http_request import HttpRequest
+from arbutuscleat.web.http_response import HttpResponse
 
 
 class Front(ABC):
--- a/arbutuscleat/http/monitoring_front.py
+++ b/arbutuscleat/http/monitoring_front.py
@@ -4,11 +4,11 @@
 
 from arbutuscleat.core import RefusalReason
 from arbutuscleat.telemetry import Metrics
+from arbutuscleat.web.http_request import HttpRequest
+from arbutuscleat.web.http_response import HttpResponse, json_response, text_response
+from arbutuscleat.web.problem import refuse
 
 from .front import Front
-from .http_request import HttpRequest
-from .http_response import HttpResponse, json_response, text_response
-from .problem import refuse
 
 
 class HealthFront(Front):
--- a/arbutuscleat/http/operator_front.py
+++ b/arbutuscleat/http/operator_front.py
@@ -11,14 +11,14 @@
 from arbutuscleat.maintenance import waves
 from arbutuscleat.membership import ControlClient, ControlErrorKind
 from arbutuscleat.state import FleetConfiguration, LabelKind
+from arbutuscleat.web.http_request import HttpRequest
+from arbutuscleat.web.http_response import HttpResponse, json_response
+from arbutuscleat.web.problem import problem_response, refuse
 from arbutuscleat.wire.gen.ttypes import ChangeResult, Command, StatusAnswer
 
 from .auth import token_owner
 from .change_body import CHANGE_BODY, to_change
 from .front import Front
-from .http_request import HttpRequest
-from .http_response import HttpResponse, json_response
-from .problem import problem_response, refuse
 from .rendering import (
     change_json,
     explain_instance,
--- /dev/null
+++ b/arbutuscleat/jobs/__init__.py
@@ -0,0 +1,23 @@
+"""Jobs: what callers hand in, and the replicated table of jobs, runs and workers."""
+
+from .job_state import JobPhase, JobState
+from .job_table import AcceptResult, JobTable
+from .queue_config import Queue, QueueConfig, Service
+from .run_outcome import RunOutcome
+from .task import TaskKey, TaskState, TaskStatus
+from .wave import Wave
+
+__all__ = [
+    "AcceptResult",
+    "JobPhase",
+    "JobState",
+    "JobTable",
+    "Queue",
+    "QueueConfig",
+    "RunOutcome",
+    "Service",
+    "TaskKey",
+    "TaskState",
+    "TaskStatus",
+    "Wave",
+]
--- /dev/null
+++ b/arbutuscleat/jobs/task.py
@@ -0,0 +1,60 @@
+"""Tasks: the smallest pieces of a job, each run by one worker at a time.
+
+A run of a task is logged before it is ordered.  From then on the task counts as
+running until an end of that very run is logged, so nothing can run twice.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+WorkerLife = tuple[str, int]
+"""A worker's id and the Unix millisecond of its start."""
+
+NO_WORKER: WorkerLife = ("", 0)
+
+
+class TaskKey(NamedTuple):
+    """Names one task of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    task_index: int
+
+
+class TaskStatus(IntEnum):
+    """Where a task stands."""
+
+    WAITING = 0
+    RUNNING = 1
+    DONE = 2
+
+
+class TaskState:
+    """What the log has decided about one task.
+
+    Attributes
+    ----------
+    key : TaskKey
+        Which task it is.
+    status : TaskStatus
+        Where it stands.
+    number : int
+        The highest run number given out; 0 before the first.
+    failures : int
+        Runs that ended as failed.
+    life : WorkerLife
+        Where the latest run was ordered.
+    checkpoint : str
+        What the next run resumes from; empty for the start.
+    """
+
+    __slots__ = ("key", "status", "number", "failures", "life", "checkpoint")
+
+    def __init__(self, key: TaskKey):
+        self.key = key
+        self.status = TaskStatus.WAITING
+        self.number = 0
+        self.failures = 0
+        self.life = NO_WORKER
+        self.checkpoint = ""
--- /dev/null
+++ b/arbutuscleat/scheduling/planner.py
@@ -0,0 +1,220 @@
+"""The planner: which waiting tasks start now, and where.
+
+It answers a load in which one queue at a time asks for more than its workers
+hold.  Tasks that last come first, since they earn for as long as they run.  Then
+jobs that can still meet their objective, the most urgent first; those that are
+late already get what is left.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from arbutuscleat.jobs import JobState, JobTable, Queue, TaskState, TaskStatus
+from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, StepRecord
+
+from .objective import longest_chain_ms, objective_at_ms
+from .worker_view import WorkerView
+
+MAX_STARTS = 64
+"""Starts in one plan: bounds the time that the table's lock is held."""
+
+START_LATER_MS = 20
+"""Occurrences start this much after their time, since clocks differ a little."""
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What is to be started now.
+
+    Parameters
+    ----------
+    runs : list of RunRecord
+        The runs to log and order.
+    next_due_ms : int or None
+        When the next occurrence is due, in Unix milliseconds.
+    """
+
+    runs: list[RunRecord]
+    next_due_ms: int | None = None
+
+
+@dataclass(order=True)
+class _Candidate:
+    rank: tuple[int, int, int, int]
+    job: JobState = field(compare=False)
+    occurrence: int = field(compare=False)
+    queue: Queue | None = field(compare=False)
+
+
+class Planner:
+    """Makes plans from the table and the views of the workers."""
+
+    def plan(
+        self, table: JobTable, views: Mapping[str, WorkerView], now_ms: int
+    ) -> Plan:
+        """Return what is to be started now; the table's lock is held."""
+        by_service: dict[str, list[WorkerView]] = {}
+        for view in views.values():
+            if view.usable:
+                service = view.record.service_name
+                by_service.setdefault(service, []).append(view)
+        candidates, next_due_ms = self._candidates(table, by_service, now_ms)
+        candidates.sort()
+        runs: list[RunRecord] = []
+        for candidate in candidates:
+            workers = by_service[table.service_of(candidate.job)]
+            runs.extend(self._start_job(candidate, workers))
+            if len(runs) >= MAX_STARTS:
+                break
+        return Plan(runs, next_due_ms)
+
+    def _candidates(
+        self,
+        table: JobTable,
+        by_service: Mapping[str, Sequence[WorkerView]],
+        now_ms: int,
+    ) -> tuple[list[_Candidate], int | None]:
+        found = []
+        next_due_ms = None
+        for job in table.active.values():
+            queue = table.config.queues.get(job.record.queue) if table.config else None
+            serves = table.service_of(job) in by_service
+            for occurrence in range(job.occurrence_count()):
+                due_ms = job.due_at_ms(occurrence)
+                if job.record.repeat_count:
+                    due_ms += START_LATER_MS
+                if due_ms > now_ms and job.record.repeat_count:
+                    if next_due_ms is None or due_ms < next_due_ms:
+                        next_due_ms = due_ms
+                    break
+                if not serves or job.is_occurrence_done(occurrence):
+                    continue
+                rank = self._rank(job, occurrence, queue, now_ms)
+                found.append(_Candidate(rank, job, occurrence, queue))
+        return found, next_due_ms
+
+    def _rank(
+        self, job: JobState, occurrence: int, queue: Queue | None, now_ms: int
+    ) -> tuple[int, int, int, int]:
+        if any(step.long_running for step in job.steps):
+            return (0, 0, 0, job.record.accepted_at_ms)
+        objective = objective_at_ms(job, occurrence, queue)
+        first = next(
+            (
+                number
+                for number in range(len(job.steps))
+                if not job.is_step_done(occurrence, number)
+            ),
+            0,
+        )
+        latest_start = objective - longest_chain_ms(job.steps, first)
+        late = int(latest_start < now_ms)
+        priority = 0 if queue is None else queue.priority
+        return (1, late, priority, latest_start)
+
+    def _start_job(
+        self, candidate: _Candidate, workers: Sequence[WorkerView]
+    ) -> list[RunRecord]:
+        job, occurrence = candidate.job, candidate.occurrence
+        runs: list[RunRecord] = []
+        for number, step in enumerate(job.steps):
+            if job.is_step_done(occurrence, number):
+                continue
+            if not job.is_ready(occurrence, number):
+                continue
+            tasks = job.tasks(occurrence, number)
+            waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
+            if not waiting:
+                continue
+            if step.gang:
+                if len(waiting) == len(tasks):
+                    runs.extend(self._place_gang(step, waiting, workers))
+            else:
+                runs.extend(self._place_each(step, waiting, workers))
+        return runs
+
+    def _place_each(
+        self,
+        step: StepRecord,
+        waiting: Iterable[TaskState],
+        workers: Sequence[WorkerView],
+    ) -> list[RunRecord]:
+        runs = []
+        for task in waiting:
+            view = self._best(step, task, workers, step.data_rack or "")
+            if view is None:
+                if not task.failures:
+                    break  # Nor will its siblings find a place.
+                continue
+            view.take(step, task.key[:3])
+            runs.append(_run(task, task.number + 1, view))
+        return runs
+
+    def _place_gang(
+        self,
+        step: StepRecord,
+        waiting: Sequence[TaskState],
+        workers: Sequence[WorkerView],
+    ) -> list[RunRecord]:
+        """Place all tasks of a gang or none, on one rack if it asks for that."""
+        number = 1 + max(task.number for task in waiting)
+        groups: list[Sequence[WorkerView]] = [workers]
+        if step.rack_local:
+            racks = sorted({view.rack for view in workers})
+            racks.sort(key=lambda rack: rack != (step.data_rack or ""))
+            groups = [[v for v in workers if v.rack == rack] for rack in racks]
+            groups.append(workers)
+        for group in groups:
+            taken: list[tuple[TaskState, WorkerView]] = []
+            for task in waiting:
+                view = self._best(step, task, group, step.data_rack or "")
+                if view is None:
+                    break
+                view.take(step, task.key[:3])
+                taken.append((task, view))
+            if len(taken) == len(waiting):
+                return [_run(task, number, view) for task, view in taken]
+            for task, view in taken:
+                view.give_back(step, task.key[:3])
+        return []
+
+    def _best(
+        self,
+        step: StepRecord,
+        task: TaskState,
+        workers: Sequence[WorkerView],
+        rack: str,
+    ) -> WorkerView | None:
+        best = None
+        best_rank: tuple[int, bool, bool, int] | None = None
+        group = task.key[:3]
+        for view in workers:
+            if not view.fits(step):
+                continue
+            if step.required_label and step.required_label not in view.record.labels:
+                continue
+            if step.spread_limit and view.counts.get(group, 0) >= step.spread_limit:
+                continue
+            failed_here = task.failures > 0 and task.life[0] == view.record.worker_id
+            rank = (
+                view.grade,
+                failed_here,
+                bool(rack) and view.rack != rack,
+                -view.cpu,
+            )
+            if best_rank is None or rank < best_rank:
+                best, best_rank = view, rank
+        return best
+
+
+def _run(task: TaskState, number: int, view: WorkerView) -> RunRecord:
+    key = task.key
+    return RunRecord(
+        job_id=key.job_id,
+        occurrence=key.occurrence,
+        step=key.step,
+        index=key.task_index,
+        number=number,
+        worker_id=view.record.worker_id,
+        born_ms=view.record.born_ms,
+    )
--- /dev/null
+++ b/arbutuscleat/web/__init__.py
@@ -0,0 +1,17 @@
+"""HTTP plumbing: the server, requests, responses and problem details."""
+
+from .http_request import HttpRequest, read_request
+from .http_response import HttpResponse, json_response, text_response
+from .problem import problem_response, refuse
+from .server import HttpServer
+
+__all__ = [
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "json_response",
+    "problem_response",
+    "read_request",
+    "refuse",
+    "text_response",
+]
--- /dev/null
+++ b/arbutuscleat/wire/gen_jobs/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'JobControl']
--- /dev/null
+++ b/arbutuscleat/wire/jobs.thrift
@@ -0,0 +1,262 @@
+// The messages and log records of the job queue: entry instances to control
+// instances, and the commands that the replicated log carries.
+// `make thrift` generates arbutuscleat/wire/gen_jobs, which is committed.
+
+include "arbutuscleat.thrift"
+
+namespace py arbutuscleat.wire.gen_jobs
+
+// ---- records of the log ----------------------------------------------------
+
+struct StepRecord {
+  1: i32 count
+  2: i32 cpu
+  3: i32 mem_mb
+  4: i32 gpu
+  5: i32 estimated_ms
+  6: list<i32> after
+  7: bool checkpointing
+  8: bool gang
+  9: bool rack_local
+  10: string required_label
+  11: string data_rack
+  12: i32 spread_limit
+  13: bool speculative
+  14: bool long_running
+  15: string image
+  16: i32 target_ms
+  17: bool fills
+  18: i32 may_miss
+}
+
+struct JobRecord {
+  1: string job_id
+  2: string queue
+  3: string spec
+  4: list<StepRecord> steps
+  5: i32 repeat_count
+  6: i64 start_at_ms
+  7: i64 interval_ms
+  8: i64 accepted_at_ms
+  9: string service_name
+}
+
+// One run of one task.
+struct RunRecord {
+  1: string job_id
+  2: i32 occurrence
+  3: i32 step
+  4: i32 index
+  5: i32 number
+  6: string worker_id
+  7: i64 born_ms
+}
+
+struct EndRecord {
+  1: RunRecord run
+  2: i32 outcome
+  3: string checkpoint
+}
+
+struct WorkerRecord {
+  1: string worker_id
+  2: i64 born_ms
+  3: string service_name
+  4: string host
+  5: i32 port
+  6: string data_centre
+  7: i32 cpu
+  8: i32 mem_mb
+  9: i32 gpu
+  10: list<string> labels
+  11: bool draining
+  12: i64 sequence
+  13: string machine
+}
+
+struct WaveRecord {
+  1: i32 wave
+  2: list<string> machines
+  3: i32 cap
+  4: i64 due_at_ms
+  5: list<string> ordered
+  6: list<string> finished
+}
+
+struct SetConfig {
+  1: i64 version
+  2: binary content
+}
+
+struct RunStarts {
+  1: list<RunRecord> runs
+}
+
+struct RunEnds {
+  1: list<EndRecord> ends
+  2: i64 at_ms
+}
+
+struct CancelJob {
+  1: string job_id
+  2: i64 at_ms
+}
+
+struct RemoveWorker {
+  1: string worker_id
+  2: i64 born_ms
+}
+
+// A machine of a wave: its upkeep is about to be ordered, or it is over.
+struct AdvanceWave {
+  1: i32 wave
+  2: string machine
+  3: bool finished
+}
+
+struct JobCommand {
+  1: optional JobRecord accept
+  2: optional CancelJob cancel
+  3: optional RunStarts starts
+  4: optional RunEnds ends
+  5: optional WorkerRecord worker
+  6: optional RemoveWorker remove_worker
+  7: optional SetConfig config
+  8: optional WaveRecord wave
+  9: optional AdvanceWave advance_wave
+}
+
+struct TaskImage {
+  1: i32 status
+  2: i32 number
+  3: i32 failures
+  4: string worker_id
+  5: i64 born_ms
+  6: string checkpoint
+}
+
+struct OccurrenceImage {
+  1: i32 occurrence
+  2: list<list<TaskImage>> steps
+}
+
+struct JobImage {
+  1: JobRecord job
+  2: bool cancelled
+  3: bool failed
+  4: i64 ended_at_ms
+  5: list<OccurrenceImage> occurrences
+}
+
+struct JobTableImage {
+  1: list<JobImage> jobs
+  2: list<WorkerRecord> workers
+  3: i64 config_version
+  4: binary config
+  5: list<WaveRecord> waves
+}
+
+// ---- between entry and control instances -----------------------------------
+
+// How far a call to a control instance got.
+enum Verdict {
+  DONE = 1
+  NOT_LEADER = 2
+  NO_QUORUM = 3
+  UNKNOWN = 4
+  NO_CONFIG = 5
+  NO_QUEUE = 6
+  NO_JOB = 7
+  CONFLICT = 8
+  REFUSED = 9
+  INVALID = 10
+}
+
+struct LocateRequest {
+  1: i64 request_id
+}
+
+struct LocateAnswer {
+  1: i64 request_id
+  2: string leader
+  3: list<string> members
+}
+
+struct JoinRequest {
+  1: i64 request_id
+  2: string node_id
+  3: string incarnation
+}
+
+struct JoinAnswer {
+  1: i64 request_id
+  2: bool accepted
+  3: string leader
+}
+
+// `host` and `path` select the queue; what is left of the path names the job.
+struct SubmitRequest {
+  1: i64 request_id
+  2: string host
+  3: string path
+  4: JobRecord job
+}
+
+struct JobRequest {
+  1: i64 request_id
+  2: string host
+  3: string path
+}
+
+struct JobAnswer {
+  1: i64 request_id
+  2: Verdict verdict
+  3: string leader
+  4: string state
+  5: i32 pending
+  6: i32 retry_after_ms
+  7: string detail
+}
+
+struct AnnounceRequest {
+  1: i64 request_id
+  2: WorkerRecord worker
+  3: bool leaving
+}
+
+struct ConfigRequest {
+  1: i64 request_id
+  2: i64 version
+  3: binary content
+  4: bool is_read
+}
+
+struct WaveRequest {
+  1: i64 request_id
+  2: WaveRecord wave
+  3: bool is_read
+}
+
+struct ControlAnswer {
+  1: i64 request_id
+  2: Verdict verdict
+  3: string leader
+  4: string detail
+  5: binary content
+  6: bool finished
+}
+
+service JobControl {
+  arbutuscleat.VoteAnswer vote(1: arbutuscleat.VoteRequest request)
+  arbutuscleat.AppendAnswer append(1: arbutuscleat.AppendRequest request)
+  arbutuscleat.SnapshotAnswer install(1: arbutuscleat.SnapshotChunk request)
+  arbutuscleat.TakeOverAnswer take_over(1: arbutuscleat.TakeOverRequest request)
+  LocateAnswer locate(1: LocateRequest request)
+  JoinAnswer join(1: JoinRequest request)
+  JobAnswer submit(1: SubmitRequest request)
+  JobAnswer look_up(1: JobRequest request)
+  JobAnswer cancel(1: JobRequest request)
+  ControlAnswer announce(1: AnnounceRequest request)
+  ControlAnswer configure(1: ConfigRequest request)
+  ControlAnswer wave(1: WaveRequest request)
+}
