--- a/arbutuscleat/access/control_link.py
+++ b/arbutuscleat/access/control_link.py
@@ -21,8 +21,15 @@
 PAUSE_SECONDS = 0.03
 """Between two tries: half of what an election's round takes at least."""
 
-CALL_SECONDS = 1.0
-"""Time limit of one try."""
+CALL_SECONDS = 0.6
+"""Time limit of one try: a commit takes some milliseconds, a worker or operator
+waits for a second."""
+
+CONNECT_SECONDS = 0.3
+"""Time limit of a new connection: a dozen trips between regions."""
+
+AVOID_SECONDS = 2.0
+"""How long a host without an answer is asked after all others."""
 
 _ELSEWHERE = (Verdict.NOT_LEADER, Verdict.NO_QUORUM)
 
@@ -58,6 +65,8 @@
         Source of time.
     local : object, optional
         The service of this very process, asked first when it leads.
+    leader_hint : callable, optional
+        Returns the leader that this very process follows; empty when it has none.
     """
 
     def __init__(
@@ -67,12 +76,15 @@
         credentials: Credentials,
         clock: Clock,
         local: Any = None,
+        leader_hint: Callable[[], str] = lambda: "",
     ):
         self._read_seeds = read_seeds
         self._port = port
         self._credentials = credentials
         self._clock = clock
         self._local = local
+        self._leader_hint = leader_hint
+        self._avoided: dict[str, float] = {}
         self._lock = threading.Lock()
         self._pools: dict[str, ChannelPool] = {}
         self._members: list[str] = list(read_seeds())
@@ -104,7 +116,7 @@
                 self._note_leader(answer.leader if answer.leader != target else "")
             else:
                 sent = sent or result.failure().sent()
-                self._note_leader("")
+                self._avoid(target, result.failure().detail)
             if deadline.expired():
                 return LinkOutcome(None, sent)
             if self._leader in tried or not self._leader:
@@ -116,6 +128,7 @@
         for host in self._candidates():
             result = self._pool(host).call("locate", LocateRequest(), CALL_SECONDS)
             if not isinstance(result, Success):
+                self._avoid(host, result.failure().detail)
                 continue
             answer = result.unwrap()
             with self._lock:
@@ -137,6 +150,9 @@
             pool.close()
 
     def _choose(self, tried: set[str]) -> str:
+        hint = self._leader_hint()
+        if hint and hint not in tried and hint != self._credentials.node_id:
+            return hint
         with self._lock:
             if self._leader and self._leader not in tried:
                 return self._leader
@@ -154,7 +170,19 @@
             hosts += [host for host in self._members if host not in hosts]
         hosts += [host for host in self._read_seeds() if host not in hosts]
         own = self._credentials.node_id
-        return [host for host in hosts if host != own] or hosts
+        now = self._clock.monotonic()
+        hosts = [host for host in hosts if host != own] or hosts
+        hosts.sort(key=lambda host: max(0.0, self._avoided.get(host, 0.0) - now))
+        return hosts
+
+    def _avoid(self, host: str, reason: str) -> None:
+        now = self._clock.monotonic()
+        if self._avoided.get(host, 0.0) < now:
+            logging.info("%s does not answer: %s", host, reason)
+        self._avoided[host] = now + AVOID_SECONDS
+        with self._lock:
+            if self._leader == host:
+                self._leader = ""
 
     def _read_settings(self) -> None:
         with self._lock:
@@ -175,6 +203,8 @@
             pool = self._pools.get(host)
             if pool is None:
                 address = Address(host, self._port)
-                pool = ChannelPool(JobControl.Client, address, self._credentials)
+                pool = ChannelPool(
+                    JobControl.Client, address, self._credentials, CONNECT_SECONDS
+                )
                 self._pools[host] = pool
             return pool
--- a/arbutuscleat/execution/__init__.py
+++ b/arbutuscleat/execution/__init__.py
@@ -2,6 +2,7 @@
 
 from .executor import Executor
 from .limits import ExecutionLimits
+from .machine_keeper import MachineKeeper
 from .provider import MachineOrder, MachineState, Provider
 from .worker_client import (
     FinishedRun,
@@ -21,6 +22,7 @@
     "FinishedRun",
     "HoldAnswer",
     "HoldOrder",
+    "MachineKeeper",
     "MachineOrder",
     "MachineState",
     "OrderAnswer",
--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -14,7 +14,13 @@
 from arbutuscleat.consensus import Replica
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import JobTable, TaskKey
-from arbutuscleat.scheduling import Planner, WorkerView
+from arbutuscleat.scheduling import (
+    Demand,
+    Planner,
+    WorkerView,
+    movable_tasks,
+    service_demand,
+)
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     JobCommand,
@@ -36,6 +42,9 @@
 PROPOSE_SECONDS = 2.0
 """How long the loop waits for a decision to be committed."""
 
+AT_WORK_PERCENT = 100
+"""Progress of a lasting task that is past its start."""
+
 SESSIONS_PER_TERM = 1_000_000
 """Fencing tokens that one term can give out."""
 
@@ -79,6 +88,8 @@
         self._stopping = threading.Event()
         self._term = -1
         self._session_count = 0
+        self._closing: set[str] = set()
+        self.turns = 0
         self.sessions: dict[str, WorkerSession] = {}
         self._thread = threading.Thread(target=self._run, name="executor", daemon=True)
 
@@ -94,6 +105,46 @@
         self._thread.join(PROPOSE_SECONDS)
         self._close_sessions()
 
+    # ---- for the machine keeper ----
+
+    def set_closing(self, worker_ids: set[str]) -> None:
+        """Start nothing new on these workers from the next plan on."""
+        with self._table.lock:
+            if worker_ids != self._closing:
+                self._closing = worker_ids
+                self._table.changed.notify_all()
+
+    def order_stop(self, worker_id: str, key: TaskKey, number: int) -> None:
+        """Order the end of a run, so that its task starts elsewhere."""
+        with self._table.lock:
+            session = self.sessions.get(worker_id)
+        if session is not None:
+            session.order_stop(key, number)
+
+    def demand(self, service_name: str) -> Demand:
+        """Return what a service is asked for now."""
+        with self._table.lock:
+            return service_demand(self._table, service_name, self._now_ms())
+
+    def movable_tasks(self, worker_id: str) -> list[tuple[TaskKey, int]]:
+        """Return the lasting tasks that may leave a worker now.
+
+        A step names how many of its tasks may be away by our doing; any other task
+        that is not seen at work counts as away.  There has to be room elsewhere.
+        """
+        with self._table.lock:
+            session = self.sessions.get(worker_id)
+            if session is None:
+                return []
+            at_work = {
+                (task.key, task.number)
+                for other in self.sessions.values()
+                for task in other.running
+                if task.percent >= AT_WORK_PERCENT
+            }
+            views = self._views()
+            return movable_tasks(self._table, session.life, at_work, views)
+
     def propose(self, command: JobCommand) -> bool:
         """Put a command through the log; False when it is not known to be in it."""
         result = self._replica.propose(encode(command), PROPOSE_SECONDS)
@@ -119,6 +170,7 @@
             self._match_sessions()
             views = self._views()
             plan = self._planner.plan(self._table, views, self._now_ms())
+            self.turns += 1
             stops = self._due_stops()
             if not plan.runs and not stops:
                 timeout = IDLE_SECONDS
@@ -197,6 +249,7 @@
         for worker_id, session in self.sessions.items():
             record = self._table.workers[worker_id]
             usable = session.is_usable() and not record.draining
+            usable = usable and worker_id not in self._closing
             view = WorkerView(record, usable, session.grade())
             for key in self._table.runs.get(session.life, ()):
                 job = self._table.jobs.get(key.job_id)
--- /dev/null
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -0,0 +1,330 @@
+"""The machine keeper: the leader's orders for machines.
+
+Upkeep of waves and moves between pools end what runs on a machine, so the keeper
+has the executor start nothing new on it, waits until it is empty, and orders then.
+A new leader waits until orders of a former one can no longer be on their way.
+"""
+
+import threading
+
+from absl import logging
+
+from arbutuscleat.consensus import Replica
+from arbutuscleat.core import Clock
+from arbutuscleat.jobs import JobTable, Wave
+from arbutuscleat.scheduling import (
+    Demand,
+    Move,
+    PoolMachine,
+    PoolPlanner,
+    WaveMachine,
+    choose_machines,
+)
+from arbutuscleat.wire.gen_jobs.ttypes import AdvanceWave, JobCommand, RemoveWorker
+
+from .executor import Executor
+from .limits import ExecutionLimits
+from .provider import MachineOrder, MachineState, Provider
+
+TURN_SECONDS = 0.25
+"""Between two looks at the machines."""
+
+BACK_SECONDS = 6.0
+"""After which a machine whose upkeep was ordered counts as back though the list
+never showed it as away."""
+
+TURNS_BEFORE_ORDER = 2
+"""Plans of the executor after which nothing planned before is still unlogged."""
+
+
+class MachineKeeper:
+    """Carries out waves and moves while this process leads.
+
+    Parameters
+    ----------
+    replica : Replica
+        This process's member of the consensus group.
+    table : JobTable
+        Its state.
+    executor : Executor
+        Starts nothing on machines that are being emptied.
+    provider : Provider
+        Takes the orders.
+    clock : Clock
+        Source of time.
+    limits : ExecutionLimits
+        Times that leases go by.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        table: JobTable,
+        executor: Executor,
+        provider: Provider,
+        clock: Clock,
+        limits: ExecutionLimits,
+    ):
+        self._replica = replica
+        self._table = table
+        self._executor = executor
+        self._provider = provider
+        self._clock = clock
+        self._limits = limits
+        self._pools = PoolPlanner()
+        self._stopping = threading.Event()
+        self._term = -1
+        self._away: dict[str, tuple[float, str]] = {}
+        """Machines under upkeep: since when, and the worker that they had."""
+        self._closing: dict[str, int] = {}
+        """Workers that are being emptied, with the executor's turn when it began."""
+        self._idle_since: dict[str, float] = {}
+        self._moving: dict[str, str] = {}
+        """Machines being emptied for a move, by the service they go to."""
+        self._thread = threading.Thread(target=self._run, name="machines", daemon=True)
+
+    def start(self) -> None:
+        """Start the task."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the task."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._clock.sleep(self._stopping, TURN_SECONDS):
+            if not self._may_order():
+                self._forget()
+                continue
+            if self._replica.term() != self._term:
+                self._forget()
+                self._term = self._replica.term()
+            machines = self._provider.machines()
+            if machines is not None:
+                self._turn(machines)
+
+    def _may_order(self) -> bool:
+        """Return whether this process leads for long enough to order machines."""
+        if not self._replica.leads():
+            return False
+        waited = self._clock.monotonic() - self._replica.led_since()
+        return waited > self._limits.machine_lease
+
+    def _forget(self) -> None:
+        if self._closing:
+            self._executor.set_closing(set())
+        self._away = {}
+        self._closing = {}
+        self._moving = {}
+        self._idle_since = {}
+
+    def _turn(self, machines: list[MachineState]) -> None:
+        by_name = {item.machine: item for item in machines}
+        self._note_returns(by_name)
+        self._note_idle(machines)
+        wanted: set[str] = set()
+        with self._table.lock:
+            waves = [w for w in self._table.waves.values() if not w.is_complete()]
+        for wave in waves:
+            wanted |= self._plan_wave(wave, by_name)
+        wanted |= self._plan_moves(machines, wanted, waves)
+        self._close_workers(wanted, by_name)
+        for wave in waves:
+            self._order_upkeep(wave, by_name, wanted)
+        self._order_moves(by_name)
+
+    # ---- what is known of machines ----
+
+    def _note_returns(self, by_name: dict[str, MachineState]) -> None:
+        now = self._clock.monotonic()
+        for machine, (since, worker_id) in list(self._away.items()):
+            state = by_name.get(machine)
+            returned = state is None or (state.is_up and state.worker_id != worker_id)
+            if returned or now - since > BACK_SECONDS:
+                del self._away[machine]
+
+    def _note_idle(self, machines: list[MachineState]) -> None:
+        now = self._clock.monotonic()
+        for item in machines:
+            if self._runs_on(item.worker_id):
+                self._idle_since.pop(item.machine, None)
+            else:
+                self._idle_since.setdefault(item.machine, now)
+
+    def _runs_on(self, worker_id: str) -> int:
+        """Return the processor in use on a worker, 0 when nothing runs there."""
+        with self._table.lock:
+            record = self._table.workers.get(worker_id)
+            if record is None:
+                return 0
+            runs = self._table.runs.get((worker_id, record.born_ms), {})
+            used = 0
+            for key in runs:
+                job = self._table.jobs.get(key.job_id)
+                used += 1 if job is None else max(1, job.steps[key.step].cpu)
+            return used
+
+    # ---- waves ----
+
+    def _plan_wave(self, wave: Wave, by_name: dict[str, MachineState]) -> set[str]:
+        """Return the machines of a wave that are to be emptied."""
+        left = []
+        for machine in wave.machines:
+            state = by_name.get(machine)
+            if state is None and machine not in wave.finished:
+                self._advance(wave, machine, finished=True)
+                logging.info("wave %d: %s no longer exists", wave.number, machine)
+            if state is None or machine in wave.finished:
+                continue
+            load = self._runs_on(state.worker_id)
+            left.append(
+                WaveMachine(
+                    machine=machine,
+                    is_up=state.is_up,
+                    is_empty=load == 0,
+                    is_closing=state.worker_id in self._closing,
+                    load=load,
+                )
+            )
+        away = sum(machine in self._away for machine in wave.machines)
+        seconds_left = (wave.due_at_ms - self._now_ms()) / 1000.0
+        return set(choose_machines(left, wave.cap, away, seconds_left))
+
+    def _order_upkeep(
+        self, wave: Wave, by_name: dict[str, MachineState], wanted: set[str]
+    ) -> None:
+        for machine in wave.machines:
+            if machine not in wanted or machine in wave.finished:
+                continue
+            state = by_name[machine]
+            away = sum(other in self._away for other in wave.machines)
+            if away >= wave.cap or not state.is_up:
+                continue
+            if not self._is_emptied(state.worker_id):
+                self._move_lasting(state.worker_id)
+                continue
+            if machine not in wave.ordered and not self._advance(wave, machine, False):
+                continue
+            if not self._may_order():
+                return
+            outcome = self._provider.upkeep(machine, wave.number, self._term)
+            if outcome is MachineOrder.DONE:
+                self._away[machine] = (self._clock.monotonic(), state.worker_id)
+                self._drop_worker(state.worker_id)
+                self._advance(wave, machine, finished=True)
+            elif outcome is MachineOrder.UNKNOWN:
+                self._away[machine] = (self._clock.monotonic(), state.worker_id)
+
+    def _advance(self, wave: Wave, machine: str, finished: bool) -> bool:
+        command = AdvanceWave(wave=wave.number, machine=machine, finished=finished)
+        return self._executor.propose(JobCommand(advance_wave=command))
+
+    def _move_lasting(self, worker_id: str) -> None:
+        """Have lasting tasks leave a worker, as far as their steps allow it."""
+        for key, number in self._executor.movable_tasks(worker_id):
+            self._executor.order_stop(worker_id, key, number)
+
+    # ---- moves ----
+
+    def _plan_moves(
+        self, machines: list[MachineState], wanted: set[str], waves: list[Wave]
+    ) -> set[str]:
+        with self._table.lock:
+            config = self._table.config
+            services = {} if config is None else dict(config.services)
+        standby = next((s.name for s in services.values() if s.standby), "")
+        demands = {
+            name: self._executor.demand(name)
+            for name, service in services.items()
+            if not service.standby
+        }
+        in_wave = {m for w in waves for m in w.machines if m in w.ordered - w.finished}
+        now = self._clock.monotonic()
+        pool = [
+            PoolMachine(
+                machine=item.machine,
+                service_name=self._moving.get(item.machine, item.service_name),
+                kind=item.kind,
+                cpu=item.cpu,
+                is_up=item.is_up and item.machine not in self._moving,
+                idle_seconds=now - self._idle_since.get(item.machine, now + 1.0),
+                in_wave=item.machine in in_wave
+                or item.machine in wanted
+                or item.machine in self._away,
+            )
+            for item in machines
+        ]
+        for move in self._pools.plan(pool, demands, standby):
+            self._moving[move.machine] = move.service_name
+            self._log_move(move, demands)
+        return set(self._moving)
+
+    def _log_move(self, move: Move, demands: dict[str, Demand]) -> None:
+        demand = demands.get(move.service_name, Demand())
+        logging.info(
+            "machine %s is to move to %s: %d running, %d waiting there",
+            move.machine,
+            move.service_name,
+            demand.running_cpu,
+            demand.waiting_cpu,
+        )
+
+    def _order_moves(self, by_name: dict[str, MachineState]) -> None:
+        for machine, service_name in list(self._moving.items()):
+            state = by_name.get(machine)
+            if state is None or state.service_name == service_name:
+                del self._moving[machine]
+                continue
+            if not state.is_up:
+                continue
+            if self._runs_on(state.worker_id):
+                del self._moving[machine]  # Something has started after all.
+                continue
+            if not self._is_emptied(state.worker_id):
+                continue
+            if not self._may_order():
+                return
+            outcome = self._provider.move(machine, service_name, self._term)
+            if outcome is MachineOrder.DONE:
+                self._drop_worker(state.worker_id)
+            elif outcome in (MachineOrder.REFUSED, MachineOrder.BUSY):
+                del self._moving[machine]
+
+    # ---- emptying ----
+
+    def _close_workers(
+        self, wanted: set[str], by_name: dict[str, MachineState]
+    ) -> None:
+        turn = self._executor.turns
+        worker_ids = {by_name[m].worker_id for m in wanted if m in by_name}
+        for worker_id in worker_ids:
+            self._closing.setdefault(worker_id, turn)
+        for worker_id in list(self._closing):
+            if worker_id not in worker_ids:
+                del self._closing[worker_id]
+        self._executor.set_closing(set(self._closing))
+
+    def _is_emptied(self, worker_id: str) -> bool:
+        """Return whether nothing runs on a worker and nothing is on its way."""
+        if not worker_id:
+            return True
+        closed_at = self._closing.get(worker_id)
+        if closed_at is None:
+            return False
+        with self._table.lock:
+            known = worker_id in self._table.workers
+        if not known:
+            return True
+        if self._executor.turns < closed_at + TURNS_BEFORE_ORDER:
+            return False
+        return not self._runs_on(worker_id)
+
+    def _drop_worker(self, worker_id: str) -> None:
+        with self._table.lock:
+            record = self._table.workers.get(worker_id)
+        if record is not None:
+            command = RemoveWorker(worker_id=worker_id, born_ms=record.born_ms)
+            self._executor.propose(JobCommand(remove_worker=command))
+
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
--- a/arbutuscleat/execution/provider.py
+++ b/arbutuscleat/execution/provider.py
@@ -35,13 +35,24 @@
     is_up : bool
         Whether it is neither moving, nor down, nor under upkeep.
     worker_id : str
-        The worker that runs on it.
+        The worker that runs on it; empty when there is none.
+    labels : tuple of str
+        Its kind and its rack.
+    cpu : int
+        Thousandths of a core.
     """
 
     machine: str
     service_name: str
     is_up: bool
     worker_id: str
+    labels: tuple[str, ...] = ()
+    cpu: int = 0
+
+    @property
+    def kind(self) -> str:
+        """Return what the machine may be exchanged for."""
+        return self.labels[0] if self.labels else ""
 
 
 class Provider(ABC):
--- a/arbutuscleat/jsonlogs.py
+++ b/arbutuscleat/jsonlogs.py
@@ -1,5 +1,6 @@
 """Structured logs for processes that carry no spans: JSON lines on standard output."""
 
+import logging as standard_logging
 import sys
 
 from absl import flags, logging
@@ -29,3 +30,5 @@
     handler.python_handler.stream = sys.stdout
     logging.use_absl_handler()
     logging.set_verbosity(level)
+    # Each of its failures is an error value of ours, and logged where it matters.
+    standard_logging.getLogger("thrift").setLevel(standard_logging.CRITICAL)
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -21,7 +21,7 @@
 )
 from arbutuscleat.consensus.stores import load_identity
 from arbutuscleat.core import SystemClock
-from arbutuscleat.execution import ExecutionLimits, Executor
+from arbutuscleat.execution import ExecutionLimits, Executor, MachineKeeper, Provider
 from arbutuscleat.execution.executor import MakeClient
 from arbutuscleat.jobs import JobTable, QueueConfig
 from arbutuscleat.scheduling import Planner
@@ -99,6 +99,8 @@
         Makes the client of a worker.
     make_front : callable
         Makes the WSGI application for workers and operators.
+    provider : Provider, optional
+        Takes orders for machines; without it waves and moves are left undone.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         decode_config: Callable[[bytes], QueueConfig],
         make_client: MakeClient,
         make_front: MakeFront,
+        provider: Provider | None = None,
     ):
         self._cfg = cfg
         clock = SystemClock()
@@ -141,7 +144,12 @@
             credentials,
         )
         self._link = ControlLink(
-            cfg.read_seeds, cfg.peer_port, credentials, clock, service
+            cfg.read_seeds,
+            cfg.peer_port,
+            credentials,
+            clock,
+            service,
+            lambda: self._replica.status().leader,
         )
         self._executor = Executor(
             self._replica,
@@ -151,6 +159,16 @@
             clock,
             cfg.limits,
         )
+        self._keeper = None
+        if provider is not None:
+            self._keeper = MachineKeeper(
+                self._replica,
+                self._table,
+                self._executor,
+                provider,
+                clock,
+                cfg.limits,
+            )
         self._joiner = Joiner(
             self._replica,
             identity.incarnation,
@@ -173,6 +191,8 @@
         self._thrift.start()
         self._replica.start()
         self._executor.start()
+        if self._keeper is not None:
+            self._keeper.start()
         self._joiner.start()
         self._http.start()
         logging.info(
@@ -185,6 +205,8 @@
     def stop(self) -> None:
         """Hand the leadership over, answer what is in progress and end."""
         self._joiner.stop()
+        if self._keeper is not None:
+            self._keeper.stop()
         self._replica.hand_over()
         self._executor.stop()
         self._http.stop()
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -1,7 +1,24 @@
 """Decisions on jobs and workers, without network or threads."""
 
+from .demand import movable_tasks, service_demand
 from .objective import longest_chain_ms, objective_at_ms
 from .planner import Plan, Planner
+from .pool_planner import Demand, Move, PoolMachine, PoolPlanner
+from .wave_planner import WaveMachine, choose_machines
 from .worker_view import WorkerView
 
-__all__ = ["Plan", "Planner", "WorkerView", "longest_chain_ms", "objective_at_ms"]
+__all__ = [
+    "Demand",
+    "Move",
+    "Plan",
+    "Planner",
+    "PoolMachine",
+    "PoolPlanner",
+    "WaveMachine",
+    "WorkerView",
+    "choose_machines",
+    "longest_chain_ms",
+    "movable_tasks",
+    "objective_at_ms",
+    "service_demand",
+]
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -200,7 +200,7 @@
                 view.grade,
                 failed_here,
                 bool(rack) and view.rack != rack,
-                -view.cpu,
+                view.cpu,
             )
             if best_rank is None or rank < best_rank:
                 best, best_rank = view, rank
--- /dev/null
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -0,0 +1,184 @@
+"""The pool planner: how many machines each service needs, and which ones move.
+
+It answers demand that goes from queue to queue by turns.  A service whose tasks
+wait gets machines out of the standby pool first, then idle ones of services that
+have more than they need.  Machines that have been idle for a while go to the
+standby pool, where they are off.  Nothing that runs is ended for a move.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+IDLE_BEFORE_MOVE_SECONDS = 1.5
+"""Idle time after which a machine may leave its service: the time of a move, below
+which leaving costs more than it saves."""
+
+SPARE_SHARE = 0.35
+"""Room above what runs and waits, as a share of it: what arrives during a move."""
+
+SPARE_MACHINES = 1.0
+"""Room for the first jobs of a turn, in machines."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolMachine:
+    """A machine as the pool planner sees it.
+
+    Parameters
+    ----------
+    machine, service_name, kind : str
+        Which one it is, where it is, and what it may be exchanged for.
+    cpu : int
+        Thousandths of a core.
+    is_up : bool
+        Whether it may be ordered to move.
+    idle_seconds : float
+        How long nothing has run on it; negative while something does.
+    in_wave : bool
+        Whether its upkeep is under way.
+    """
+
+    machine: str
+    service_name: str
+    kind: str
+    cpu: int
+    is_up: bool
+    idle_seconds: float
+    in_wave: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a service is asked for.
+
+    Parameters
+    ----------
+    running_cpu, waiting_cpu : int
+        Thousandths of a core of what runs, and of what could start now.
+    least_machines : int
+        Machines needed whatever their size, since tasks must stand apart.
+    """
+
+    running_cpu: int = 0
+    waiting_cpu: int = 0
+    least_machines: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A machine that is to go into another pool."""
+
+    machine: str
+    service_name: str
+
+
+class PoolPlanner:
+    """Decides on moves; it keeps no state."""
+
+    def plan(
+        self,
+        machines: Sequence[PoolMachine],
+        demands: Mapping[str, Demand],
+        standby: str,
+    ) -> list[Move]:
+        """Return the moves to make now.
+
+        Parameters
+        ----------
+        machines : sequence of PoolMachine
+            All machines of the provider.
+        demands : mapping of str to Demand
+            What each serving service is asked for.
+        standby : str
+            The service whose machines are off; empty when there is none.
+        """
+        moves: list[Move] = []
+        pools: dict[str, list[PoolMachine]] = {name: [] for name in demands}
+        for item in machines:
+            if item.service_name in pools:
+                pools[item.service_name].append(item)
+        needed = {
+            name: self._machines_needed(demand, pools[name])
+            for name, demand in demands.items()
+        }
+        have = {name: len(pool) for name, pool in pools.items()}
+        spare = [
+            item
+            for item in machines
+            if item.service_name == standby and item.is_up and not item.in_wave
+        ]
+        givers = self._givers(pools, needed, have)
+        by_urgency = sorted(demands, key=lambda name: have[name] - needed[name])
+        for name in by_urgency:
+            kinds = {item.kind for item in pools[name]}
+            urgent = demands[name].waiting_cpu > 0
+            while have[name] < needed[name]:
+                found = _take(spare, kinds)
+                if found is None and urgent:
+                    found = _take(
+                        [
+                            i
+                            for i in givers
+                            if have[i.service_name] > needed[i.service_name]
+                        ],
+                        kinds,
+                    )
+                if found is None:
+                    break
+                if found in givers:
+                    givers.remove(found)
+                    have[found.service_name] -= 1
+                elif found in spare:
+                    spare.remove(found)
+                have[name] += 1
+                moves.append(Move(found.machine, name))
+        if standby:
+            moves.extend(self._park(givers, needed, have, standby))
+        return moves
+
+    def _machines_needed(self, demand: Demand, pool: Sequence[PoolMachine]) -> int:
+        size = max((item.cpu for item in pool), default=0) or 1
+        wanted = (demand.running_cpu + demand.waiting_cpu) * (1.0 + SPARE_SHARE)
+        count = int(-(-wanted // size)) + SPARE_MACHINES
+        return max(int(count), demand.least_machines)
+
+    def _givers(
+        self,
+        pools: Mapping[str, Sequence[PoolMachine]],
+        needed: Mapping[str, int],
+        have: Mapping[str, int],
+    ) -> list[PoolMachine]:
+        found: list[PoolMachine] = []
+        for name, pool in pools.items():
+            if have[name] <= needed[name]:
+                continue
+            found.extend(
+                item
+                for item in pool
+                if item.is_up
+                and not item.in_wave
+                and item.idle_seconds >= IDLE_BEFORE_MOVE_SECONDS
+            )
+        found.sort(key=lambda item: -item.idle_seconds)
+        return found
+
+    def _park(
+        self,
+        givers: Sequence[PoolMachine],
+        needed: Mapping[str, int],
+        have: dict[str, int],
+        standby: str,
+    ) -> list[Move]:
+        moves = []
+        for item in givers:
+            if have[item.service_name] > needed[item.service_name]:
+                have[item.service_name] -= 1
+                moves.append(Move(item.machine, standby))
+        return moves
+
+
+def _take(items: Sequence[PoolMachine], kinds: set[str]) -> PoolMachine | None:
+    for item in items:
+        if not kinds or item.kind in kinds:
+            return item
+    return None
--- a/arbutuscleat/wire/channel.py
+++ b/arbutuscleat/wire/channel.py
@@ -33,9 +33,18 @@
         Where the peer listens.
     credentials : Credentials
         What this process presents.
+    connect_seconds : float
+        Time limit of a new connection.
     """
 
-    def __init__(self, client_class: type, address: Address, credentials: Credentials):
+    def __init__(
+        self,
+        client_class: type,
+        address: Address,
+        credentials: Credentials,
+        connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    ):
+        self._connect_seconds = connect_seconds
         self._client_class = client_class
         self._address = address
         self._credentials = credentials
@@ -85,7 +94,7 @@
         if self._client is not None:
             return None
         socket = TSocket(self._address.host, self._address.port)
-        socket.setTimeout(1000.0 * min(max(timeout, 0.001), CONNECT_TIMEOUT_SECONDS))
+        socket.setTimeout(1000.0 * min(max(timeout, 0.001), self._connect_seconds))
         try:
             socket.open()
             protocol = make_protocol(socket)
--- a/arbutuscleat/wire/channel_pool.py
+++ b/arbutuscleat/wire/channel_pool.py
@@ -8,7 +8,7 @@
 
 from .address import Address
 from .call_error import CallError
-from .channel import Channel
+from .channel import CONNECT_TIMEOUT_SECONDS, Channel
 from .credentials import Credentials
 
 IDLE_CHANNELS_KEPT = 16
@@ -17,7 +17,14 @@
 class ChannelPool:
     """Channels to one peer, opened when all others are in use."""
 
-    def __init__(self, client_class: type, address: Address, credentials: Credentials):
+    def __init__(
+        self,
+        client_class: type,
+        address: Address,
+        credentials: Credentials,
+        connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    ):
+        self._connect_seconds = connect_seconds
         self._client_class = client_class
         self._address = address
         self._credentials = credentials
@@ -47,7 +54,12 @@
         try:
             return self._idle.get_nowait()
         except queue.Empty:
-            return Channel(self._client_class, self._address, self._credentials)
+            return Channel(
+                self._client_class,
+                self._address,
+                self._credentials,
+                self._connect_seconds,
+            )
 
     def _give_back(self, channel: Channel) -> None:
         if self._closed.is_set() or self._idle.qsize() >= IDLE_CHANNELS_KEPT:
