--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -89,6 +89,7 @@
         self._term = -1
         self._session_count = 0
         self._closing: set[str] = set()
+        self._moved: dict[TaskKey, int] = {}
         self.turns = 0
         self.sessions: dict[str, WorkerSession] = {}
         self._thread = threading.Thread(target=self._run, name="executor", daemon=True)
@@ -118,6 +119,7 @@
         """Order the end of a run, so that its task starts elsewhere."""
         with self._table.lock:
             session = self.sessions.get(worker_id)
+            self._moved[key] = number
         if session is not None:
             session.order_stop(key, number)
 
@@ -136,11 +138,15 @@
             session = self.sessions.get(worker_id)
             if session is None:
                 return []
+            # What a session has seen is up to a hold old: a task that was ordered to
+            # move is away until a later run of it is seen at work.
             at_work = {
                 (task.key, task.number)
                 for other in self.sessions.values()
+                if other.answers()
                 for task in other.running
                 if task.percent >= AT_WORK_PERCENT
+                and task.number > self._moved.get(task.key, 0)
             }
             views = self._views()
             return movable_tasks(self._table, session.life, at_work, views)
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -158,6 +158,10 @@
             return False
         return self._clock.monotonic() >= self._unusable_until
 
+    def answers(self) -> bool:
+        """Return whether the worker answered the latest hold."""
+        return self._greeted and not self._misses
+
     def grade(self) -> int:
         """Return how many runs have failed in a row, up to a bound."""
         return min(self._failed_in_a_row, 3)
