Tests of the job table, the decisions and the worker sessions; a stand-in worker

The stand-in keeps the platform's rules for runs (room, leases, fences, numbered ends) in the product's words. Found on the way: a job accepted by a leader whose clock was ahead counted as no demand until that time.

--- /dev/null
+++ b/arbutuscleat/emulator/worker_model.py
@@ -0,0 +1,172 @@
+"""A worker that runs nothing but keeps the platform's rules for runs.
+
+It has room, leases, fencing tokens, numbered ends and checkpoints, and takes the
+same calls as a real worker.  Time is the clock's; `advance` notices what has ended.
+"""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from arbutuscleat.core import Clock
+from arbutuscleat.execution import (
+    FinishedRun,
+    HoldAnswer,
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerClient,
+)
+from arbutuscleat.jobs import RunOutcome, TaskKey
+
+Work = Callable[[StartOrder], tuple[float | None, RunOutcome]]
+"""How long a run takes, None for one that lasts, and how it ends."""
+
+PAGE_ENDS = 500
+"""Ends that one answer lists."""
+
+FULL_PERCENT = 100
+
+
+@dataclass
+class _Run:
+    order: StartOrder
+    started_at: float
+    seconds: float | None
+    outcome: RunOutcome
+
+
+class WorkerModel(WorkerClient):
+    """One life of a worker.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time; the worker's own clock starts at 1 with its life.
+    born_ms : int
+        Unix millisecond of its start.
+    work : callable
+        What each start makes of itself.
+    room : int
+        Runs at a time.
+    """
+
+    def __init__(self, clock: Clock, born_ms: int, work: Work, room: int = 64):
+        self._clock = clock
+        self._began = clock.monotonic()
+        self.born_ms = born_ms
+        self._work = work
+        self._room = room
+        self._lock = threading.Lock()
+        self._fence = 0
+        self._expires_ms = 0
+        self._runs: dict[TaskKey, _Run] = {}
+        self._closed: dict[TaskKey, int] = {}
+        self._ends: list[FinishedRun] = []
+        self._position = 0
+        self.started: list[tuple[TaskKey, int]] = []
+        """Every run that has begun, in order."""
+
+    # ---- the worker's own view, for tests ----
+
+    def running(self) -> dict[TaskKey, int]:
+        """Return what runs now."""
+        with self._lock:
+            self._advance()
+            return {key: run.order.number for key, run in self._runs.items()}
+
+    # ---- calls ----
+
+    def start(self, order: StartOrder, timeout: float) -> OrderAnswer:
+        """Begin a run."""
+        with self._lock:
+            self._advance()
+            return OrderAnswer(self._start(order), self._now_ms())
+
+    def stop(self, order: StopOrder, timeout: float) -> OrderAnswer:
+        """End a run, or see to it that it never begins."""
+        with self._lock:
+            self._advance()
+            if not self._admits(order.fence):
+                return OrderAnswer(OrderOutcome.FENCED, self._now_ms())
+            run = self._runs.get(order.key)
+            if run is not None and run.order.number == order.number:
+                self._end(run, RunOutcome.STOPPED)
+            known = self._closed.get(order.key, 0)
+            self._closed[order.key] = max(known, order.number)
+            return OrderAnswer(OrderOutcome.DONE, self._now_ms())
+
+    def hold(self, order: HoldOrder, timeout: float) -> HoldAnswer:
+        """Renew the lease and list; an end is not waited for here."""
+        with self._lock:
+            self._advance()
+            if not self._admits(order.fence):
+                return HoldAnswer(OrderOutcome.FENCED)
+            if order.expires_ms is not None:
+                self._expires_ms = max(self._expires_ms, order.expires_ms)
+            self._ends = [e for e in self._ends if e.position > order.acknowledged]
+            return HoldAnswer(
+                outcome=OrderOutcome.DONE,
+                clock_ms=self._now_ms(),
+                born_ms=self.born_ms,
+                running=tuple(
+                    RunningTask(key, run.order.number, FULL_PERCENT, 0)
+                    for key, run in self._runs.items()
+                ),
+                finished=tuple(self._ends[:PAGE_ENDS]),
+            )
+
+    def close(self) -> None:
+        """Nothing is kept open."""
+
+    # ---- details ----
+
+    def _start(self, order: StartOrder) -> OrderOutcome:
+        if not self._admits(order.fence):
+            return OrderOutcome.FENCED
+        present = self._runs.get(order.key)
+        if present is not None and present.order.number == order.number:
+            return OrderOutcome.DONE
+        if order.number <= self._closed.get(order.key, 0):
+            return OrderOutcome.OUTDATED
+        if order.expires_ms <= self._now_ms():
+            return OrderOutcome.EXPIRED
+        self._expires_ms = max(self._expires_ms, order.expires_ms)
+        if present is not None:
+            return OrderOutcome.OUTDATED
+        if len(self._runs) >= self._room:
+            return OrderOutcome.NO_ROOM
+        seconds, outcome = self._work(order)
+        self._runs[order.key] = _Run(order, self._clock.monotonic(), seconds, outcome)
+        self.started.append((order.key, order.number))
+        return OrderOutcome.DONE
+
+    def _admits(self, fence: int) -> bool:
+        if fence < self._fence:
+            return False
+        self._fence = fence
+        return True
+
+    def _advance(self) -> None:
+        lapsed = self._now_ms() >= self._expires_ms
+        for run in list(self._runs.values()):
+            passed = self._clock.monotonic() - run.started_at
+            if run.seconds is not None and passed >= run.seconds:
+                self._end(run, run.outcome)
+            elif lapsed:
+                self._end(run, RunOutcome.LAPSED)
+
+    def _end(self, run: _Run, outcome: RunOutcome) -> None:
+        order = run.order
+        del self._runs[order.key]
+        self._closed[order.key] = max(self._closed.get(order.key, 0), order.number)
+        self._position += 1
+        self._ends.append(
+            FinishedRun(self._position, order.key, order.number, outcome, "")
+        )
+
+    def _now_ms(self) -> int:
+        return 1 + int(1000 * (self._clock.monotonic() - self._began))
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -187,9 +187,9 @@
     def _hold_on(self) -> None:
         while not self._closed.is_set():
             if not self._may_order():
-                self._closed.wait(RETRY_SECONDS)
+                self._clock.sleep(self._closed, RETRY_SECONDS)
             elif self._has_runs() or not self._greeted:
-                self._hold_once()
+                self.hold_once()
             else:
                 with self._lock:
                     self._clock.wait(self._wake, IDLE_SECONDS)
@@ -198,7 +198,8 @@
         with self._table.lock:
             return self.life in self._table.runs
 
-    def _hold_once(self) -> None:
+    def hold_once(self) -> None:
+        """Hold once and act upon the answer: one step of the holding task."""
         with self._table.lock:
             runs = self._table.runs.get(self.life, {})
             believed = {key: task.number for key, task in runs.items()}
@@ -314,7 +315,7 @@
             return
         if outcome is OrderOutcome.FENCED:
             logging.warning("worker %s has a later session", self.worker_id)
-            self._closed.wait(RETRY_SECONDS)
+            self._clock.sleep(self._closed, RETRY_SECONDS)
             return
         self._misses += 1
         if self._misses == 1:
@@ -324,14 +325,14 @@
                 runs = self._table.runs.get(self.life, {})
                 lost = [(key, task.number) for key, task in runs.items()]
             self._log_lost(lost, "the lease of its silent worker has ended")
-        self._closed.wait(RETRY_SECONDS)
+        self._clock.sleep(self._closed, RETRY_SECONDS)
 
     def _remove_worker(self) -> None:
         command = RemoveWorker(worker_id=self.life[0], born_ms=self.life[1])
         if self._propose(JobCommand(remove_worker=command)):
             self._closed.set()
         else:
-            self._closed.wait(RETRY_SECONDS)
+            self._clock.sleep(self._closed, RETRY_SECONDS)
 
     def _log_lost(self, lost: list[tuple[TaskKey, int]], reason: str) -> None:
         if not lost:
@@ -365,15 +366,25 @@
             order = self._orders.get()
             if order is None or self._closed.is_set():
                 return
-            try:
-                if order.start is not None:
-                    self._start_run(order.key, order.start)
-                else:
-                    self._stop_run(order.key, order.number)
-            finally:
-                with self._lock:
-                    self._pending.pop(order.key, None)
-                    self._wake.notify_all()
+            self._carry_out(order)
+
+    def send_waiting_orders(self) -> None:
+        """Send the orders that wait: one step of the ordering task."""
+        while not self._orders.empty():
+            order = self._orders.get()
+            if order is not None:
+                self._carry_out(order)
+
+    def _carry_out(self, order: _Order) -> None:
+        try:
+            if order.start is not None:
+                self._start_run(order.key, order.start)
+            else:
+                self._stop_run(order.key, order.number)
+        finally:
+            with self._lock:
+                self._pending.pop(order.key, None)
+                self._wake.notify_all()
 
     def _start_run(self, key: TaskKey, run: RunRecord) -> None:
         with self._table.lock:
@@ -442,7 +453,7 @@
                 return
             if answer.outcome in (OrderOutcome.OTHER_LIFE, OrderOutcome.FENCED):
                 return
-            self._closed.wait(STOP_PAUSE_SECONDS)
+            self._clock.sleep(self._closed, STOP_PAUSE_SECONDS)
             if self._misses:
                 return  # The hold decides; the run is looked at again afterwards.
 
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -20,7 +20,7 @@
         if table.service_of(job) != service_name:
             continue
         for occurrence in range(job.occurrence_count()):
-            if job.due_at_ms(occurrence) > now_ms:
+            if job.record.repeat_count and job.due_at_ms(occurrence) > now_ms:
                 break
             for number, step in enumerate(job.steps):
                 if not job.is_ready(occurrence, number):
--- /dev/null
+++ b/tests/jobs/test_job_table.py
@@ -0,0 +1,237 @@
+from testtools import TestCase
+
+from arbutuscleat.jobs import AcceptResult, JobPhase, JobTable, RunOutcome, TaskKey
+from arbutuscleat.wire.gen_jobs.ttypes import (
+    AdvanceWave,
+    RemoveWorker,
+    SetConfig,
+    WaveRecord,
+)
+from tests.fakes.jobs import (
+    JOB,
+    OTHER_JOB,
+    TableBench,
+    decode_config,
+    job,
+    run,
+    step,
+    worker,
+)
+
+
+class AcceptTest(TestCase):
+    def test_a_job_handed_in_again_is_the_same_job(self):
+        bench = TableBench()
+        found = [bench.accept(job()), bench.accept(job())]
+        self.assertEqual([AcceptResult.ACCEPTED, AcceptResult.EXISTS], found)
+        self.assertEqual(1, len(bench.table.jobs))
+
+    def test_an_id_of_another_queue_is_a_conflict(self):
+        bench = TableBench()
+        bench.accept(job())
+        self.assertIs(AcceptResult.CONFLICT, bench.accept(job(queue="billing")))
+
+    def test_a_cancelled_job_handed_in_again_stays_cancelled(self):
+        bench = TableBench()
+        bench.accept(job())
+        bench.cancel()
+        self.assertIs(AcceptResult.EXISTS, bench.accept(job()))
+        self.assertIs(JobPhase.CANCELLED, bench.phase())
+        self.assertEqual({}, bench.table.active)
+
+    def test_ended_jobs_are_forgotten_after_the_promised_time(self):
+        bench = TableBench()
+        bench.accept(job())
+        bench.cancel()
+        later = job(OTHER_JOB)
+        later.accepted_at_ms = 2000 + 150_001
+        bench.accept(later)
+        self.assertEqual({OTHER_JOB}, set(bench.table.jobs))
+
+
+class RunTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = TableBench()
+        self.bench.apply(worker=worker())
+        self.bench.accept(job(steps=[step(2), step(1, after=[0])]))
+
+    def test_a_task_starts_once(self):
+        first = self.bench.start(run())
+        again = self.bench.start(run(number=2, worker_id="w1"))
+        self.assertEqual([[True], [False]], [first, again])
+        self.assertIs(JobPhase.ACTIVE, self.bench.phase())
+
+    def test_no_start_is_taken_that_something_has_overtaken(self):
+        cases = {
+            "unknown worker": run(worker_id="w9"),
+            "former life": run(born_ms=4),
+            "unknown job": run(job_id=OTHER_JOB),
+            "unknown task": run(index=7),
+            "a number given out before": run(number=0),
+        }
+        for name, record in cases.items():
+            self.assertEqual([False], self.bench.start(record), name)
+
+    def test_nothing_starts_on_a_worker_that_drains(self):
+        self.bench.apply(worker=worker(draining=True, sequence=2))
+        self.assertEqual([False], self.bench.start(run()))
+
+    def test_nothing_starts_of_a_cancelled_job(self):
+        self.bench.cancel()
+        self.assertEqual([False], self.bench.start(run()))
+
+    def test_a_job_is_complete_when_every_task_is_done(self):
+        for record in (run(), run(index=1), run(step=1)):
+            self.bench.start(record)
+            self.assertIsNot(JobPhase.COMPLETED, self.bench.phase())
+            self.bench.end(record, RunOutcome.DONE)
+        self.assertIs(JobPhase.COMPLETED, self.bench.phase())
+        self.assertEqual({}, self.bench.table.active)
+
+    def test_an_end_of_an_earlier_run_changes_nothing(self):
+        self.bench.start(run())
+        self.bench.end(run(), RunOutcome.LOST)
+        self.bench.start(run(number=2))
+        self.bench.end(run(), RunOutcome.DONE)
+        self.assertEqual([False], self.bench.start(run(number=3)))
+        self.assertFalse(self.bench.table.jobs[JOB].is_complete())
+
+    def test_a_job_fails_with_the_last_attempt_and_not_before(self):
+        for number in (1, 2, 3):
+            self.assertIs(False, self.bench.table.jobs[JOB].failed)
+            self.bench.start(run(number=number))
+            self.bench.end(run(number=number), RunOutcome.FAILED)
+        self.assertIs(JobPhase.FAILED, self.bench.phase())
+        self.assertEqual([False], self.bench.start(run(number=4)))
+
+    def test_only_failed_ends_count_as_attempts(self):
+        others = (RunOutcome.STOPPED, RunOutcome.LAPSED, RunOutcome.LOST)
+        for number, outcome in enumerate(others * 2, start=1):
+            self.bench.start(run(number=number))
+            self.bench.end(run(number=number), outcome)
+        self.assertIs(JobPhase.ACTIVE, self.bench.phase())
+
+    def test_cancelling_names_the_runs_to_stop(self):
+        self.bench.start(run())
+        self.bench.cancel()
+        self.assertEqual({TaskKey(JOB, 0, 0, 0)}, self.bench.table.stops_due)
+        self.assertFalse(self.bench.table.is_wanted(TaskKey(JOB, 0, 0, 0), 1))
+
+    def test_the_runs_of_a_worker_that_is_gone_wait_again(self):
+        changes = {
+            "removed": {"remove_worker": RemoveWorker(worker_id="w1", born_ms=5)},
+            "started again": {"worker": worker(born_ms=6)},
+            "another at its address": {
+                "worker": worker("w2", born_ms=6, port=worker().port)
+            },
+        }
+        for name, change in changes.items():
+            bench = TableBench()
+            bench.apply(worker=worker())
+            bench.accept(job())
+            bench.start(run())
+            bench.apply(**change)
+            self.assertEqual({}, bench.table.runs, name)
+            bench.apply(worker=worker("w3", born_ms=7))
+            record = run(number=2, worker_id="w3", born_ms=7)
+            self.assertEqual([True], bench.start(record), name)
+
+    def test_a_removal_of_a_former_life_changes_nothing(self):
+        self.bench.start(run())
+        self.bench.apply(remove_worker=RemoveWorker(worker_id="w1", born_ms=4))
+        self.assertEqual(1, len(self.bench.table.runs))
+
+
+class GangTest(TestCase):
+    def test_one_end_as_done_stands_for_the_gang(self):
+        bench = TableBench()
+        bench.apply(worker=worker())
+        bench.accept(job(steps=[step(3, gang=True)]))
+        bench.start(run(), run(index=1), run(index=2))
+        bench.end(run(index=1), RunOutcome.DONE)
+        self.assertIs(JobPhase.COMPLETED, bench.phase())
+        self.assertEqual({}, bench.table.runs)
+
+    def test_a_checkpoint_of_one_member_is_that_of_all(self):
+        bench = TableBench()
+        bench.apply(worker=worker())
+        bench.accept(job(steps=[step(2, gang=True)]))
+        bench.start(run(), run(index=1))
+        bench.end(run(), RunOutcome.STOPPED, "c7")
+        saved = [task.checkpoint for task in bench.table.jobs[JOB].tasks(0, 0)]
+        self.assertEqual(["c7", "c7"], saved)
+
+    def test_the_failures_of_all_members_count_together(self):
+        bench = TableBench()
+        bench.apply(worker=worker())
+        bench.accept(job(steps=[step(2, gang=True)]))
+        for number, index in ((1, 0), (2, 1), (3, 0)):
+            bench.start(run(number=number), run(index=1, number=number))
+            bench.end(run(index=index, number=number), RunOutcome.FAILED)
+            bench.end(run(index=1 - index, number=number), RunOutcome.BROKEN)
+        self.assertIs(JobPhase.FAILED, bench.phase())
+
+
+class WorkerTest(TestCase):
+    def test_an_older_announcement_never_overwrites_a_newer_one(self):
+        older = [worker(sequence=1), worker(born_ms=4, sequence=9)]
+        for record in older:
+            bench = TableBench()
+            bench.apply(worker=worker(draining=True, sequence=2))
+            bench.apply(worker=record)
+            self.assertTrue(bench.table.workers["w1"].draining)
+
+    def test_a_late_announcement_does_not_take_an_address_back(self):
+        bench = TableBench()
+        bench.apply(worker=worker("w2", born_ms=9, port=7))
+        bench.apply(worker=worker("w1", born_ms=5, port=7))
+        self.assertEqual({"w2"}, set(bench.table.workers))
+
+
+class ConfigTest(TestCase):
+    def test_the_highest_version_is_in_force(self):
+        bench = TableBench()
+        found = [
+            bench.apply(config=SetConfig(version=version, content=b"%d" % version))
+            for version in (5, 3, 5, 8)
+        ]
+        self.assertEqual([True, False, False, True], found)
+        self.assertEqual((8, b"8"), (bench.table.config.version, b"8"))
+
+
+class WaveTest(TestCase):
+    def test_a_wave_is_complete_when_every_machine_is_finished(self):
+        bench = TableBench()
+        bench.apply(
+            wave=WaveRecord(
+                wave=1, machines=["a", "b"], cap=1, due_at_ms=9, ordered=[], finished=[]
+            )
+        )
+        for machine in ("a", "b"):
+            self.assertFalse(bench.table.waves[1].is_complete())
+            bench.apply(
+                advance_wave=AdvanceWave(wave=1, machine=machine, finished=True)
+            )
+        self.assertTrue(bench.table.waves[1].is_complete())
+
+
+class SnapshotTest(TestCase):
+    def test_a_restored_table_goes_on_like_the_one_it_was_taken_from(self):
+        bench = TableBench()
+        bench.apply(worker=worker())
+        bench.accept(job(steps=[step(2), step(1, after=[0])]))
+        bench.accept(job(OTHER_JOB))
+        bench.start(run(), run(index=1))
+        bench.end(run(), RunOutcome.DONE)
+        bench.cancel(OTHER_JOB)
+        restored = TableBench(config=False)
+        restored.table = JobTable(decode_config)
+        restored.table.restore(bench.table.image())
+        self.assertEqual(bench.table.image(), restored.table.image())
+        for each in (bench, restored):
+            each.end(run(index=1), RunOutcome.DONE)
+            each.start(run(step=1))
+            each.end(run(step=1), RunOutcome.DONE)
+        self.assertEqual(JobPhase.COMPLETED, restored.phase())
+        self.assertEqual(bench.table.image(), restored.table.image())
--- /dev/null
+++ b/tests/scheduling/test_demand.py
@@ -0,0 +1,71 @@
+from testtools import TestCase
+
+from arbutuscleat.jobs import TaskKey
+from arbutuscleat.scheduling import WorkerView, movable_tasks, service_demand
+from tests.fakes.jobs import JOB, TableBench, job, run, step, worker
+
+LIFE = ("w0", 5)
+
+
+class MovableTest(TestCase):
+    """Five lasting tasks, each on a worker of its own; one may be away."""
+
+    def setUp(self):
+        super().setUp()
+        self.bench = TableBench()
+        self.bench.accept(
+            job(steps=[step(5, long_running=True, may_miss=1, spread_limit=1)])
+        )
+        self.views = {}
+        for index in range(6):
+            record = worker(f"w{index}", port=9_000 + index)
+            self.bench.apply(worker=record)
+            self.views[f"w{index}"] = WorkerView(record, True, 0)
+        self.views["w0"].usable = False
+        for index in range(5):
+            record = run(index=index, worker_id=f"w{index}")
+            self.bench.start(record)
+            one = self.bench.table.jobs[JOB].steps[0]
+            self.views[f"w{index}"].take(one, (JOB, 0, 0))
+        self.at_work = {(TaskKey(JOB, 0, 0, index), 1) for index in range(5)}
+
+    def movable(self):
+        return movable_tasks(self.bench.table, LIFE, self.at_work, self.views)
+
+    def test_one_task_moves_while_all_others_are_at_work(self):
+        self.assertEqual([(TaskKey(JOB, 0, 0, 0), 1)], self.movable())
+
+    def test_none_moves_while_another_is_away(self):
+        self.at_work.discard((TaskKey(JOB, 0, 0, 3), 1))
+        self.assertEqual([], self.movable())
+
+    def test_none_moves_while_another_runs_again_but_is_not_yet_at_work(self):
+        self.at_work.discard((TaskKey(JOB, 0, 0, 3), 1))
+        self.at_work.add((TaskKey(JOB, 0, 0, 3), 0))
+        self.assertEqual([], self.movable())
+
+    def test_none_moves_when_there_is_no_room_elsewhere(self):
+        self.views["w5"].cpu = 10
+        self.assertEqual([], self.movable())
+
+    def test_other_tasks_are_left_to_end(self):
+        bench = TableBench()
+        bench.apply(worker=worker("w0"))
+        bench.accept(job())
+        bench.start(run(worker_id="w0"))
+        self.assertEqual([], movable_tasks(bench.table, LIFE, set(), self.views))
+
+
+class DemandTest(TestCase):
+    def test_what_runs_and_what_could_start_is_counted(self):
+        bench = TableBench()
+        bench.apply(worker=worker())
+        bench.accept(job(steps=[step(3), step(4, after=[0])]))
+        bench.start(run())
+        demand = service_demand(bench.table, "karachi", 1_000)
+        self.assertEqual((1_000, 2_000), (demand.running_cpu, demand.waiting_cpu))
+
+    def test_tasks_that_must_stand_apart_need_machines(self):
+        bench = TableBench()
+        bench.accept(job(steps=[step(5, spread_limit=2)]))
+        self.assertEqual(3, service_demand(bench.table, "karachi", 1).least_machines)
--- /dev/null
+++ b/tests/scheduling/test_pool_planner.py
@@ -0,0 +1,64 @@
+from testtools import TestCase
+
+from arbutuscleat.scheduling import Demand, PoolMachine, PoolPlanner
+
+SIZE = 64_000
+
+
+def machine(name, service, idle=10.0, **fields):
+    values = {"kind": "a", "cpu": SIZE, "is_up": True, "in_wave": False, **fields}
+    return PoolMachine(machine=name, service_name=service, idle_seconds=idle, **values)
+
+
+def plan(machines, **demands):
+    found = PoolPlanner().plan(machines, demands, "standby")
+    return {(move.machine, move.service_name) for move in found}
+
+
+class PoolPlannerTest(TestCase):
+    def test_waiting_tasks_fetch_machines_that_are_off(self):
+        machines = [machine("m1", "billing", -1.0), machine("s1", "standby")]
+        found = plan(machines, billing=Demand(SIZE, SIZE))
+        self.assertEqual({("s1", "billing")}, found)
+
+    def test_a_turn_takes_idle_machines_of_another_service(self):
+        machines = [machine("m1", "billing", -1.0)]
+        machines += [machine(f"k{i}", "karachi") for i in range(4)]
+        found = plan(machines, billing=Demand(SIZE, SIZE), karachi=Demand())
+        # 2.7 machines with room above, one more for the next jobs, one is there;
+        # the other service keeps one.
+        self.assertEqual(3, sum(service == "billing" for _, service in found))
+
+    def test_a_service_keeps_room_for_its_next_jobs(self):
+        machines = [machine(f"k{i}", "karachi") for i in range(4)]
+        found = plan(machines, karachi=Demand())
+        self.assertEqual(3, len(found))
+        self.assertEqual({"standby"}, {service for _, service in found})
+
+    def test_nothing_moves_that_must_not(self):
+        kept = {
+            "busy": {"idle": -1.0},
+            "idle for a moment": {"idle": 0.5},
+            "not up": {"is_up": False},
+            "under upkeep": {"in_wave": True},
+        }
+        for name, fields in kept.items():
+            machines = [machine(f"k{i}", "karachi", **fields) for i in range(3)]
+            self.assertEqual(set(), plan(machines, karachi=Demand()), name)
+
+    def test_machines_of_another_kind_are_not_fetched(self):
+        machines = [
+            machine("m1", "billing", -1.0),
+            machine("s1", "standby", kind="b"),
+        ]
+        self.assertEqual(set(), plan(machines, billing=Demand(SIZE, SIZE)))
+
+    def test_tasks_that_stand_apart_keep_their_machines(self):
+        machines = [machine(f"k{i}", "karachi") for i in range(6)]
+        found = plan(machines, karachi=Demand(least_machines=5))
+        self.assertEqual(1, len(found))
+
+    def test_demand_that_stays_moves_nothing_twice(self):
+        machines = [machine(f"k{i}", "karachi", -1.0) for i in range(2)]
+        demand = Demand(running_cpu=SIZE // 2)
+        self.assertEqual(set(), plan(machines, karachi=demand))
