A planned stop of a leader that met its peers through the log ends gracefully

Cause: the replica kept a copy of its peers made at the start; peers met later were missing, so handing over raised KeyError and the main thread died while threads of the HTTP server kept the process (seen in the demo: exit code after SIGKILL only). Ruled out: the executor's and the HTTP server's stop, by the stacks of the process. Change: the tasks hold the only list of peers; a stop that raises ends the process with exit code 1 and a log line. tests/consensus/test_joining.py failed first.

--- a/Makefile
+++ b/Makefile
@@ -11,10 +11,11 @@
 
 demo: $(VENV)/.ready
 	$(BIN)/python -m examples.demo
+	$(BIN)/python -m examples.berthline
 
 check: $(VENV)/.ready
-	$(BIN)/ruff format --check arbutuscleat tests benchmarks examples
-	$(BIN)/ruff check arbutuscleat tests benchmarks examples
+	$(BIN)/ruff format --check arbutuscleat platform tests benchmarks examples
+	$(BIN)/ruff check arbutuscleat platform tests benchmarks examples
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
--- a/arbutuscleat/access/control_link.py
+++ b/arbutuscleat/access/control_link.py
@@ -89,6 +89,7 @@
         self._pools: dict[str, ChannelPool] = {}
         self._members: list[str] = list(read_seeds())
         self._leader = ""
+        self._named = ""
         self._heard_at = clock.monotonic()
 
     def call(self, method: str, request: Any, seconds: float) -> LinkOutcome:
@@ -192,9 +193,10 @@
 
     def _note_leader(self, host: str) -> None:
         with self._lock:
-            if host and host != self._leader:
-                logging.info("control is led by %s, formerly %s", host, self._leader)
             self._leader = host
+            if host and host != self._named:
+                logging.info("control is led by %s, formerly %s", host, self._named)
+                self._named = host
             if host:
                 self._heard_at = self._clock.monotonic()
 
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -90,16 +90,15 @@
         self._state = ReplicaState(
             identity.node_id, identity.incarnation, cfg, disk, machine, clock, rng
         )
-        self._peers = {peer.node_id: peer for peer in peers}
         self._make_peer = make_peer
-        self._state.progress = {name: Progress() for name in self._peers}
+        self._state.progress = {peer.node_id: Progress() for peer in peers}
         self._elections = Elections(self._state)
         self._replication = Replication(self._state)
         self._snapshots = Snapshots(self._state, self._replication)
         self._roster = Roster(self._state)
         self._tasks = ReplicaTasks(
             self._state,
-            self._peers,
+            {peer.node_id: peer for peer in peers},
             self.tick,
             self.write_unsynced,
             self._next_request,
@@ -136,7 +135,10 @@
             request = TakeOverRequest(term=state.term)
             state.become_follower("")
         for name in voters:
-            answer = self._peers[name].send(request, state.cfg.call_seconds)
+            peer = self._tasks.peer(name)
+            if peer is None:
+                continue  # No longer listed.
+            answer = peer.send(request, state.cfg.call_seconds)
             if isinstance(answer, Success) and answer.unwrap().accepted:
                 return True
         return False
--- a/arbutuscleat/consensus/replica_tasks.py
+++ b/arbutuscleat/consensus/replica_tasks.py
@@ -64,6 +64,10 @@
         if self._started:
             self._spawn(f"replica-peer-{peer.node_id}", self._converse, peer)
 
+    def peer(self, node_id: str) -> Peer | None:
+        """Return a peer, or None when it is not met or forgotten."""
+        return self._peers.get(node_id)
+
     def forget(self, node_id: str) -> None:
         """End the conversation with a peer that is no longer listed."""
         peer = self._peers.pop(node_id, None)
--- /dev/null
+++ b/arbutuscleat/emulator/machine_model.py
@@ -0,0 +1,66 @@
+"""Machines of a provider that move and have upkeep at once, and remember both."""
+
+import threading
+from collections.abc import Callable
+
+from arbutuscleat.execution import MachineOrder, MachineState, Provider
+
+
+class ProviderModel(Provider):
+    """A provider in good order.
+
+    Parameters
+    ----------
+    machines : list of MachineState
+        What it lists at first.
+    replace_worker : callable
+        Ends the worker of a machine and starts another; returns its id.
+    """
+
+    def __init__(
+        self,
+        machines: list[MachineState],
+        replace_worker: Callable[[str, str], str],
+    ):
+        self._lock = threading.Lock()
+        self._machines = {item.machine: item for item in machines}
+        self._replace_worker = replace_worker
+        self.upkeeps: list[tuple[str, int]] = []
+        self.moves: list[tuple[str, str]] = []
+
+    def machines(self) -> list[MachineState]:
+        """Return all machines."""
+        with self._lock:
+            return list(self._machines.values())
+
+    def upkeep(self, machine: str, wave: int, fence: int) -> MachineOrder:
+        """Give a machine a new worker, once for each wave."""
+        with self._lock:
+            state = self._machines.get(machine)
+            if state is None:
+                return MachineOrder.REFUSED
+            if (machine, wave) not in self.upkeeps:
+                self.upkeeps.append((machine, wave))
+                self._renew(state, state.service_name)
+            return MachineOrder.DONE
+
+    def move(self, machine: str, service_name: str, fence: int) -> MachineOrder:
+        """Give a machine a new worker in another pool."""
+        with self._lock:
+            state = self._machines.get(machine)
+            if state is None:
+                return MachineOrder.REFUSED
+            if state.service_name != service_name:
+                self.moves.append((machine, service_name))
+                self._renew(state, service_name)
+            return MachineOrder.DONE
+
+    def _renew(self, state: MachineState, service_name: str) -> None:
+        self._machines[state.machine] = MachineState(
+            machine=state.machine,
+            service_name=service_name,
+            is_up=True,
+            worker_id=self._replace_worker(state.machine, service_name),
+            labels=state.labels,
+            cpu=state.cpu,
+        )
--- a/arbutuscleat/nodes/running.py
+++ b/arbutuscleat/nodes/running.py
@@ -10,6 +10,7 @@
 from arbutuscleat.core import InvariantError
 
 EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_INVARIANT = 70
 
 
@@ -48,7 +49,12 @@
             logging.info("settings are read again")
             node.reload()
     logging.info("stopping")
-    node.stop()
+    try:
+        node.stop()
+    except Exception:
+        logging.exception("the stop was not graceful")
+        # Threads of the HTTP server would keep the process.
+        os._exit(EXIT_FAILED)
     logging.info("stopped")
     return EXIT_OK
 
--- /dev/null
+++ b/examples/berthline.py
@@ -0,0 +1,252 @@
+"""The job queue on a stand-in of the Berthline platform, on loopback.
+
+Three control nodes and two entry nodes run as processes of their own, with the
+settings that the platform would write; four workers and the provider stand in.
+`make demo` shows it.
+"""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "platform"))
+
+from berthline.stand_in import StandInProvider, StandInWorker  # noqa: E402
+
+from arbutuscleat.emulator.machine_model import ProviderModel  # noqa: E402
+from arbutuscleat.execution import MachineState  # noqa: E402
+from arbutuscleat.jobs import RunOutcome  # noqa: E402
+from arbutuscleat.wire import Address  # noqa: E402
+
+CONTROL_HOSTS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+ENTRY_HOSTS = ("127.0.0.5", "127.0.0.6")
+HOST = "berth.example"
+CALL_SECONDS = 3.0
+WAIT_SECONDS = 30.0
+PAUSE_SECONDS = 0.05
+
+CONFIG: dict[str, Any] = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "approvals",
+            "host": HOST,
+            "path-prefix": "/approvals/",
+            "kind": "non_idempotent",
+            "timeout-ms": 3000,
+            "target-latency-ms": 600,
+            "priority": 0,
+            "service": "karachi",
+            "max-attempts": 3,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [
+        {"name": "karachi", "admission-check": True, "standby": False},
+        {"name": "portal", "admission-check": True, "standby": True},
+    ],
+    "limits": {},
+}
+
+
+def free_port(hosts: tuple[str, ...]) -> int:
+    """Return a port that is free at all hosts."""
+    while True:
+        with socket.socket() as first:
+            first.bind((hosts[0], 0))
+            port = first.getsockname()[1]
+            try:
+                for host in hosts[1:]:
+                    with socket.socket() as other:
+                        other.bind((host, port))
+            except OSError:
+                continue
+            return port
+
+
+class BerthlineDemo:
+    """The processes and stand-ins, under one folder.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings, state and logs.
+    """
+
+    def __init__(self, folder: Path):
+        self._folder = folder
+        hosts = CONTROL_HOSTS + ENTRY_HOSTS
+        self._peer_port = free_port(hosts)
+        self._front_port = free_port(hosts)
+        self._ready_port = free_port(hosts)
+        self.control = [Address(host, self._front_port) for host in CONTROL_HOSTS]
+        self.workers: dict[str, StandInWorker] = {}
+        self._count = 0
+        machines = []
+        for number in range(4):
+            name = f"m-{number}"
+            worker_id = self._make_worker(name, "karachi").worker_id
+            machines.append(
+                MachineState(name, "karachi", True, worker_id, ("a", "r1"), 64_000)
+            )
+        self.provider = ProviderModel(machines, self._replace)
+        self._provider_front = StandInProvider(self.provider)
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._http = urllib3.PoolManager(retries=False, timeout=CALL_SECONDS)
+
+    def start(self) -> None:
+        """Start everything and put the configuration in force."""
+        self._provider_front.start()
+        for host in CONTROL_HOSTS:
+            self.start_process(host, "control")
+        for host in ENTRY_HOSTS:
+            self.start_process(host, "entry")
+        for worker in list(self.workers.values()):
+            worker.start()
+        self.wait(lambda: self.put_config(CONFIG) == 200)
+        for host in ENTRY_HOSTS:
+            url = f"http://{host}:{self._ready_port}/v1/readiness"
+            self.wait(lambda url=url: self.call("GET", url)[0] == 200)
+
+    def stop(self) -> dict[str, int]:
+        """Stop gracefully; return the exit codes by host."""
+        for process in self.processes.values():
+            process.terminate()
+        codes = {host: p.wait(WAIT_SECONDS) for host, p in self.processes.items()}
+        for worker in self.workers.values():
+            worker.stop()
+        self._provider_front.stop()
+        return codes
+
+    def start_process(self, host: str, role: str) -> None:
+        """Start one node."""
+        folder = self._folder / host
+        folder.mkdir(parents=True, exist_ok=True)
+        settings = folder / "node.toml"
+        first = not (folder / "data").exists()
+        settings.write_text(self._settings(host, role, first, folder))
+        with (folder / "log").open("ab") as log:
+            self.processes[host] = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "run.py"), role],
+                env={**os.environ, "ARBUTUSCLEAT_BOOT": str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def put_config(self, content: Any) -> int:
+        """Put a configuration in force through any control node; return the status."""
+        url = f"http://{self.control[0]}/v1/configuration"
+        return self.call("PUT", url, content)[0]
+
+    def job(self, method: str, path: str, content: Any = None, entry: int = 0):
+        """Call an entry node; return status and answer."""
+        url = f"http://{ENTRY_HOSTS[entry]}:{self._front_port}{path}"
+        return self.call(method, url, content, {"Host": HOST})
+
+    def call(self, method: str, url: str, content: Any = None, headers=None):
+        """Return status and JSON of one call; the status is 0 without an answer."""
+        body = None if content is None else json.dumps(content)
+        try:
+            answer = self._http.request(method, url, body=body, headers=headers)
+        except urllib3.exceptions.HTTPError:
+            return 0, {}
+        try:
+            return answer.status, json.loads(answer.data or b"{}")
+        except ValueError:
+            return answer.status, {}
+
+    def wait(self, holds) -> None:
+        """Wait until a condition holds."""
+        until = time.monotonic() + WAIT_SECONDS
+        while not holds():
+            if time.monotonic() > until:
+                raise TimeoutError("the condition does not hold")
+            time.sleep(PAUSE_SECONDS)
+
+    def leader(self) -> str:
+        """Return the host whose log tells last that it leads."""
+        found = []
+        for host in CONTROL_HOSTS:
+            text = (self._folder / host / "log").read_text()
+            lines = [line for line in text.splitlines() if "sessions begin" in line]
+            if lines and self.processes[host].poll() is None:
+                found.append((json.loads(lines[-1])["time"], host))
+        return max(found)[1]
+
+    def _make_worker(self, machine: str, service_name: str) -> StandInWorker:
+        self._count += 1
+        worker = StandInWorker(
+            f"i-{self._count}",
+            service_name,
+            machine,
+            lambda order: (float(order.spec), RunOutcome.DONE),
+            self.control,
+        )
+        self.workers[machine] = worker
+        return worker
+
+    def _replace(self, machine: str, service_name: str) -> str:
+        self.workers[machine].stop()
+        worker = self._make_worker(machine, service_name)
+        worker.start()
+        return worker.worker_id
+
+    def _settings(self, host: str, role: str, first: bool, folder: Path) -> str:
+        listens = {"control-plane": f"{host}:{self._front_port}"}
+        if role == "entry":
+            listens = {
+                "frontend": f"{host}:{self._front_port}",
+                "readiness": f"{host}:{self._ready_port}",
+            }
+        seeds = [f"{seed}:{self._front_port}" for seed in CONTROL_HOSTS]
+        lines = [
+            f'node-name = "{role}-{host}"',
+            f'ip = "{host}"',
+            'zone = "west"',
+            f"internal-ports = [{self._peer_port}, {self._peer_port}]",
+            f"seeds = {json.dumps(seeds)}",
+            f"bootstrap = {json.dumps(first)}",
+            f'data-dir = "{folder / "data"}"' if role == "control" else "",
+            "[listen-addrs]",
+            *[f'{name} = "{address}"' for name, address in listens.items()],
+            "[cloud]",
+            f'address = "{self._provider_front.address}"',
+        ]
+        return "\n".join(lines) + "\n"
+
+
+def main() -> None:
+    """Show the whole path."""
+    import shutil
+
+    folder = ROOT / "run" / "berthline"
+    shutil.rmtree(folder, ignore_errors=True)
+    demo = BerthlineDemo(folder)
+    demo.start()
+    print(f"three control nodes, two entry nodes, {len(demo.workers)} workers")
+    path = "/approvals/5c0e7a21d94b36f8"
+    steps = [{"count": 4, "cpu": 500}, {"count": 2, "cpu": 900, "after": [0]}]
+    content = {"spec": "0.2", "steps": steps}
+    print(f"POST {path}: {demo.job('POST', path, content)}")
+    print(f"GET  {path}: {demo.job('GET', path, entry=1)}")
+    demo.wait(lambda: demo.job("GET", path)[1].get("state") == "completed")
+    print(f"GET  {path}: {demo.job('GET', path, entry=1)}")
+    print(f"POST again:  {demo.job('POST', path, content, entry=1)}")
+    wave = {"wave": 1, "machines": ["m-0", "m-1"], "duration-s": 20, "cap": 1}
+    url = f"http://{demo.control[0]}/v1/wave"
+    print(f"a wave of two machines: {demo.call('POST', f'{url}-start', wave)}")
+    demo.wait(lambda: demo.call("GET", f"{url}-get/1")[1].get("state") == "completed")
+    print(f"its state: {demo.call('GET', f'{url}-get/1')}")
+    print(f"exit codes: {demo.stop()}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,11 +4,15 @@
 its entry is removed.
 """
 
+import sys
 from pathlib import Path
 
 import pytest
 
-KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+ROOT = Path(__file__).parent.parent
+# The adapter's folder is no package: it would hide the standard library's module.
+sys.path.append(str(ROOT / "platform"))
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PREFIX = "test:"
 
 
--- a/tests/consensus/test_fault_matrix.py
+++ b/tests/consensus/test_fault_matrix.py
@@ -187,7 +187,7 @@
         leader.acknowledge("b")
         follower = Bench()
         follower.append([], term=leader.state.term, leader="c")
-        peer = leader.replica._peers["b"]
+        peer = leader.replica._tasks.peer("b")
         peer.send = lambda request, timeout: Success(
             follower.replica.handle_take_over(request)
         )
--- /dev/null
+++ b/tests/consensus/test_joining.py
@@ -0,0 +1,195 @@
+"""Groups whose members are told by the log: joining, replacing, handing over."""
+
+import random
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from arbutuscleat.consensus import (
+    Peer,
+    Replica,
+    ReplicaConfig,
+    Role,
+    initialise,
+    open_identity,
+)
+from arbutuscleat.wire import CallError, CallErrorKind
+from arbutuscleat.wire.gen.ttypes import (
+    AppendRequest,
+    SnapshotChunk,
+    TakeOverRequest,
+    VoteRequest,
+)
+from tests.fakes import ManualClock, MemoryDisk
+from tests.fakes.machine import RecordingMachine
+
+FOUNDERS = ("a", "b", "c")
+CONFIG = ReplicaConfig(max_voters=3, voter_silence_seconds=2.0)
+STEP_SECONDS = 0.1
+
+
+class DirectPeer(Peer):
+    """Calls the handlers of another replica of the group at once."""
+
+    def __init__(self, group, node_id):
+        self._group = group
+        self._node_id = node_id
+
+    @property
+    def node_id(self):
+        return self._node_id
+
+    def send(self, request, timeout):
+        replica = self._group.replicas.get(self._node_id)
+        if replica is None or self._node_id in self._group.silent:
+            return Failure(CallError(CallErrorKind.CONNECT, "silent"))
+        handlers = {
+            VoteRequest: replica.handle_vote,
+            AppendRequest: replica.handle_append,
+            SnapshotChunk: replica.handle_install,
+            TakeOverRequest: replica.handle_take_over,
+        }
+        return Success(handlers[type(request)](request))
+
+    def close(self):
+        pass
+
+
+class Group:
+    """Replicas whose steps are taken by the test, one after the other."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.replicas = {}
+        self.incarnations = {}
+        self.silent = set()
+        for name in FOUNDERS:
+            disk = MemoryDisk()
+            initialise(disk, name, FOUNDERS)
+            self.add(name, disk)
+
+    def add(self, name, disk=None):
+        disk = disk or MemoryDisk()
+        incarnation = f"{name}-{len(self.incarnations)}"
+        identity = open_identity(disk, name, incarnation)
+        self.incarnations[name] = identity.incarnation
+        replica = Replica(
+            identity,
+            CONFIG,
+            disk,
+            [],
+            RecordingMachine(),
+            self.clock,
+            random.Random(name),
+            lambda node_id: DirectPeer(self, node_id),
+        )
+        replica._meet_listed_peers()
+        self.replicas[name] = replica
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP_SECONDS)):
+            for name, replica in list(self.replicas.items()):
+                if name not in self.silent:
+                    self._step(replica)
+            self.clock.advance(STEP_SECONDS)
+
+    def leader(self):
+        leaders = [
+            name
+            for name, replica in self.replicas.items()
+            if replica.leads() and name not in self.silent
+        ]
+        return leaders[-1] if leaders else None
+
+    def voters(self):
+        return set(self.replicas[self.leader()]._state.membership.voters())
+
+    def join(self, name):
+        return self.replicas[self.leader()].admit(name, self.incarnations[name])
+
+    def _step(self, replica):
+        replica.tick()
+        replica.write_unsynced()
+        for peer in list(replica._state.progress):
+            for _ in range(3):
+                request = replica.next_request(peer)
+                if request is None:
+                    break
+                sent_at = self.clock.monotonic()
+                answer = DirectPeer(self, peer).send(request, 1.0)
+                if isinstance(answer, Success):
+                    replica.take_answer(peer, request, answer.unwrap(), sent_at)
+
+
+class JoiningTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.group = Group()
+        self.group.run(4.0)
+
+    def test_the_founders_elect_a_leader(self):
+        self.assertIsNotNone(self.group.leader())
+        self.assertEqual(set(FOUNDERS), self.group.voters())
+
+    def test_a_fourth_replica_stays_a_learner(self):
+        self.group.add("d")
+        self.assertTrue(self.group.join("d"))
+        self.group.run(2.0)
+        self.assertEqual(set(FOUNDERS), self.group.voters())
+        self.assertIn("d", self.group.replicas[self.group.leader()].members())
+
+    def test_only_the_leader_admits(self):
+        self.group.add("d")
+        others = set(FOUNDERS) - {self.group.leader()}
+        admitted = [self.group.replicas[name].admit("d", "d-3") for name in others]
+        self.assertEqual([False, False], admitted)
+
+    def test_a_learner_takes_the_place_of_a_voter_that_stays_silent(self):
+        self.group.add("d")
+        self.group.join("d")
+        self.group.run(1.0)
+        lost = next(name for name in FOUNDERS if name != self.group.leader())
+        self.group.silent.add(lost)
+        self.group.run(4.0)
+        self.assertEqual({*FOUNDERS, "d"} - {lost}, self.group.voters())
+
+    def test_a_second_loss_after_the_repair_is_borne(self):
+        self.group.add("d")
+        self.group.join("d")
+        self.group.run(1.0)
+        for _ in range(2):
+            name = next(n for n in FOUNDERS if n not in self.group.silent)
+            self.group.silent.add(name)
+            self.group.run(6.0)
+            if len(self.group.silent) == 1:
+                self.assertIsNotNone(self.group.leader())
+        self.assertIsNotNone(self.group.leader())
+
+    def test_a_replica_that_lost_its_disk_votes_again_only_when_listed(self):
+        name = next(n for n in FOUNDERS if n != self.group.leader())
+        self.group.add(name)
+        self.group.run(0.3)
+        self.assertFalse(self.group.replicas[name].status().voter)
+        self.group.run(3.0)
+        self.assertTrue(self.group.replicas[name].status().voter)
+
+    def test_a_voter_that_was_replaced_comes_back_as_a_learner(self):
+        self.group.add("d")
+        self.group.join("d")
+        self.group.run(1.0)
+        lost = next(name for name in FOUNDERS if name != self.group.leader())
+        self.group.silent.add(lost)
+        self.group.run(4.0)
+        self.group.silent.discard(lost)
+        self.group.join(lost)
+        self.group.run(3.0)
+        self.assertNotIn(lost, self.group.voters())
+        self.assertIn(lost, self.group.replicas[self.group.leader()].members())
+
+    def test_a_leader_that_stops_hands_over_to_a_voter_of_the_log(self):
+        former = self.group.leader()
+        self.assertTrue(self.group.replicas[former].hand_over())
+        self.assertIs(Role.FOLLOWER, self.group.replicas[former].status().role)
+        self.group.silent.add(former)
+        self.group.run(0.5)
+        self.assertIsNotNone(self.group.leader())
--- /dev/null
+++ b/tests/platform/test_bad_input.py
@@ -0,0 +1,119 @@
+"""What cannot be read gets a clear refusal and names nothing to use."""
+
+import copy
+import json
+
+from berthline.config_format import parse_config
+from berthline.fields import FormatError
+from berthline.job_format import MAX_SPEC_BYTES, parse_job
+from berthline.worker_format import parse_announcement
+from testtools import TestCase
+
+from examples.berthline import CONFIG
+
+PING = {
+    "service": "karachi",
+    "address": "10.0.0.9:8080",
+    "zone": "west",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
+    "labels": ["a", "r1"],
+    "clock-ms": 1,
+    "sequence": 4,
+    "born": 7,
+}
+JOB = {"spec": "text", "steps": [{"count": 2, "cpu": 500}, {"count": 1, "after": [0]}]}
+GONE = object()
+
+
+def changed(tree, path, value):
+    """Return a copy of `tree` with one value changed or taken out."""
+    found = copy.deepcopy(tree)
+    inner = found
+    for key in path[:-1]:
+        inner = inner[key]
+    if value is GONE:
+        del inner[path[-1]]
+    else:
+        inner[path[-1]] = value
+    return json.dumps(found).encode()
+
+
+class BadInput(TestCase):
+    def check(self, parse, tree, cases):
+        parse(json.dumps(tree).encode())
+        for body in (b"", b"{", b"[]", b"\xff\xfe", b"null", b"[" * 5000):
+            self.assertRaises(FormatError, parse, body)
+        for path, value in cases:
+            body = changed(tree, path, value)
+            self.assertRaises(FormatError, parse, body)
+
+    def test_announcements(self):
+        cases = [
+            (["service"], GONE),
+            (["service"], 7),
+            (["address"], GONE),
+            (["address"], "somewhere"),
+            (["address"], "10.0.0.300:80"),
+            (["address"], "10.0.0.3:0"),
+            (["address"], "host.example:80"),
+            (["state"], "resting"),
+            (["state"], GONE),
+            (["capacity"], GONE),
+            (["capacity"], []),
+            (["capacity", "cpu"], "many"),
+            (["capacity", "cpu"], -1),
+            (["labels"], "a"),
+            (["labels"], [1]),
+            (["sequence"], GONE),
+            (["sequence"], True),
+            (["sequence"], 1.5),
+            (["born"], "now"),
+        ]
+        self.check(lambda body: parse_announcement("i-1", body), PING, cases)
+
+    def test_configurations(self):
+        route = ["routes", 0]
+        cases = [
+            (["version"], GONE),
+            (["version"], "1"),
+            (["version"], -1),
+            (["routes"], GONE),
+            (["services"], {}),
+            ([*route, "service"], "nobody"),
+            ([*route, "timeout-ms"], 0),
+            ([*route, "timeout-ms"], GONE),
+            ([*route, "host"], None),
+            ([*route, "stretch"], "long"),
+            ([*route, "max-attempts"], 0),
+            (["routes"], CONFIG["routes"] * 2),
+            (["services"], CONFIG["services"] * 2),
+            (["limits"], 3),
+        ]
+        self.check(parse_config, CONFIG, cases)
+
+    def test_two_queues_at_one_place(self):
+        tree = copy.deepcopy(CONFIG)
+        tree["routes"].append({**CONFIG["routes"][0], "name": "other"})
+        body = json.dumps(tree).encode()
+        self.assertRaises(FormatError, parse_config, body)
+
+    def test_jobs(self):
+        cases = [
+            (["spec"], GONE),
+            (["spec"], "x" * (MAX_SPEC_BYTES + 1)),
+            (["steps"], []),
+            (["steps"], GONE),
+            (["steps", 0], 3),
+            (["steps", 0, "count"], 0),
+            (["steps", 0, "count"], 1_000_000),
+            (["steps", 0, "cpu"], "2"),
+            (["steps", 1, "after"], [1]),
+            (["steps", 1, "after"], [5]),
+            (["steps", 0, "gang"], "yes"),
+            (["repeat-count"], "twice"),
+        ]
+        self.check(parse_job, {**JOB, "repeat-count": 0}, cases)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,50 @@
+import shutil
+import tempfile
+from pathlib import Path
+
+from berthline import settings
+from testtools import TestCase
+
+TEXT = """
+node-name = "core-1"
+ip = "10.1.0.12"
+zone = "keamari"
+internal-ports = [7060, 7075]
+seeds = ["10.1.0.12:8623", "10.2.0.25:8623"]
+bootstrap = true
+data-dir = "/data/my-core"
+a-field-that-is-new = 3
+[listen-addrs]
+control-plane = "10.1.0.12:8623"
+[bounds]
+max-hold-ms = 8000
+lease-ms = 2500
+"""
+
+
+class SettingsTest(TestCase):
+    def load(self, text):
+        folder = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, folder)
+        path = Path(folder) / "node.toml"
+        path.write_text(text)
+        return settings.load(path)
+
+    def test_what_is_told_is_taken(self):
+        cfg = self.load(TEXT)
+        self.assertEqual(("10.1.0.12", "10.2.0.25"), cfg.seeds)
+        self.assertEqual((7060, True), (cfg.peer_port, cfg.first_start))
+        self.assertEqual((8.0, 2.5), (cfg.limits.max_lease, cfg.limits.machine_lease))
+        self.assertIsNone(cfg.callers)
+
+    def test_errors_name_the_key(self):
+        cases = {
+            "node-name": TEXT.replace("node-name", "name"),
+            "internal-ports": TEXT.replace("internal-ports", "ports"),
+            "'nowhere' is not an address": TEXT.replace(
+                '"10.2.0.25:8623"', '"nowhere"'
+            ),
+        }
+        for named, text in cases.items():
+            error = self.assertRaises(ValueError, self.load, text)
+            self.assertIn(named, str(error))
--- /dev/null
+++ b/tests/processes/test_berthline.py
@@ -0,0 +1,106 @@
+"""The job queue as processes, on the stand-in of the platform."""
+
+import signal
+import tempfile
+from pathlib import Path
+
+from testtools import TestCase
+
+from examples.berthline import CONFIG, BerthlineDemo
+
+PATH = "/approvals/%016x"
+
+
+class BerthlineTest(TestCase):
+    """One installation for all steps, since its start takes seconds."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.demo = BerthlineDemo(Path(folder.name))
+        self.addCleanup(self.kill)
+        self.demo.start()
+
+    def kill(self):
+        for process in self.demo.processes.values():
+            process.kill()
+            process.wait()
+
+    def submit(self, number, seconds="0.1", count=3, entry=0):
+        content = {"spec": seconds, "steps": [{"count": count, "cpu": 500}]}
+        return self.demo.job("POST", PATH % number, content, entry)[0]
+
+    def state(self, number, entry=0):
+        return self.demo.job("GET", PATH % number, entry=entry)[1].get("state")
+
+    def wait_for(self, number, state="completed"):
+        self.demo.wait(lambda: self.state(number) == state)
+
+    def starts(self, number):
+        job_id = f"{number:016x}"
+        return [
+            (key, run)
+            for worker in self.demo.workers.values()
+            for key, run in worker.model.started
+            if key.job_id == job_id
+        ]
+
+    def test_whole_path(self):
+        self.assertEqual(200, self.submit(1))
+        self.wait_for(1)
+        self.assertEqual(200, self.submit(1, entry=1))
+        self.assertEqual("completed", self.state(1, entry=1))
+        self.assertEqual(3, len(self.starts(1)))
+        self.refusals()
+        self.cancel()
+        self.wave()
+        self.leader_killed()
+        codes = self.demo.stop()
+        self.assertEqual({0}, set(codes.values()))
+
+    def refusals(self):
+        demo = self.demo
+        self.assertEqual(404, demo.job("GET", "/nowhere/1")[0])
+        self.assertEqual(410, demo.job("GET", PATH % 99)[0])
+        self.assertEqual(410, demo.job("DELETE", PATH % 99)[0])
+        self.assertEqual(400, demo.job("POST", PATH % 99, {"spec": "x"})[0])
+        self.assertEqual({"pending": 0}, demo.job("GET", "/approvals/")[1])
+        self.assertEqual(400, demo.put_config({**CONFIG, "version": "2"}))
+        self.assertEqual(200, demo.put_config({**CONFIG, "version": 0}))
+        url = f"http://{demo.control[1]}/v1/configuration"
+        self.assertEqual((200, CONFIG), demo.call("GET", url))
+
+    def cancel(self):
+        self.submit(2, seconds="60")
+        self.wait_for(2, "active")
+        self.assertEqual(200, self.demo.job("DELETE", PATH % 2)[0])
+        self.assertEqual("cancelled", self.state(2))
+        running = [worker.model.running for worker in self.demo.workers.values()]
+        self.demo.wait(lambda: not any(found() for found in running))
+
+    def wave(self):
+        url = f"http://{self.demo.control[2]}/v1/wave"
+        wave = {"wave": 1, "machines": ["m-0", "m-1"], "duration-s": 20, "cap": 1}
+        self.assertEqual(200, self.demo.call("POST", f"{url}-start", wave)[0])
+        self.demo.wait(
+            lambda: self.demo.call("GET", f"{url}-get/1")[1] == {"state": "completed"}
+        )
+        self.assertEqual({("m-0", 1), ("m-1", 1)}, set(self.demo.provider.upkeeps))
+
+    def leader_killed(self):
+        """What runs goes on under the next leader, and nothing runs twice."""
+        self.submit(3, seconds="6", count=4)
+        self.wait_for(3, "active")
+        self.demo.wait(lambda: len(self.starts(3)) == 4)
+        host = self.demo.leader()
+        self.demo.processes[host].send_signal(signal.SIGKILL)
+        self.demo.processes[host].wait()
+        self.demo.wait(lambda: self.submit(4) == 200)
+        self.wait_for(4)
+        self.wait_for(3)
+        self.assertEqual(4, len(self.starts(3)))
+        self.demo.start_process(host, "control")
+        port = self.demo.control[0].port
+        url = f"http://{host}:{port}/v1/configuration"
+        self.demo.wait(lambda: self.demo.call("GET", url) == (200, CONFIG))
