--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -33,6 +33,9 @@
 """After which a machine whose upkeep was ordered counts as back though the list
 never showed it as away."""
 
+SETTLE_SECONDS = 6.0
+"""How long a leader watches demand before it lets machines go: a turn of a queue."""
+
 TURNS_BEFORE_ORDER = 2
 """Plans of the executor after which nothing planned before is still unlogged."""
 
@@ -79,6 +82,7 @@
         self._closing: dict[str, int] = {}
         """Workers that are being emptied, with the executor's turn when it began."""
         self._idle_since: dict[str, float] = {}
+        self._demand_since: float | None = None
         self._moving: dict[str, str] = {}
         """Machines being emptied for a move, by the service they go to."""
         self._thread = threading.Thread(target=self._run, name="machines", daemon=True)
@@ -117,6 +121,7 @@
         self._closing = {}
         self._moving = {}
         self._idle_since = {}
+        self._demand_since = None
 
     def _turn(self, machines: list[MachineState]) -> None:
         by_name = {item.machine: item for item in machines}
@@ -254,11 +259,24 @@
             )
             for item in machines
         ]
-        for move in self._pools.plan(pool, demands, standby):
+        for move in self._pools.plan(pool, demands, standby, self._may_park(now)):
             self._moving[move.machine] = move.service_name
             self._log_move(move, demands)
         return set(self._moving)
 
+    def _may_park(self, now: float) -> bool:
+        """Return whether demand has been seen for a while.
+
+        Before the first jobs, and under a new leader, the next turn is not known:
+        machines that were let go would be missing in its first seconds.
+        """
+        if self._demand_since is None:
+            with self._table.lock:
+                if self._table.active:
+                    self._demand_since = now
+            return False
+        return now - self._demand_since > SETTLE_SECONDS
+
     def _log_move(self, move: Move, demands: dict[str, Demand]) -> None:
         demand = demands.get(move.service_name, Demand())
         logging.info(
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -80,6 +80,7 @@
         machines: Sequence[PoolMachine],
         demands: Mapping[str, Demand],
         standby: str,
+        may_park: bool = True,
     ) -> list[Move]:
         """Return the moves to make now.
 
@@ -91,6 +92,8 @@
             What each serving service is asked for.
         standby : str
             The service whose machines are off; empty when there is none.
+        may_park : bool
+            Whether demand has been seen for long enough to let machines go.
         """
         moves: list[Move] = []
         pools: dict[str, list[PoolMachine]] = {name: [] for name in demands}
@@ -132,7 +135,7 @@
                     spare.remove(found)
                 have[name] += 1
                 moves.append(Move(found.machine, name))
-        if standby:
+        if standby and may_park:
             moves.extend(self._park(givers, needed, have, standby))
         return moves
 
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -62,3 +62,8 @@
         machines = [machine(f"k{i}", "karachi", -1.0) for i in range(2)]
         demand = Demand(running_cpu=SIZE // 2)
         self.assertEqual(set(), plan(machines, karachi=demand))
+
+    def test_machines_stay_until_demand_has_been_seen(self):
+        machines = [machine(f"k{i}", "karachi") for i in range(4)]
+        found = PoolPlanner().plan(machines, {"karachi": Demand()}, "standby", False)
+        self.assertEqual([], found)
