A machine under upkeep is back when the list shows it up; emptied machines are replaced

Cause: the standby pool's machines keep their (empty) worker, so a machine counted as away for 6 s instead of 2: nine were ordered at 2.2 s, the next at 8.4 s, and the last of 21 came at 31.1 s, after the wave was due. The machines being emptied counted as room, so lasting tasks had nowhere to go. Change: away until the list has shown it away and up again, or 2.5 s have passed; the pool planner leaves emptied machines out; the wave's pace is half again as quick.

--- a/arbutuscleat/execution/limits.py
+++ b/arbutuscleat/execution/limits.py
@@ -27,6 +27,8 @@
         Time limit of one order.
     machine_lease : float
         Time after which orders for a machine may come from another control instance.
+    upkeep : float
+        How long the upkeep of a machine takes.
     notice : float
         How long a task has to be away to count as away for any cause.
     """
@@ -39,6 +41,7 @@
     hold_wait: float = 1.5
     call: float = 0.8
     machine_lease: float = 3.0
+    upkeep: float = 2.0
     notice: float = 4.5
 
     def surely_over(self, lease: float) -> float:
--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -29,9 +29,9 @@
 TURN_SECONDS = 0.25
 """Between two looks at the machines."""
 
-BACK_SECONDS = 6.0
-"""After which a machine whose upkeep was ordered counts as back though the list
-never showed it as away."""
+UPKEEP_SLACK_SECONDS = 0.5
+"""Beyond the time that upkeep takes, after which a machine that the list shows as up
+is back though the list never showed it as away."""
 
 SETTLE_SECONDS = 6.0
 """How long a leader watches demand before it lets machines go: a turn of a queue."""
@@ -77,8 +77,9 @@
         self._pools = PoolPlanner()
         self._stopping = threading.Event()
         self._term = -1
-        self._away: dict[str, tuple[float, str]] = {}
-        """Machines under upkeep: since when, and the worker that they had."""
+        self._away: dict[str, float] = {}
+        """Machines under upkeep, since when."""
+        self._seen_away: set[str] = set()
         self._closing: dict[str, int] = {}
         """Workers that are being emptied, with the executor's turn when it began."""
         self._idle_since: dict[str, float] = {}
@@ -118,6 +119,7 @@
         if self._closing:
             self._executor.set_closing(set())
         self._away = {}
+        self._seen_away = set()
         self._closing = {}
         self._moving = {}
         self._idle_since = {}
@@ -142,11 +144,14 @@
 
     def _note_returns(self, by_name: dict[str, MachineState]) -> None:
         now = self._clock.monotonic()
-        for machine, (since, worker_id) in list(self._away.items()):
+        least = self._limits.upkeep + UPKEEP_SLACK_SECONDS
+        for machine, since in list(self._away.items()):
             state = by_name.get(machine)
-            returned = state is None or (state.is_up and state.worker_id != worker_id)
-            if returned or now - since > BACK_SECONDS:
+            if state is not None and not state.is_up:
+                self._seen_away.add(machine)
+            elif state is None or machine in self._seen_away or now - since > least:
                 del self._away[machine]
+                self._seen_away.discard(machine)
 
     def _note_idle(self, machines: list[MachineState]) -> None:
         now = self._clock.monotonic()
@@ -214,11 +219,11 @@
                 return
             outcome = self._provider.upkeep(machine, wave.number, self._term)
             if outcome is MachineOrder.DONE:
-                self._away[machine] = (self._clock.monotonic(), state.worker_id)
+                self._away[machine] = self._clock.monotonic()
                 self._drop_worker(state.worker_id)
                 self._advance(wave, machine, finished=True)
             elif outcome is MachineOrder.UNKNOWN:
-                self._away[machine] = (self._clock.monotonic(), state.worker_id)
+                self._away[machine] = self._clock.monotonic()
 
     def _advance(self, wave: Wave, machine: str, finished: bool) -> bool:
         command = AdvanceWave(wave=wave.number, machine=machine, finished=finished)
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -104,7 +104,10 @@
             name: self._machines_needed(demand, pools[name])
             for name, demand in demands.items()
         }
-        have = {name: len(pool) for name, pool in pools.items()}
+        # Machines that are emptied for a wave are no room for anything.
+        have = {
+            name: sum(not item.in_wave for item in pool) for name, pool in pools.items()
+        }
         spare = [
             item
             for item in machines
--- a/arbutuscleat/scheduling/wave_planner.py
+++ b/arbutuscleat/scheduling/wave_planner.py
@@ -11,7 +11,7 @@
 SECONDS_A_MACHINE = 5.0
 """From the decision to empty a machine until it is back: tasks end, then upkeep."""
 
-RESERVE = 1.6
+RESERVE = 2.5
 """Factor on the pace, for machines that take longer to become empty."""
 
 
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -67,3 +67,9 @@
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         found = PoolPlanner().plan(machines, {"karachi": Demand()}, "standby", False)
         self.assertEqual([], found)
+
+    def test_a_machine_emptied_for_a_wave_is_replaced(self):
+        machines = [machine("k0", "karachi", -1.0, in_wave=True)]
+        machines += [machine("k1", "karachi", -1.0), machine("s1", "standby")]
+        found = plan(machines, karachi=Demand(running_cpu=SIZE // 2))
+        self.assertEqual({("s1", "karachi")}, found)
