One set of consensus handlers, one rule for broken invariants

What the platform's path and the older path did twice: the replica's four handlers and the hook that ends a process stand once.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -12,20 +12,16 @@
 from absl import logging
 from returns.result import Failure, Result
 
-from arbutuscleat.consensus import ProposalError, ProposalErrorKind, Replica, Role
+from arbutuscleat.consensus import (
+    ProposalError,
+    ProposalErrorKind,
+    Replica,
+    ReplicaHandlers,
+    Role,
+)
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import AcceptResult, JobTable, Queue, QueueConfig
 from arbutuscleat.wire import encode
-from arbutuscleat.wire.gen.ttypes import (
-    AppendAnswer,
-    AppendRequest,
-    SnapshotAnswer,
-    SnapshotChunk,
-    TakeOverAnswer,
-    TakeOverRequest,
-    VoteAnswer,
-    VoteRequest,
-)
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
     CancelJob,
@@ -62,7 +58,7 @@
 }
 
 
-class JobService:
+class JobService(ReplicaHandlers):
     """Handler of the thrift service `JobControl`.
 
     Parameters
@@ -84,7 +80,7 @@
         decode_config: Callable[[bytes], QueueConfig],
         clock: Clock,
     ):
-        self._replica = replica
+        super().__init__(replica)
         self._table = table
         self._decode_config = decode_config
         self._clock = clock
@@ -95,22 +91,6 @@
 
     # ---- consensus ----
 
-    def vote(self, request: VoteRequest) -> VoteAnswer:
-        """Answer a replica that asks for a vote."""
-        return self._replica.handle_vote(request)
-
-    def append(self, request: AppendRequest) -> AppendAnswer:
-        """Take entries or a heartbeat."""
-        return self._replica.handle_append(request)
-
-    def install(self, request: SnapshotChunk) -> SnapshotAnswer:
-        """Take a piece of a snapshot."""
-        return self._replica.handle_install(request)
-
-    def take_over(self, request: TakeOverRequest) -> TakeOverAnswer:
-        """Take the leadership of a leader that is about to stop."""
-        return self._replica.handle_take_over(request)
-
     def locate(self, request: LocateRequest) -> LocateAnswer:
         """Tell who leads and who is listed."""
         return LocateAnswer(
--- a/arbutuscleat/consensus/__init__.py
+++ b/arbutuscleat/consensus/__init__.py
@@ -12,6 +12,7 @@
 from .peer import Peer, ThriftPeer
 from .proposal import ProposalError, ProposalErrorKind
 from .replica import Replica, ReplicaStatus
+from .replica_handlers import ReplicaHandlers
 from .role import Role
 from .state_machine import StateMachine
 
@@ -26,6 +27,7 @@
     "ProposalErrorKind",
     "Replica",
     "ReplicaConfig",
+    "ReplicaHandlers",
     "ReplicaStatus",
     "Role",
     "StateMachine",
--- a/arbutuscleat/daemons/control_main.py
+++ b/arbutuscleat/daemons/control_main.py
@@ -5,12 +5,11 @@
 from absl import logging
 
 from arbutuscleat.consensus import AlreadyInitialisedError, DamagedFileError
+from arbutuscleat.nodes.running import EXIT_FAILED, EXIT_OK
 from arbutuscleat.settings import ControlSettings
 
 from .control import ControlDaemon, initialise_data_folder
 from .running import (
-    EXIT_FAILED,
-    EXIT_OK,
     EXIT_SETTINGS,
     make_parser,
     read_settings,
--- a/arbutuscleat/daemons/entry_main.py
+++ b/arbutuscleat/daemons/entry_main.py
@@ -4,12 +4,11 @@
 
 from absl import logging
 
+from arbutuscleat.nodes.running import EXIT_FAILED, EXIT_OK
 from arbutuscleat.settings import EntrySettings
 
 from .entry import EntryDaemon
 from .running import (
-    EXIT_FAILED,
-    EXIT_OK,
     EXIT_SETTINGS,
     make_parser,
     read_settings,
--- a/arbutuscleat/daemons/running.py
+++ b/arbutuscleat/daemons/running.py
@@ -1,7 +1,6 @@
 """What both daemons do around their parts: options, signals, exit codes."""
 
 import argparse
-import os
 import signal
 import sys
 import threading
@@ -11,14 +10,14 @@
 from absl import logging
 from returns.result import Failure
 
-from arbutuscleat.core import InvariantError
+from arbutuscleat.nodes.running import (
+    EXIT_OK,
+    end_on_broken_invariant,
+)
 from arbutuscleat.settings import ProcessSettings, load_settings
 from arbutuscleat.telemetry import configure_logs
 
-EXIT_OK = 0
-EXIT_FAILED = 1
 EXIT_SETTINGS = 2
-EXIT_INVARIANT = 70
 
 S = TypeVar("S", bound=ProcessSettings)
 
@@ -33,16 +32,6 @@
         """Stop gracefully."""
 
 
-def _stop_on_broken_invariant(failure: threading.ExceptHookArgs) -> None:
-    """End the process when a task meets a broken invariant; else log and go on."""
-    if failure.exc_type is SystemExit:
-        return
-    name = failure.thread.name if failure.thread is not None else ""
-    logging.error("task %s failed", name, exc_info=failure.exc_value)
-    if issubclass(failure.exc_type, InvariantError):
-        os._exit(EXIT_INVARIANT)
-
-
 def make_parser(program: str, description: str) -> argparse.ArgumentParser:
     """Return the parser of the options that both daemons have."""
     parser = argparse.ArgumentParser(
@@ -77,7 +66,7 @@
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
-    threading.excepthook = _stop_on_broken_invariant
+    threading.excepthook = end_on_broken_invariant
     daemon.start()
     stop.wait()
     logging.info("stopping")
--- a/arbutuscleat/membership/control_service.py
+++ b/arbutuscleat/membership/control_service.py
@@ -2,13 +2,11 @@
 
 from returns.result import Failure
 
-from arbutuscleat.consensus import ProposalErrorKind, Replica
+from arbutuscleat.consensus import ProposalErrorKind, Replica, ReplicaHandlers
 from arbutuscleat.core import Clock
 from arbutuscleat.state import ControlMachine, Member
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen.ttypes import (
-    AppendAnswer,
-    AppendRequest,
     ChangeResult,
     ClaimLookup,
     ClaimLookupAnswer,
@@ -18,15 +16,9 @@
     NodeStatus,
     ProposeAnswer,
     ProposeRequest,
-    SnapshotAnswer,
-    SnapshotChunk,
     Status,
     StatusAnswer,
     StatusRequest,
-    TakeOverAnswer,
-    TakeOverRequest,
-    VoteAnswer,
-    VoteRequest,
 )
 
 from .ack_table import AckTable, HeardMember
@@ -40,7 +32,7 @@
 }
 
 
-class ControlService:
+class ControlService(ReplicaHandlers):
     """Answers replicas, entry instances and the operator front.
 
     Parameters
@@ -65,30 +57,12 @@
         clock: Clock,
         lease_ms: int,
     ):
-        self._replica = replica
+        super().__init__(replica)
         self._machine = machine
         self._acks = acks
         self._clock = clock
         self._lease_ms = lease_ms
 
-    # ---- consensus ----
-
-    def vote(self, request: VoteRequest) -> VoteAnswer:
-        """Answer a replica that asks for a vote."""
-        return self._replica.handle_vote(request)
-
-    def append(self, request: AppendRequest) -> AppendAnswer:
-        """Answer a leader that sends entries."""
-        return self._replica.handle_append(request)
-
-    def install(self, request: SnapshotChunk) -> SnapshotAnswer:
-        """Answer a leader that sends a snapshot."""
-        return self._replica.handle_install(request)
-
-    def take_over(self, request: TakeOverRequest) -> TakeOverAnswer:
-        """Answer a leader that is about to stop."""
-        return self._replica.handle_take_over(request)
-
     # ---- commands ----
 
     def propose(self, request: ProposeRequest) -> ProposeAnswer:
--- a/arbutuscleat/nodes/running.py
+++ b/arbutuscleat/nodes/running.py
@@ -39,7 +39,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: ask("stop"))
     signal.signal(signal.SIGHUP, lambda *_: ask("reload"))
-    threading.excepthook = _end_on_broken_invariant
+    threading.excepthook = end_on_broken_invariant
     node.start()
     while "stop" not in asked:
         woken.wait()
@@ -59,7 +59,7 @@
     return EXIT_OK
 
 
-def _end_on_broken_invariant(failure: threading.ExceptHookArgs) -> None:
+def end_on_broken_invariant(failure: threading.ExceptHookArgs) -> None:
     """End the process when a task meets a broken invariant; else log and go on."""
     if failure.exc_type is SystemExit:
         return
