--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -196,6 +196,7 @@
         if not isinstance(result, Success):
             logging.warning("starts of %d runs are not known to be logged", len(runs))
             return
+        _log_starts(runs)
         for run, taken in zip(runs, result.unwrap(), strict=True):
             session = self.sessions.get(run.worker_id)
             if taken and session is not None and session.life[1] == run.born_ms:
@@ -266,3 +267,15 @@
 
     def _now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
+
+
+def _log_starts(runs: list[RunRecord]) -> None:
+    """Log one line for each step of which tasks start."""
+    groups: dict[tuple[str, int, int], list[str]] = {}
+    for run in runs:
+        group = (run.job_id, run.occurrence, run.step)
+        groups.setdefault(group, []).append(f"{run.index}#{run.number}@{run.worker_id}")
+    for (job_id, occurrence, step), places in groups.items():
+        logging.info(
+            "job %s: %d.%d starts %s", job_id, occurrence, step, " ".join(places)
+        )
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -290,7 +290,15 @@
         for end in fresh:
             if end.outcome is RunOutcome.DONE:
                 self._failed_in_a_row = 0
-            elif end.outcome is RunOutcome.FAILED:
+            else:
+                logging.info(
+                    "run %d of %s at %s ended as %s",
+                    end.number,
+                    ".".join(map(str, end.key)),
+                    self.worker_id,
+                    end.outcome.name.lower(),
+                )
+            if end.outcome is RunOutcome.FAILED:
                 self._failed_in_a_row += 1
             with self._lock:
                 if self._stopped.get(end.key) == end.number:
