One place for what the job queue did twice; what nothing used is gone

One twin had drifted: movable_tasks checked room and spread but not the required label that the planner checks, so a lasting task could have been stopped with no place to go; both ask WorkerView.accepts now (the new test failed before).

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -6,7 +6,6 @@
 """
 
 import re
-from collections.abc import Callable
 from typing import Any
 
 from absl import logging
@@ -20,7 +19,7 @@
     Role,
 )
 from arbutuscleat.core import Clock
-from arbutuscleat.jobs import AcceptResult, JobTable, Queue, QueueConfig
+from arbutuscleat.jobs import AcceptResult, JobTable, Queue
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
@@ -67,8 +66,6 @@
         This process's member of the consensus group.
     table : JobTable
         Its state.
-    decode_config : callable
-        Turns the operator's text into a `QueueConfig`.
     clock : Clock
         Source of time.
     """
@@ -77,12 +74,10 @@
         self,
         replica: Replica,
         table: JobTable,
-        decode_config: Callable[[bytes], QueueConfig],
         clock: Clock,
     ):
         super().__init__(replica)
         self._table = table
-        self._decode_config = decode_config
         self._clock = clock
 
     def leads(self) -> bool:
@@ -121,7 +116,7 @@
         record.job_id = job_id
         record.queue = queue.name
         record.service_name = queue.service_name
-        record.accepted_at_ms = self._now_ms()
+        record.accepted_at_ms = self._clock.now_ms()
         result = self._propose(JobCommand(accept=record))
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
@@ -159,7 +154,9 @@
             known = job is not None and job.record.queue == queue.name
         if not known:
             return self._confirmed(request, Verdict.NO_JOB)
-        command = JobCommand(cancel=CancelJob(job_id=job_id, at_ms=self._now_ms()))
+        command = JobCommand(
+            cancel=CancelJob(job_id=job_id, at_ms=self._clock.now_ms())
+        )
         result = self._propose(command)
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
@@ -236,7 +233,7 @@
         with self._table.lock:
             wave = self._table.waves.get(request.wave.wave)
         if wave is None:
-            return self._confirmed_control(request, Verdict.NO_JOB)
+            return self._control_answer(request, self._confirm(Verdict.NO_JOB))
         answer = self._control_answer(request, Verdict.DONE)
         answer.finished = wave.is_complete()
         return answer
@@ -257,21 +254,19 @@
         return queue, request.path[len(queue.path_prefix) :], None
 
     def _confirmed(self, request: Any, verdict: int) -> JobAnswer:
-        barrier = self._replica.read_barrier(BARRIER_SECONDS)
-        if isinstance(barrier, Failure):
-            verdict = _VERDICTS[barrier.failure().kind]
-        return self._job_answer(request, verdict)
+        return self._job_answer(request, self._confirm(verdict))
 
-    def _confirmed_control(self, request: Any, verdict: int) -> ControlAnswer:
+    def _confirm(self, verdict: int) -> int:
+        """Return `verdict` once a quorum has confirmed the leadership, or why not."""
         barrier = self._replica.read_barrier(BARRIER_SECONDS)
         if isinstance(barrier, Failure):
-            verdict = _VERDICTS[barrier.failure().kind]
-        return self._control_answer(request, verdict)
+            return _VERDICTS[barrier.failure().kind]
+        return verdict
 
     def _read_config(self, request: ConfigRequest) -> ControlAnswer:
-        barrier = self._replica.read_barrier(BARRIER_SECONDS)
-        if isinstance(barrier, Failure):
-            return self._control_answer(request, _VERDICTS[barrier.failure().kind])
+        confirmed = self._confirm(Verdict.DONE)
+        if confirmed != Verdict.DONE:
+            return self._control_answer(request, confirmed)
         with self._table.lock:
             content = self._table.config_content
         verdict = Verdict.DONE if content else Verdict.NO_CONFIG
@@ -315,9 +310,6 @@
             finished=False,
         )
 
-    def _now_ms(self) -> int:
-        return int(self._clock.now().timestamp() * 1000)
-
 
 def _is_same(held: WorkerRecord, record: WorkerRecord) -> bool:
     """Return whether an announcement changes nothing but its sequence number."""
--- a/arbutuscleat/core/clock.py
+++ b/arbutuscleat/core/clock.py
@@ -21,6 +21,10 @@
     def now(self) -> datetime:
         """Return the wall-clock time in UTC."""
 
+    def now_ms(self) -> int:
+        """Return the wall-clock time in Unix milliseconds."""
+        return int(self.now().timestamp() * 1000)
+
     @abstractmethod
     def wait(self, condition: threading.Condition, timeout: float) -> bool:
         """Wait on a held `condition` for at most `timeout` seconds."""
--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -126,7 +126,7 @@
     def demand(self, service_name: str) -> Demand:
         """Return what a service is asked for now."""
         with self._table.lock:
-            return service_demand(self._table, service_name, self._now_ms())
+            return service_demand(self._table, service_name, self._clock.now_ms())
 
     def movable_tasks(self, worker_id: str) -> list[tuple[TaskKey, int]]:
         """Return the lasting tasks that may leave a worker now.
@@ -175,13 +175,13 @@
         with self._table.lock:
             self._match_sessions()
             views = self._views()
-            plan = self._planner.plan(self._table, views, self._now_ms())
+            plan = self._planner.plan(self._table, views, self._clock.now_ms())
             self.turns += 1
             stops = self._due_stops()
             if not plan.runs and not stops:
                 timeout = IDLE_SECONDS
                 if plan.next_due_ms is not None:
-                    due = (plan.next_due_ms - self._now_ms()) / 1000.0
+                    due = (plan.next_due_ms - self._clock.now_ms()) / 1000.0
                     timeout = min(timeout, max(0.001, due))
                 self._clock.wait(self._table.changed, timeout)
                 return
@@ -265,9 +265,6 @@
             views[worker_id] = view
         return views
 
-    def _now_ms(self) -> int:
-        return int(self._clock.now().timestamp() * 1000)
-
 
 def _log_starts(runs: list[RunRecord]) -> None:
     """Log one line for each step of which tasks start."""
--- a/arbutuscleat/execution/limits.py
+++ b/arbutuscleat/execution/limits.py
@@ -27,8 +27,6 @@
         Time after which orders for a machine may come from another control instance.
     upkeep : float
         How long the upkeep of a machine takes.
-    notice : float
-        How long a task has to be away to count as away for any cause.
     """
 
     max_lease: float = 10.0
@@ -39,7 +37,6 @@
     call: float = 0.8
     machine_lease: float = 3.0
     upkeep: float = 2.0
-    notice: float = 4.5
 
     def surely_over(self, lease: float) -> float:
         """Return the seconds after which a lease has ended on the slowest clock."""
--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -197,7 +197,7 @@
                 )
             )
         away = sum(machine in self._away for machine in wave.machines)
-        seconds_left = (wave.due_at_ms - self._now_ms()) / 1000.0
+        seconds_left = (wave.due_at_ms - self._clock.now_ms()) / 1000.0
         return set(choose_machines(left, wave.cap, away, seconds_left))
 
     def _order_upkeep(
@@ -348,6 +348,3 @@
         if record is not None:
             command = RemoveWorker(worker_id=worker_id, born_ms=record.born_ms)
             self._executor.propose(JobCommand(remove_worker=command))
-
-    def _now_ms(self) -> int:
-        return int(self._clock.now().timestamp() * 1000)
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -168,7 +168,7 @@
 
     def order_start(self, run: RunRecord) -> None:
         """Order a run that is in the log."""
-        key = TaskKey(run.job_id, run.occurrence, run.step, run.index)
+        key = TaskKey.of(run)
         with self._lock:
             self._pending[key] = run.number
             self._wake.notify_all()
@@ -278,13 +278,15 @@
             return True
         ends = [
             EndRecord(
-                run=self._run_record(end.key, end.number),
+                run=end.key.run_record(end.number, self.life),
                 outcome=int(end.outcome),
                 checkpoint=end.checkpoint,
             )
             for end in fresh
         ]
-        if not self._propose(JobCommand(ends=RunEnds(ends=ends, at_ms=self._now_ms()))):
+        if not self._propose(
+            JobCommand(ends=RunEnds(ends=ends, at_ms=self._clock.now_ms()))
+        ):
             return False
         self._acknowledged = max(end.position for end in fresh)
         for end in fresh:
@@ -294,7 +296,7 @@
                 logging.info(
                     "run %d of %s at %s ended as %s",
                     end.number,
-                    ".".join(map(str, end.key)),
+                    end.key,
                     self.worker_id,
                     end.outcome.name.lower(),
                 )
@@ -349,19 +351,19 @@
             logging.info(
                 "run %d of %s at %s is lost: %s",
                 number,
-                ".".join(map(str, key)),
+                key,
                 self.worker_id,
                 reason,
             )
         ends = [
             EndRecord(
-                run=self._run_record(key, number),
+                run=key.run_record(number, self.life),
                 outcome=int(RunOutcome.LOST),
                 checkpoint="",
             )
             for key, number in lost
         ]
-        self._propose(JobCommand(ends=RunEnds(ends=ends, at_ms=self._now_ms())))
+        self._propose(JobCommand(ends=RunEnds(ends=ends, at_ms=self._clock.now_ms())))
         with self._lock:
             for key, number in lost:
                 if self._stopped.get(key) == number:
@@ -432,7 +434,7 @@
         logging.info(
             "run %d of %s at %s: start ended as %s",
             number,
-            ".".join(map(str, key)),
+            key,
             self.worker_id,
             outcome.value,
         )
@@ -462,20 +464,6 @@
 
     # ---- details ----
 
-    def _run_record(self, key: TaskKey, number: int) -> RunRecord:
-        return RunRecord(
-            job_id=key.job_id,
-            occurrence=key.occurrence,
-            step=key.step,
-            index=key.task_index,
-            number=number,
-            worker_id=self.life[0],
-            born_ms=self.life[1],
-        )
-
-    def _now_ms(self) -> int:
-        return int(self._clock.now().timestamp() * 1000)
-
     def _notify_table(self) -> None:
         with self._table.lock:
             self._table.changed.notify_all()
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -221,7 +221,7 @@
 
     def _start_one(self, run: Any) -> bool:
         """Take one run as ordered, unless something has changed meanwhile."""
-        key = TaskKey(run.job_id, run.occurrence, run.step, run.index)
+        key = TaskKey.of(run)
         life = (run.worker_id, run.born_ms)
         job = self.active.get(run.job_id)
         worker = self.workers.get(run.worker_id)
@@ -242,7 +242,7 @@
     def _end(self, command: RunEnds) -> None:
         for end in command.ends:
             run = end.run
-            key = TaskKey(run.job_id, run.occurrence, run.step, run.index)
+            key = TaskKey.of(run)
             self._end_one(key, run.number, RunOutcome(end.outcome), end.checkpoint)
             job = self.jobs.get(run.job_id)
             if job is not None and not job.is_over():
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -7,6 +7,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from arbutuscleat.wire.gen_jobs.ttypes import RunRecord
+
 WorkerLife = tuple[str, int]
 """A worker's id and the Unix millisecond of its start."""
 
@@ -21,6 +23,27 @@
     step: int
     task_index: int
 
+    @classmethod
+    def of(cls, run: RunRecord) -> "TaskKey":
+        """Return the task of a run."""
+        return cls(run.job_id, run.occurrence, run.step, run.index)
+
+    def run_record(self, number: int, life: WorkerLife) -> RunRecord:
+        """Return the record of a run of this task."""
+        return RunRecord(
+            job_id=self.job_id,
+            occurrence=self.occurrence,
+            step=self.step,
+            index=self.task_index,
+            number=number,
+            worker_id=life[0],
+            born_ms=life[1],
+        )
+
+    def __str__(self) -> str:
+        """Return the parts joined by dots, as logs show them."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.task_index}"
+
 
 class TaskStatus(IntEnum):
     """Where a task stands."""
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -137,7 +137,7 @@
             random.Random(),
             make_peer,
         )
-        service = JobService(self._replica, self._table, decode_config, clock)
+        service = JobService(self._replica, self._table, clock)
         self._thrift = ThriftServer(
             JobControl.Processor(service),
             Address(cfg.host, cfg.peer_port),
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -65,10 +65,7 @@
         for view in views.values():
             if not view.usable or view.record.service_name != service_name:
                 continue
-            limit = step.spread_limit
-            if limit and view.counts.get(key[:3], 0) >= limit:
-                continue
-            if view.fits(step):
+            if view.accepts(step, key[:3]):
                 view.take(step, key[:3])
                 steps_seen.add(key[:3])
                 found.append((key, task.number))
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -43,7 +43,6 @@
     rank: tuple[int, int, int, int]
     job: JobState = field(compare=False)
     occurrence: int = field(compare=False)
-    queue: Queue | None = field(compare=False)
 
 
 class Planner:
@@ -90,7 +89,7 @@
                 if not serves or job.is_occurrence_done(occurrence):
                     continue
                 rank = self._rank(job, occurrence, queue, now_ms)
-                found.append(_Candidate(rank, job, occurrence, queue))
+                found.append(_Candidate(rank, job, occurrence))
         return found, next_due_ms
 
     def _rank(
@@ -147,7 +146,7 @@
                     break  # Nor will its siblings find a place.
                 continue
             view.take(step, task.key[:3])
-            runs.append(_run(task, task.number + 1, view))
+            runs.append(task.key.run_record(task.number + 1, view.life))
         return runs
 
     def _place_gang(
@@ -173,7 +172,7 @@
                 view.take(step, task.key[:3])
                 taken.append((task, view))
             if len(taken) == len(waiting):
-                return [_run(task, number, view) for task, view in taken]
+                return [task.key.run_record(number, view.life) for task, view in taken]
             for task, view in taken:
                 view.give_back(step, task.key[:3])
         return []
@@ -189,11 +188,7 @@
         best_rank: tuple[int, bool, bool, int] | None = None
         group = task.key[:3]
         for view in workers:
-            if not view.fits(step):
-                continue
-            if step.required_label and step.required_label not in view.record.labels:
-                continue
-            if step.spread_limit and view.counts.get(group, 0) >= step.spread_limit:
+            if not view.accepts(step, group):
                 continue
             failed_here = task.failures > 0 and task.life[0] == view.record.worker_id
             rank = (
@@ -205,16 +200,3 @@
             if best_rank is None or rank < best_rank:
                 best, best_rank = view, rank
         return best
-
-
-def _run(task: TaskState, number: int, view: WorkerView) -> RunRecord:
-    key = task.key
-    return RunRecord(
-        job_id=key.job_id,
-        occurrence=key.occurrence,
-        step=key.step,
-        index=key.task_index,
-        number=number,
-        worker_id=view.record.worker_id,
-        born_ms=view.record.born_ms,
-    )
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from arbutuscleat.jobs.task import WorkerLife
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord, WorkerRecord
 
 
@@ -31,6 +32,11 @@
         self.counts: dict[tuple[str, int, int], int] = {}
         """Tasks here by job, occurrence and step."""
 
+    @property
+    def life(self) -> WorkerLife:
+        """The worker's id and start."""
+        return (self.record.worker_id, self.record.born_ms)
+
     def fits(self, step: StepRecord) -> bool:
         """Return whether one more task of `step` fits."""
         return (
@@ -39,6 +45,14 @@
             and step.gpu <= self.gpu
         )
 
+    def accepts(self, step: StepRecord, group: tuple[str, int, int]) -> bool:
+        """Return whether one more task of `step` may stand here and fits."""
+        if step.required_label and step.required_label not in self.record.labels:
+            return False
+        if step.spread_limit and self.counts.get(group, 0) >= step.spread_limit:
+            return False
+        return self.fits(step)
+
     def take(self, step: StepRecord, group: tuple[str, int, int]) -> None:
         """Count one more task of `step`."""
         if not step.fills:
--- a/tests/scheduling/test_demand.py
+++ b/tests/scheduling/test_demand.py
@@ -48,6 +48,10 @@
         self.views["w5"].cpu = 10
         self.assertEqual([], self.movable())
 
+    def test_room_without_the_label_of_the_step_is_no_room(self):
+        self.bench.table.jobs[JOB].steps[0].required_label = "b"
+        self.assertEqual([], self.movable())
+
     def test_other_tasks_are_left_to_end(self):
         bench = TableBench()
         bench.apply(worker=worker("w0"))
