A new leader orders machines at once where no former order can cross; a former leader returns first

Ruled out: sessions (greeted after 0.1 s), the provider (13 ms a call).

A machine that nobody or this instance ordered last is ordered at once, others a lease after their entry was seen or the leadership began. MachineWatch split off the keeper.

--- a/arbutuscleat/consensus/elections.py
+++ b/arbutuscleat/consensus/elections.py
@@ -2,6 +2,9 @@
 
 A replica that was cut off for long asks for pre-votes first.  They are refused
 while others hear a leader, so its return does not unseat that leader.
+
+A leader that starts again stands at once: the leader that others have heard of its
+term is itself, and a later term would be known to a majority.
 """
 
 from absl import logging
@@ -59,6 +62,7 @@
             last_index=state.log.last_index,
             last_term=state.log.last_term,
             pre_vote=pre_vote,
+            returns=state.returns,
         )
 
     def take_answer(self, peer: str, request: VoteRequest, answer: VoteAnswer) -> None:
@@ -131,7 +135,8 @@
         with state.disk_lock, state.lock:
             while self._has_majority():
                 if state.role is Role.CANDIDATE:
-                    state.become_leader()
+                    if state.persist_vote(state.term, state.node_id, led=True):
+                        state.become_leader()
                     return
                 self._become_candidate()
 
@@ -158,10 +163,16 @@
         state = self._state
         if not state.is_voter() or request.term <= state.term:
             return False
-        if state.leads() or state.hears_leader():
+        if state.leads():
+            return False
+        if state.hears_leader() and not self._is_returning_leader(request):
             return False
         return self._is_current(request)
 
+    def _is_returning_leader(self, request: VoteRequest) -> bool:
+        """Return whether the leader that was heard can only be the candidate itself."""
+        return request.returns and self._state.leader in ("", request.candidate)
+
     def _grant_vote(self, request: VoteRequest) -> bool:
         state = self._state
         if request.term < state.term:
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -81,13 +81,17 @@
         # A leader may have been heard just before a restart: no pre-vote is given
         # against it until it has been silent for the shortest timeout.
         self.last_heard = clock.monotonic()
+        # Whether this replica led the newest term it knows of before it started.
+        self.returns = False
         self._load()
+        self._started_at = clock.monotonic()
         self.election_due = self._next_election()
 
     def _load(self) -> None:
         vote = load_vote(self.disk)
         self.term: int = vote.term
         self.voted_for: str = vote.voted_for
+        self.returns = bool(vote.led)
         self.snapshot = load_snapshot(self.disk) or SnapshotRecord(
             last_index=0, last_term=0, replicas=EMPTY_SET, data=b""
         )
@@ -247,17 +251,22 @@
         self.become_follower("")
         return True
 
-    def persist_vote(self, term: int, voted_for: str) -> bool:
+    def persist_vote(self, term: int, voted_for: str, led: bool = False) -> bool:
         """Write and sync term and vote; False if the disk fails."""
         try:
-            save_vote(self.disk, VoteRecord(term=term, voted_for=voted_for))
+            save_vote(self.disk, VoteRecord(term=term, voted_for=voted_for, led=led))
         except OSError as exc:
             self.fail(exc)
             return False
+        if term != self.term:
+            self.returns = False
         self.term = term
         self.voted_for = voted_for
         return True
 
     def _next_election(self) -> float:
+        now = self.clock.monotonic()
+        if self.returns and now - self._started_at < self.cfg.election_seconds:
+            return now + self.cfg.return_seconds
         spread = self._rng.uniform(1.0, self.cfg.election_spread)
-        return self.clock.monotonic() + self.cfg.election_seconds * spread
+        return now + self.cfg.election_seconds * spread
--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -2,7 +2,7 @@
 
 Upkeep of waves and moves between pools end what runs on a machine, so the keeper
 has the executor start nothing new on it, waits until it is empty, and orders then.
-A new leader waits until orders of a former one can no longer be on their way.
+Orders for one machine by two control instances are kept apart by `MachineLeases`.
 """
 
 import threading
@@ -20,19 +20,22 @@
     WaveMachine,
     choose_machines,
 )
-from arbutuscleat.wire.gen_jobs.ttypes import AdvanceWave, JobCommand, RemoveWorker
+from arbutuscleat.wire.gen_jobs.ttypes import (
+    AdvanceWave,
+    JobCommand,
+    OrderMachines,
+    RemoveWorker,
+)
 
 from .executor import Executor
 from .limits import ExecutionLimits
+from .machine_leases import MachineLeases
+from .machine_watch import MachineWatch
 from .provider import MachineOrder, MachineState, Provider
 
 TURN_SECONDS = 0.25
 """Between two looks at the machines."""
 
-UPKEEP_SLACK_SECONDS = 0.5
-"""Beyond the time that upkeep takes, after which a machine that the list shows as up
-is back though the list never showed it as away."""
-
 SETTLE_SECONDS = 6.0
 """How long a leader watches demand before it lets machines go: a turn of a queue."""
 
@@ -57,6 +60,8 @@
         Source of time.
     limits : ExecutionLimits
         Times that leases go by.
+    holder : str
+        Name under which this process gives orders.
     """
 
     def __init__(
@@ -67,22 +72,20 @@
         provider: Provider,
         clock: Clock,
         limits: ExecutionLimits,
+        holder: str,
     ):
         self._replica = replica
         self._table = table
         self._executor = executor
         self._provider = provider
         self._clock = clock
-        self._limits = limits
+        self._leases = MachineLeases(holder, clock, limits.machine_lease)
+        self._watch = MachineWatch(table, clock, limits.upkeep)
         self._pools = PoolPlanner()
         self._stopping = threading.Event()
         self._term = -1
-        self._away: dict[str, float] = {}
-        """Machines under upkeep, since when."""
-        self._seen_away: set[str] = set()
         self._closing: dict[str, int] = {}
         """Workers that are being emptied, with the executor's turn when it began."""
-        self._idle_since: dict[str, float] = {}
         self._demand_since: float | None = None
         self._moving: dict[str, str] = {}
         """Machines being emptied for a move, by the service they go to."""
@@ -98,7 +101,9 @@
 
     def _run(self) -> None:
         while not self._clock.sleep(self._stopping, TURN_SECONDS):
-            if not self._may_order():
+            with self._table.lock:
+                self._leases.watch(self._table.machine_holders)
+            if not self._replica.leads():
                 self._forget()
                 continue
             if self._replica.term() != self._term:
@@ -108,27 +113,35 @@
             if machines is not None:
                 self._turn(machines)
 
-    def _may_order(self) -> bool:
-        """Return whether this process leads for long enough to order machines."""
-        if not self._replica.leads():
-            return False
-        waited = self._clock.monotonic() - self._replica.led_since()
-        return waited > self._limits.machine_lease
+    def _may_order(self, machine: str) -> bool:
+        """Return whether a machine may be ordered at this very moment."""
+        return self._leases.may_order(machine) and self._replica.leads()
+
+    def _log_orders(self, machines: list[str]) -> list[str]:
+        """Write this process down as holder; return the machines it holds then."""
+        since = self._replica.led_since()
+        held = [name for name in machines if self._leases.may_hold(name, since)]
+        if not held:
+            return []
+        asked_at = self._clock.monotonic()
+        command = OrderMachines(machines=held, holder=self._leases.holder)
+        if not self._executor.propose(JobCommand(order_machines=command)):
+            return []
+        self._leases.note_logged(held, asked_at)
+        return held
 
     def _forget(self) -> None:
         if self._closing:
             self._executor.set_closing(set())
-        self._away = {}
-        self._seen_away = set()
+        self._leases.forget()
+        self._watch.forget()
         self._closing = {}
         self._moving = {}
-        self._idle_since = {}
         self._demand_since = None
 
     def _turn(self, machines: list[MachineState]) -> None:
         by_name = {item.machine: item for item in machines}
-        self._note_returns(by_name)
-        self._note_idle(machines)
+        self._watch.look(by_name)
         wanted: set[str] = set()
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
@@ -140,40 +153,6 @@
             self._order_upkeep(wave, by_name, wanted)
         self._order_moves(by_name)
 
-    # ---- what is known of machines ----
-
-    def _note_returns(self, by_name: dict[str, MachineState]) -> None:
-        now = self._clock.monotonic()
-        least = self._limits.upkeep + UPKEEP_SLACK_SECONDS
-        for machine, since in list(self._away.items()):
-            state = by_name.get(machine)
-            if state is not None and not state.is_up:
-                self._seen_away.add(machine)
-            elif state is None or machine in self._seen_away or now - since > least:
-                del self._away[machine]
-                self._seen_away.discard(machine)
-
-    def _note_idle(self, machines: list[MachineState]) -> None:
-        now = self._clock.monotonic()
-        for item in machines:
-            if self._runs_on(item.worker_id):
-                self._idle_since.pop(item.machine, None)
-            else:
-                self._idle_since.setdefault(item.machine, now)
-
-    def _runs_on(self, worker_id: str) -> int:
-        """Return the processor in use on a worker, 0 when nothing runs there."""
-        with self._table.lock:
-            record = self._table.workers.get(worker_id)
-            if record is None:
-                return 0
-            runs = self._table.runs.get((worker_id, record.born_ms), {})
-            used = 0
-            for key in runs:
-                job = self._table.jobs.get(key.job_id)
-                used += 1 if job is None else max(1, job.steps[key.step].cpu)
-            return used
-
     # ---- waves ----
 
     def _plan_wave(self, wave: Wave, by_name: dict[str, MachineState]) -> set[str]:
@@ -186,7 +165,7 @@
                 logging.info("wave %d: %s no longer exists", wave.number, machine)
             if state is None or machine in wave.finished:
                 continue
-            load = self._runs_on(state.worker_id)
+            load = self._watch.cpu_in_use(state.worker_id)
             left.append(
                 WaveMachine(
                     machine=machine,
@@ -196,34 +175,38 @@
                     load=load,
                 )
             )
-        away = sum(machine in self._away for machine in wave.machines)
+        away = sum(self._watch.is_away(machine) for machine in wave.machines)
         seconds_left = (wave.due_at_ms - self._clock.now_ms()) / 1000.0
         return set(choose_machines(left, wave.cap, away, seconds_left))
 
     def _order_upkeep(
         self, wave: Wave, by_name: dict[str, MachineState], wanted: set[str]
     ) -> None:
+        ready = []
         for machine in wave.machines:
             if machine not in wanted or machine in wave.finished:
                 continue
             state = by_name[machine]
-            away = sum(other in self._away for other in wave.machines)
-            if away >= wave.cap or not state.is_up:
+            if not state.is_up:
                 continue
-            if not self._is_emptied(state.worker_id):
+            if self._is_emptied(state.worker_id):
+                ready.append(machine)
+            else:
                 self._move_lasting(state.worker_id)
-                continue
+        away = sum(self._watch.is_away(other) for other in wave.machines)
+        for machine in self._log_orders(ready[: max(0, wave.cap - away)]):
+            state = by_name[machine]
             if machine not in wave.ordered and not self._advance(wave, machine, False):
                 continue
-            if not self._may_order():
+            if not self._may_order(machine):
                 return
             outcome = self._provider.upkeep(machine, wave.number, self._term)
             if outcome is MachineOrder.DONE:
-                self._away[machine] = self._clock.monotonic()
+                self._watch.note_upkeep(machine)
                 self._drop_worker(state.worker_id)
                 self._advance(wave, machine, finished=True)
             elif outcome is MachineOrder.UNKNOWN:
-                self._away[machine] = self._clock.monotonic()
+                self._watch.note_upkeep(machine)
 
     def _advance(self, wave: Wave, machine: str, finished: bool) -> bool:
         command = AdvanceWave(wave=wave.number, machine=machine, finished=finished)
@@ -249,7 +232,6 @@
             if not service.standby
         }
         in_wave = {m for w in waves for m in w.machines if m in w.ordered - w.finished}
-        now = self._clock.monotonic()
         pool = [
             PoolMachine(
                 machine=item.machine,
@@ -257,24 +239,25 @@
                 kind=item.kind,
                 cpu=item.cpu,
                 is_up=item.is_up and item.machine not in self._moving,
-                idle_seconds=now - self._idle_since.get(item.machine, now + 1.0),
+                idle_seconds=self._watch.idle_seconds(item.machine),
                 in_wave=item.machine in in_wave
                 or item.machine in wanted
-                or item.machine in self._away,
+                or self._watch.is_away(item.machine),
             )
             for item in machines
         ]
-        for move in self._pools.plan(pool, demands, standby, self._may_park(now)):
+        for move in self._pools.plan(pool, demands, standby, self._may_park()):
             self._moving[move.machine] = move.service_name
             self._log_move(move, demands)
         return set(self._moving)
 
-    def _may_park(self, now: float) -> bool:
+    def _may_park(self) -> bool:
         """Return whether demand has been seen for a while.
 
         Before the first jobs, and under a new leader, the next turn is not known:
         machines that were let go would be missing in its first seconds.
         """
+        now = self._clock.monotonic()
         if self._demand_since is None:
             with self._table.lock:
                 if self._table.active:
@@ -293,23 +276,24 @@
         )
 
     def _order_moves(self, by_name: dict[str, MachineState]) -> None:
+        ready = []
         for machine, service_name in list(self._moving.items()):
             state = by_name.get(machine)
             if state is None or state.service_name == service_name:
                 del self._moving[machine]
+            elif not state.is_up:
                 continue
-            if not state.is_up:
-                continue
-            if self._runs_on(state.worker_id):
+            elif self._watch.cpu_in_use(state.worker_id):
                 del self._moving[machine]  # Something has started after all.
-                continue
-            if not self._is_emptied(state.worker_id):
-                continue
-            if not self._may_order():
+            elif self._is_emptied(state.worker_id):
+                ready.append(machine)
+        for machine in self._log_orders(ready):
+            if not self._may_order(machine):
                 return
+            service_name = self._moving[machine]
             outcome = self._provider.move(machine, service_name, self._term)
             if outcome is MachineOrder.DONE:
-                self._drop_worker(state.worker_id)
+                self._drop_worker(by_name[machine].worker_id)
             elif outcome in (MachineOrder.REFUSED, MachineOrder.BUSY):
                 del self._moving[machine]
 
@@ -340,7 +324,7 @@
             return True
         if self._executor.turns < closed_at + TURNS_BEFORE_ORDER:
             return False
-        return not self._runs_on(worker_id)
+        return not self._watch.cpu_in_use(worker_id)
 
     def _drop_worker(self, worker_id: str) -> None:
         with self._table.lock:
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -20,6 +20,8 @@
     JobCommand,
     JobRecord,
     JobTableImage,
+    MachineHolder,
+    OrderMachines,
     RemoveWorker,
     RunEnds,
     RunStarts,
@@ -69,6 +71,9 @@
         self.workers: dict[str, WorkerRecord] = {}
         self.runs: dict[WorkerLife, dict[TaskKey, TaskState]] = {}
         self.waves: dict[int, Wave] = {}
+        self.machine_holders: dict[str, tuple[str, int]] = {}
+        """Who ordered a machine last, and in which entry of the log it was said."""
+
         self.stops_due: set[TaskKey] = set()
         """Runs of jobs that are over; the leader orders their stop."""
 
@@ -78,7 +83,7 @@
         """Apply one command and return its result for the proposer."""
         command = decode(JobCommand, payload)
         with self.lock:
-            result = self._apply(command)
+            result = self._apply(index, command)
             self.changed.notify_all()
             return result
 
@@ -92,6 +97,10 @@
                     config_version=self.config.version if self.config else -1,
                     config=self.config_content,
                     waves=[wave.to_record() for wave in self.waves.values()],
+                    machine_holders=[
+                        MachineHolder(machine=machine, holder=holder)
+                        for machine, (holder, _) in self.machine_holders.items()
+                    ],
                 )
             )
 
@@ -103,6 +112,9 @@
             self.config = self._decode_config(found.config) if found.config else None
             self.workers = {item.worker_id: item for item in found.workers}
             self.waves = {item.wave: Wave(item) for item in found.waves}
+            self.machine_holders = {
+                item.machine: (item.holder, 0) for item in found.machine_holders or ()
+            }
             self.jobs = {}
             self.active = {}
             self.runs = {}
@@ -147,7 +159,7 @@
 
     # ---- commands ----
 
-    def _apply(self, command: JobCommand) -> Any:
+    def _apply(self, index: int, command: JobCommand) -> Any:
         if command.starts is not None:
             return self._start(command.starts)
         if command.ends is not None:
@@ -166,6 +178,8 @@
             return self._add_wave(command.wave)
         if command.advance_wave is not None:
             return self._advance_wave(command.advance_wave)
+        if command.order_machines is not None:
+            return self._order_machines(index, command.order_machines)
         logging.error("a command of the log is of an unknown kind and was passed over")
         return None
 
@@ -343,6 +357,11 @@
         self.waves[record.wave] = Wave(record)
         return True
 
+    def _order_machines(self, index: int, command: OrderMachines) -> bool:
+        for machine in command.machines:
+            self.machine_holders[machine] = (command.holder, index)
+        return True
+
     def _advance_wave(self, command: AdvanceWave) -> bool:
         wave = self.waves.get(command.wave)
         if wave is None:
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -168,6 +168,7 @@
                 provider,
                 clock,
                 cfg.limits,
+                cfg.host,
             )
         self._joiner = Joiner(
             self._replica,
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -65,6 +65,8 @@
   5: i64 last_index
   6: i64 last_term
   7: bool pre_vote
+  // The candidate led the newest term it knows of and has started again since.
+  8: bool returns
 }
 
 struct VoteAnswer {
@@ -126,6 +128,7 @@
 struct VoteRecord {
   1: i64 term
   2: string voted_for
+  3: bool led
 }
 
 // The durable identity of a replica; a new data folder gets a new incarnation.
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -574,11 +574,12 @@
      - last_index
      - last_term
      - pre_vote
+     - returns
 
     """
 
 
-    def __init__(self, request_id=None, term=None, candidate=None, incarnation=None, last_index=None, last_term=None, pre_vote=None,):
+    def __init__(self, request_id=None, term=None, candidate=None, incarnation=None, last_index=None, last_term=None, pre_vote=None, returns=None,):
         self.request_id = request_id
         self.term = term
         self.candidate = candidate
@@ -586,6 +587,7 @@
         self.last_index = last_index
         self.last_term = last_term
         self.pre_vote = pre_vote
+        self.returns = returns
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -631,6 +633,11 @@
                     self.pre_vote = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.returns = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -669,6 +676,10 @@
             oprot.writeFieldBegin('pre_vote', TType.BOOL, 7)
             oprot.writeBool(self.pre_vote)
             oprot.writeFieldEnd()
+        if self.returns is not None:
+            oprot.writeFieldBegin('returns', TType.BOOL, 8)
+            oprot.writeBool(self.returns)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1387,13 +1398,15 @@
     Attributes:
      - term
      - voted_for
+     - led
 
     """
 
 
-    def __init__(self, term=None, voted_for=None,):
+    def __init__(self, term=None, voted_for=None, led=None,):
         self.term = term
         self.voted_for = voted_for
+        self.led = led
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1414,6 +1427,11 @@
                     self.voted_for = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.led = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1432,6 +1450,10 @@
             oprot.writeFieldBegin('voted_for', TType.STRING, 2)
             oprot.writeString(self.voted_for.encode('utf-8') if sys.version_info[0] == 2 else self.voted_for)
             oprot.writeFieldEnd()
+        if self.led is not None:
+            oprot.writeFieldBegin('led', TType.BOOL, 3)
+            oprot.writeBool(self.led)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6348,6 +6370,7 @@
     (5, TType.I64, 'last_index', None, None, ),  # 5
     (6, TType.I64, 'last_term', None, None, ),  # 6
     (7, TType.BOOL, 'pre_vote', None, None, ),  # 7
+    (8, TType.BOOL, 'returns', None, None, ),  # 8
 )
 all_structs.append(VoteAnswer)
 VoteAnswer.thrift_spec = (
@@ -6415,6 +6438,7 @@
     None,  # 0
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.STRING, 'voted_for', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'led', None, None, ),  # 3
 )
 all_structs.append(IdentityRecord)
 IdentityRecord.thrift_spec = (
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -1612,6 +1612,174 @@
         return not (self == other)
 
 
+class OrderMachines(object):
+    """
+    Attributes:
+     - machines
+     - holder
+
+    """
+
+    __slots__ = (
+        'machines',
+        'holder',
+    )
+
+
+    def __init__(self, machines=None, holder=None,):
+        self.machines = machines
+        self.holder = holder
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.machines = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.machines.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrderMachines')
+        if self.machines is not None:
+            oprot.writeFieldBegin('machines', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.machines))
+            for iter62 in self.machines:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 2)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MachineHolder(object):
+    """
+    Attributes:
+     - machine
+     - holder
+
+    """
+
+    __slots__ = (
+        'machine',
+        'holder',
+    )
+
+
+    def __init__(self, machine=None, holder=None,):
+        self.machine = machine
+        self.holder = holder
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.machine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MachineHolder')
+        if self.machine is not None:
+            oprot.writeFieldBegin('machine', TType.STRING, 1)
+            oprot.writeString(self.machine.encode('utf-8') if sys.version_info[0] == 2 else self.machine)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 2)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class JobCommand(object):
     """
     Attributes:
@@ -1624,6 +1792,7 @@
      - config
      - wave
      - advance_wave
+     - order_machines
 
     """
 
@@ -1637,10 +1806,11 @@
         'config',
         'wave',
         'advance_wave',
+        'order_machines',
     )
 
 
-    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None,):
+    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None,):
         self.accept = accept
         self.cancel = cancel
         self.starts = starts
@@ -1650,6 +1820,7 @@
         self.config = config
         self.wave = wave
         self.advance_wave = advance_wave
+        self.order_machines = order_machines
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1714,6 +1885,12 @@
                     self.advance_wave.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.order_machines = OrderMachines()
+                    self.order_machines.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1760,6 +1937,10 @@
             oprot.writeFieldBegin('advance_wave', TType.STRUCT, 9)
             self.advance_wave.write(oprot)
             oprot.writeFieldEnd()
+        if self.order_machines is not None:
+            oprot.writeFieldBegin('order_machines', TType.STRUCT, 10)
+            self.order_machines.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1948,16 +2129,16 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = []
-                        (_etype65, _size62) = iprot.readListBegin()
-                        for _i66 in range(_size62):
-                            _elem67 = TaskImage()
-                            _elem67.read(iprot)
-                            _elem61.append(_elem67)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = []
+                        (_etype72, _size69) = iprot.readListBegin()
+                        for _i73 in range(_size69):
+                            _elem74 = TaskImage()
+                            _elem74.read(iprot)
+                            _elem68.append(_elem74)
                         iprot.readListEnd()
-                        self.steps.append(_elem61)
+                        self.steps.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1978,10 +2159,10 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 2)
             oprot.writeListBegin(TType.LIST, len(self.steps))
-            for iter68 in self.steps:
-                oprot.writeListBegin(TType.STRUCT, len(iter68))
-                for iter69 in iter68:
-                    iter69.write(oprot)
+            for iter75 in self.steps:
+                oprot.writeListBegin(TType.STRUCT, len(iter75))
+                for iter76 in iter75:
+                    iter76.write(oprot)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -2070,11 +2251,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.occurrences = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = OccurrenceImage()
-                        _elem75.read(iprot)
-                        self.occurrences.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = OccurrenceImage()
+                        _elem82.read(iprot)
+                        self.occurrences.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2107,8 +2288,8 @@
         if self.occurrences is not None:
             oprot.writeFieldBegin('occurrences', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.occurrences))
-            for iter76 in self.occurrences:
-                iter76.write(oprot)
+            for iter83 in self.occurrences:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2144,6 +2325,7 @@
      - config_version
      - config
      - waves
+     - machine_holders
 
     """
 
@@ -2153,15 +2335,17 @@
         'config_version',
         'config',
         'waves',
+        'machine_holders',
     )
 
 
-    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None,):
+    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None, machine_holders=None,):
         self.jobs = jobs
         self.workers = workers
         self.config_version = config_version
         self.config = config
         self.waves = waves
+        self.machine_holders = machine_holders
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2175,22 +2359,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = JobImage()
-                        _elem82.read(iprot)
-                        self.jobs.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = JobImage()
+                        _elem89.read(iprot)
+                        self.jobs.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = WorkerRecord()
-                        _elem88.read(iprot)
-                        self.workers.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = WorkerRecord()
+                        _elem95.read(iprot)
+                        self.workers.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2207,11 +2391,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.waves = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = WaveRecord()
-                        _elem94.read(iprot)
-                        self.waves.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = WaveRecord()
+                        _elem101.read(iprot)
+                        self.waves.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.machine_holders = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = MachineHolder()
+                        _elem107.read(iprot)
+                        self.machine_holders.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2228,15 +2423,15 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter95 in self.jobs:
-                iter95.write(oprot)
+            for iter108 in self.jobs:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter96 in self.workers:
-                iter96.write(oprot)
+            for iter109 in self.workers:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -2250,8 +2445,15 @@
         if self.waves is not None:
             oprot.writeFieldBegin('waves', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.waves))
-            for iter97 in self.waves:
-                iter97.write(oprot)
+            for iter110 in self.waves:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.machine_holders is not None:
+            oprot.writeFieldBegin('machine_holders', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.machine_holders))
+            for iter111 in self.machine_holders:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2390,10 +2592,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2418,8 +2620,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter104 in self.members:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter118 in self.members:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3500,6 +3702,18 @@
     (2, TType.STRING, 'machine', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'finished', None, None, ),  # 3
 )
+all_structs.append(OrderMachines)
+OrderMachines.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'machines', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
+)
+all_structs.append(MachineHolder)
+MachineHolder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'machine', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
+)
 all_structs.append(JobCommand)
 JobCommand.thrift_spec = (
     None,  # 0
@@ -3512,6 +3726,7 @@
     (7, TType.STRUCT, 'config', [SetConfig, None], None, ),  # 7
     (8, TType.STRUCT, 'wave', [WaveRecord, None], None, ),  # 8
     (9, TType.STRUCT, 'advance_wave', [AdvanceWave, None], None, ),  # 9
+    (10, TType.STRUCT, 'order_machines', [OrderMachines, None], None, ),  # 10
 )
 all_structs.append(TaskImage)
 TaskImage.thrift_spec = (
@@ -3546,6 +3761,7 @@
     (3, TType.I64, 'config_version', None, None, ),  # 3
     (4, TType.STRING, 'config', 'BINARY', None, ),  # 4
     (5, TType.LIST, 'waves', (TType.STRUCT, [WaveRecord, None], False), None, ),  # 5
+    (6, TType.LIST, 'machine_holders', (TType.STRUCT, [MachineHolder, None], False), None, ),  # 6
 )
 all_structs.append(LocateRequest)
 LocateRequest.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -114,6 +114,17 @@
   3: bool finished
 }
 
+// Machines that are about to be ordered, and by which control instance.
+struct OrderMachines {
+  1: list<string> machines
+  2: string holder
+}
+
+struct MachineHolder {
+  1: string machine
+  2: string holder
+}
+
 struct JobCommand {
   1: optional JobRecord accept
   2: optional CancelJob cancel
@@ -124,6 +135,7 @@
   7: optional SetConfig config
   8: optional WaveRecord wave
   9: optional AdvanceWave advance_wave
+  10: optional OrderMachines order_machines
 }
 
 struct TaskImage {
@@ -154,6 +166,7 @@
   3: i64 config_version
   4: binary config
   5: list<WaveRecord> waves
+  6: list<MachineHolder> machine_holders
 }
 
 // ---- between entry and control instances -----------------------------------
--- a/tests/consensus/bench.py
+++ b/tests/consensus/bench.py
@@ -94,7 +94,15 @@
 
     # ---- as follower ----
 
-    def vote(self, term=1, candidate="b", last_index=99, last_term=99, pre_vote=False):
+    def vote(
+        self,
+        term=1,
+        candidate="b",
+        last_index=99,
+        last_term=99,
+        pre_vote=False,
+        returns=False,
+    ):
         return self.replica.handle_vote(
             VoteRequest(
                 request_id=1,
@@ -104,6 +112,7 @@
                 last_index=last_index,
                 last_term=last_term,
                 pre_vote=pre_vote,
+                returns=returns,
             )
         )
 
--- a/tests/jobs/test_job_table.py
+++ b/tests/jobs/test_job_table.py
@@ -3,6 +3,7 @@
 from arbutuscleat.jobs import AcceptResult, JobPhase, JobTable, RunOutcome, TaskKey
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
+    OrderMachines,
     RemoveWorker,
     SetConfig,
     WaveRecord,
@@ -225,10 +226,12 @@
         bench.start(run(), run(index=1))
         bench.end(run(), RunOutcome.DONE)
         bench.cancel(OTHER_JOB)
+        bench.apply(order_machines=OrderMachines(machines=["m1"], holder="a"))
         restored = TableBench(config=False)
         restored.table = JobTable(decode_config)
         restored.table.restore(bench.table.image())
         self.assertEqual(bench.table.image(), restored.table.image())
+        self.assertEqual("a", restored.table.machine_holders["m1"][0])
         for each in (bench, restored):
             each.end(run(index=1), RunOutcome.DONE)
             each.start(run(step=1))
