--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -14,6 +14,7 @@
 from arbutuscleat.jobs import JobTable, Wave
 from arbutuscleat.scheduling import (
     Demand,
+    DemandHistory,
     Move,
     PoolMachine,
     PoolPlanner,
@@ -36,9 +37,6 @@
 TURN_SECONDS = 0.25
 """Between two looks at the machines."""
 
-SETTLE_SECONDS = 6.0
-"""How long a leader watches demand before it lets machines go: a turn of a queue."""
-
 TURNS_BEFORE_ORDER = 2
 """Plans of the executor after which nothing planned before is still unlogged."""
 
@@ -86,7 +84,7 @@
         self._term = -1
         self._closing: dict[str, int] = {}
         """Workers that are being emptied, with the executor's turn when it began."""
-        self._demand_since: float | None = None
+        self._history = DemandHistory()
         self._moving: dict[str, str] = {}
         """Machines being emptied for a move, by the service they go to."""
         self._thread = threading.Thread(target=self._run, name="machines", daemon=True)
@@ -137,7 +135,7 @@
         self._watch.forget()
         self._closing = {}
         self._moving = {}
-        self._demand_since = None
+        self._history.forget()
 
     def _turn(self, machines: list[MachineState]) -> None:
         by_name = {item.machine: item for item in machines}
@@ -252,18 +250,12 @@
         return set(self._moving)
 
     def _may_park(self) -> bool:
-        """Return whether demand has been seen for a while.
-
-        Before the first jobs, and under a new leader, the next turn is not known:
-        machines that were let go would be missing in its first seconds.
-        """
+        """Return whether demand has been seen for long enough to let machines go."""
         now = self._clock.monotonic()
-        if self._demand_since is None:
-            with self._table.lock:
-                if self._table.active:
-                    self._demand_since = now
-            return False
-        return now - self._demand_since > SETTLE_SECONDS
+        with self._table.lock:
+            has_turns = any(not job.lasts() for job in self._table.active.values())
+        self._history.note(now, has_turns)
+        return self._history.is_settled(now)
 
     def _log_move(self, move: Move, demands: dict[str, Demand]) -> None:
         demand = demands.get(move.service_name, Demand())
--- a/arbutuscleat/jobs/job_state.py
+++ b/arbutuscleat/jobs/job_state.py
@@ -118,6 +118,10 @@
         """Return whether every task of every occurrence has ended as done."""
         return all(self.is_occurrence_done(k) for k in range(self.occurrence_count()))
 
+    def lasts(self) -> bool:
+        """Return whether any step runs until the job is cancelled."""
+        return any(step.long_running for step in self.steps)
+
     def is_over(self) -> bool:
         """Return whether nothing of the job may start any more."""
         return self.cancelled or self.failed or self.ended_at_ms > 0
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Decisions on jobs and workers, without network or threads."""
 
 from .demand import movable_tasks, service_demand
+from .demand_history import DemandHistory
 from .objective import longest_chain_ms, objective_at_ms
 from .planner import Plan, Planner
 from .pool_planner import Demand, Move, PoolMachine, PoolPlanner
@@ -9,6 +10,7 @@
 
 __all__ = [
     "Demand",
+    "DemandHistory",
     "Move",
     "Plan",
     "Planner",
--- /dev/null
+++ b/arbutuscleat/scheduling/demand_history.py
@@ -0,0 +1,37 @@
+"""Demand histories: whether a leader has seen enough demand to let machines go.
+
+It answers the first turn of a queue, and one in which the leader was lost: before a
+turn has been seen, idle machines say nothing about the seconds to come.
+"""
+
+SETTLE_SECONDS = 6.0
+"""How long demand that comes in turns is watched before machines are let go: longer
+than a queue's turn takes to reach its height."""
+
+
+class DemandHistory:
+    """Since when demand that comes in turns has been seen."""
+
+    def __init__(self) -> None:
+        self._since: float | None = None
+
+    def forget(self) -> None:
+        """Note that this process has not led since now."""
+        self._since = None
+
+    def note(self, now: float, has_turns: bool) -> None:
+        """Take one look.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        has_turns : bool
+            Whether there is a job that ends by itself; lasting ones stay the same.
+        """
+        if self._since is None and has_turns:
+            self._since = now
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether idle machines may be let go."""
+        return self._since is not None and now - self._since > SETTLE_SECONDS
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -95,7 +95,7 @@
     def _rank(
         self, job: JobState, occurrence: int, queue: Queue | None, now_ms: int
     ) -> tuple[int, int, int, int]:
-        if any(step.long_running for step in job.steps):
+        if job.lasts():
             return (0, 0, 0, job.record.accepted_at_ms)
         objective = objective_at_ms(job, occurrence, queue)
         first = next(
