--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -40,6 +40,10 @@
 IDLE_SECONDS = 0.5
 """How often a session without runs looks for some when nobody wakes it."""
 
+LOOK_AGAIN_SECONDS = 0.05
+"""How long a worker may keep a hold open while runs that it did not list are being
+stopped: a call's time several times over."""
+
 RENEWALS_UNANSWERED = 2
 """Holds without an answer after which the lease is no longer renewed."""
 
@@ -113,6 +117,7 @@
         self._closed = threading.Event()
         self._acknowledged = 0
         self._failed_in_a_row = 0
+        self._misses_runs = False
         self.running: tuple[RunningTask, ...] = ()
         self._thread = threading.Thread(target=self._hold_on, name="hold", daemon=True)
 
@@ -184,6 +189,8 @@
         wait = 0.0
         if self._contact.answers():
             wait = self._limits.busy_wait if is_busy else self._limits.hold_wait
+            if self._misses_runs:
+                wait = LOOK_AGAIN_SECONDS
         answer = self._client.hold(
             HoldOrder(
                 fence=self._fence,
@@ -238,12 +245,14 @@
         listed = {task.key: task.number for task in answer.running}
         self._stop_unwanted(listed)
         lost = []
+        self._misses_runs = False
         for key, number in believed.items():
             if listed.get(key) == number or (key, number) in ended:
                 continue
             if stopped.get(key) == number:
                 lost.append((key, number))
             else:
+                self._misses_runs = True
                 self.order_stop(key, number)
         self._log_lost(lost, "stopped before it started")
         if first:
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -10,7 +10,7 @@
     OrderOutcome,
     WorkerClient,
 )
-from arbutuscleat.execution.session import WorkerSession
+from arbutuscleat.execution.session import LOOK_AGAIN_SECONDS, WorkerSession
 from arbutuscleat.jobs import JobPhase, RunOutcome, TaskKey, TaskStatus
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JOB, OTHER_JOB, TableBench, job, run, worker
@@ -152,6 +152,16 @@
         self.assertIs(TaskStatus.WAITING, self.status())
         self.assertEqual([], self.model.started)
 
+    def test_runs_that_are_missing_are_looked_for_again_at_once(self):
+        """A new leader finds runs that the former one had logged and not sent."""
+        self.bench.start(run())
+        self.turn(2)
+        waits = [o.wait_ms for name, o in self.link.calls if name == "hold"]
+        self.assertEqual(int(1000 * LOOK_AGAIN_SECONDS), waits[-1])
+        self.turn()
+        waits = [o.wait_ms for name, o in self.link.calls if name == "hold"]
+        self.assertEqual(int(1000 * LIMITS.hold_wait), waits[-1])
+
     def test_a_run_of_a_former_leader_that_runs_goes_on(self):
         self.start()
         self.session = self.make_session(8)
