--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -40,8 +40,8 @@
 """Voters: a majority stays when the control instances are cut in two halves."""
 
 REPLICA = ReplicaConfig(
-    heartbeat_seconds=0.25,
-    election_seconds=1.0,
+    heartbeat_seconds=0.2,
+    election_seconds=0.7,
     election_spread=1.6,
     call_seconds=0.8,
     tick_seconds=0.05,
