Upkeep that a former leader ordered counts against a wave's cap; waves give way to a turn

Ruled out: the list of machines (it shows them as under upkeep).

Change: machines that the list shows under upkeep, and orders of a former leader that may be on their way, count as away. Tests first failed (test_machine_keeper, test_wave_planner).

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from absl import logging
 from returns.result import Success
@@ -19,7 +19,7 @@
     Planner,
     WorkerView,
     movable_tasks,
-    service_demand,
+    service_demands,
 )
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
@@ -123,10 +123,10 @@
         if session is not None:
             session.order_stop(key, number)
 
-    def demand(self, service_name: str) -> Demand:
-        """Return what a service is asked for now."""
+    def demands(self, service_names: Iterable[str]) -> dict[str, Demand]:
+        """Return what each service is asked for now."""
         with self._table.lock:
-            return service_demand(self._table, service_name, self._clock.now_ms())
+            return service_demands(self._table, service_names, self._clock.now_ms())
 
     def movable_tasks(self, worker_id: str) -> list[tuple[TaskKey, int]]:
         """Return the lasting tasks that may leave a worker now.
--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -20,6 +20,7 @@
     PoolPlanner,
     WaveMachine,
     choose_machines,
+    is_short,
 )
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
@@ -99,17 +100,22 @@
 
     def _run(self) -> None:
         while not self._clock.sleep(self._stopping, TURN_SECONDS):
-            with self._table.lock:
-                self._leases.watch(self._table.machine_holders)
-            if not self._replica.leads():
-                self._forget()
-                continue
-            if self._replica.term() != self._term:
-                self._forget()
-                self._term = self._replica.term()
-            machines = self._provider.machines()
-            if machines is not None:
-                self._turn(machines)
+            self.look_once()
+
+    def look_once(self) -> None:
+        """Look at the machines and order what is due: one step of the task."""
+        with self._table.lock:
+            self._leases.watch(self._table.machine_holders)
+        if not self._replica.leads():
+            self._forget()
+            return
+        if self._replica.term() != self._term:
+            self._forget()
+            self._term = self._replica.term()
+            self._note_former_orders()
+        machines = self._provider.machines()
+        if machines is not None:
+            self._turn(machines)
 
     def _may_order(self, machine: str) -> bool:
         """Return whether a machine may be ordered at this very moment."""
@@ -137,15 +143,25 @@
         self._moving = {}
         self._history.forget()
 
+    def _note_former_orders(self) -> None:
+        """Take upkeep that a former leader may just have ordered as under way."""
+        with self._table.lock:
+            for wave in self._table.waves.values():
+                for machine in wave.ordered - wave.finished:
+                    self._watch.note_upkeep(machine)
+
     def _turn(self, machines: list[MachineState]) -> None:
         by_name = {item.machine: item for item in machines}
         self._watch.look(by_name)
         wanted: set[str] = set()
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
+        standby, demands = self._demands()
+        machine_cpu = max((item.cpu for item in machines), default=0)
+        short = is_short(demands.values(), machine_cpu)
         for wave in waves:
-            wanted |= self._plan_wave(wave, by_name)
-        wanted |= self._plan_moves(machines, wanted, waves)
+            wanted |= self._plan_wave(wave, by_name, short)
+        wanted |= self._plan_moves(machines, wanted, waves, standby, demands)
         self._close_workers(wanted, by_name)
         for wave in waves:
             self._order_upkeep(wave, by_name, wanted)
@@ -153,9 +169,12 @@
 
     # ---- waves ----
 
-    def _plan_wave(self, wave: Wave, by_name: dict[str, MachineState]) -> set[str]:
+    def _plan_wave(
+        self, wave: Wave, by_name: dict[str, MachineState], short: bool
+    ) -> set[str]:
         """Return the machines of a wave that are to be emptied."""
         left = []
+        since = self._replica.led_since()
         for machine in wave.machines:
             state = by_name.get(machine)
             if state is None and machine not in wave.finished:
@@ -167,7 +186,7 @@
             left.append(
                 WaveMachine(
                     machine=machine,
-                    is_up=state.is_up,
+                    is_up=state.is_up and self._leases.may_hold(machine, since),
                     is_empty=load == 0,
                     is_closing=state.worker_id in self._closing,
                     load=load,
@@ -175,7 +194,7 @@
             )
         away = sum(self._watch.is_away(machine) for machine in wave.machines)
         seconds_left = (wave.due_at_ms - self._clock.now_ms()) / 1000.0
-        return set(choose_machines(left, wave.cap, away, seconds_left))
+        return set(choose_machines(left, wave.cap, away, seconds_left, short))
 
     def _order_upkeep(
         self, wave: Wave, by_name: dict[str, MachineState], wanted: set[str]
@@ -217,18 +236,23 @@
 
     # ---- moves ----
 
-    def _plan_moves(
-        self, machines: list[MachineState], wanted: set[str], waves: list[Wave]
-    ) -> set[str]:
+    def _demands(self) -> tuple[str, dict[str, Demand]]:
+        """Return the standby service, empty if none, and what others are asked for."""
         with self._table.lock:
             config = self._table.config
-            services = {} if config is None else dict(config.services)
-        standby = next((s.name for s in services.values() if s.standby), "")
-        demands = {
-            name: self._executor.demand(name)
-            for name, service in services.items()
-            if not service.standby
-        }
+            services = [] if config is None else list(config.services.values())
+        standby = next((item.name for item in services if item.standby), "")
+        serving = [item.name for item in services if not item.standby]
+        return standby, self._executor.demands(serving)
+
+    def _plan_moves(
+        self,
+        machines: list[MachineState],
+        wanted: set[str],
+        waves: list[Wave],
+        standby: str,
+        demands: dict[str, Demand],
+    ) -> set[str]:
         in_wave = {m for w in waves for m in w.machines if m in w.ordered - w.finished}
         pool = [
             PoolMachine(
--- a/arbutuscleat/execution/machine_watch.py
+++ b/arbutuscleat/execution/machine_watch.py
@@ -45,6 +45,10 @@
 
     def look(self, by_name: Mapping[str, MachineState]) -> None:
         """Take a new list of the machines."""
+        now = self._clock.monotonic()
+        for machine, state in by_name.items():
+            if state.in_upkeep:  # Perhaps by an order of a former leader.
+                self._away.setdefault(machine, now)
         self._note_returns(by_name)
         self._note_idle(by_name.values())
 
--- a/arbutuscleat/execution/provider.py
+++ b/arbutuscleat/execution/provider.py
@@ -40,6 +40,8 @@
         Its kind and its rack.
     cpu : int
         Thousandths of a core.
+    in_upkeep : bool
+        Whether it is under upkeep.
     """
 
     machine: str
@@ -48,6 +50,7 @@
     worker_id: str
     labels: tuple[str, ...] = ()
     cpu: int = 0
+    in_upkeep: bool = False
 
     @property
     def kind(self) -> str:
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -1,10 +1,10 @@
 """Decisions on jobs and workers, without network or threads."""
 
-from .demand import movable_tasks, service_demand
+from .demand import job_demand, movable_tasks, service_demands
 from .demand_history import DemandHistory
 from .objective import longest_chain_ms, objective_at_ms
 from .planner import Plan, Planner
-from .pool_planner import Demand, Move, PoolMachine, PoolPlanner
+from .pool_planner import Demand, Move, PoolMachine, PoolPlanner, is_short
 from .wave_planner import WaveMachine, choose_machines
 from .worker_view import WorkerView
 
@@ -19,8 +19,10 @@
     "WaveMachine",
     "WorkerView",
     "choose_machines",
+    "is_short",
+    "job_demand",
     "longest_chain_ms",
     "movable_tasks",
     "objective_at_ms",
-    "service_demand",
+    "service_demands",
 ]
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -1,24 +1,34 @@
 """What a service is asked for, and which lasting tasks may move."""
 
-from collections.abc import Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 
-from arbutuscleat.jobs import JobTable, TaskKey, TaskStatus
+from arbutuscleat.jobs import JobState, JobTable, TaskKey, TaskStatus
 from arbutuscleat.jobs.task import WorkerLife
 
 from .pool_planner import Demand
 from .worker_view import WorkerView
 
 
-def service_demand(table: JobTable, service_name: str, now_ms: int) -> Demand:
-    """Return what runs and what could start now; the table's lock is held.
+def service_demands(
+    table: JobTable, service_names: Iterable[str], now_ms: int
+) -> dict[str, Demand]:
+    """Return what each service is asked for now; the table's lock is held."""
+    jobs: dict[str, list[JobState]] = {name: [] for name in service_names}
+    for job in table.active.values():
+        found = jobs.get(table.service_of(job))
+        if found is not None:
+            found.append(job)
+    return {name: job_demand(found, now_ms) for name, found in jobs.items()}
+
+
+def job_demand(jobs: Iterable[JobState], now_ms: int) -> Demand:
+    """Return what runs and what could start now.
 
     Tasks of steps that wait for others are not counted: their room comes free when
     those end.
     """
     running = waiting = least = 0
-    for job in table.active.values():
-        if table.service_of(job) != service_name:
-            continue
+    for job in jobs:
         for occurrence in range(job.occurrence_count()):
             if job.record.repeat_count and job.due_at_ms(occurrence) > now_ms:
                 break
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -6,7 +6,7 @@
 standby pool, where they are off.  Nothing that runs is ended for a move.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 IDLE_BEFORE_MOVE_SECONDS = 1.5
@@ -72,6 +72,11 @@
     service_name: str
 
 
+def is_short(demands: Iterable[Demand], machine_cpu: int) -> bool:
+    """Return whether tasks for more than one machine of that size wait anywhere."""
+    return any(demand.waiting_cpu > machine_cpu for demand in demands)
+
+
 class PoolPlanner:
     """Decides on moves; it keeps no state."""
 
--- a/arbutuscleat/scheduling/wave_planner.py
+++ b/arbutuscleat/scheduling/wave_planner.py
@@ -2,6 +2,9 @@
 
 Machines that are off or idle come first.  Of the busy ones no more are emptied at a
 time than the wave's pace asks for, and never more than its cap are away.
+
+It answers waves that begin in a queue's turn: while tasks wait for machines, the wave
+gives way for as long as it can still be in time.
 """
 
 import math
@@ -11,6 +14,13 @@
 SECONDS_A_MACHINE = 5.0
 """From the decision to empty a machine until it is back: tasks end, then upkeep."""
 
+SECONDS_AN_IDLE_MACHINE = 3.0
+"""The same for a machine on which nothing runs: its upkeep and the looks around it."""
+
+IDLE_RESERVE = 2.0
+"""Factor on the time that a wave of idle machines takes, for machines that are busy
+by then."""
+
 RESERVE = 2.5
 """Factor on the pace, for machines that take longer to become empty."""
 
@@ -41,7 +51,11 @@
 
 
 def choose_machines(
-    left: Sequence[WaveMachine], cap: int, away: int, seconds_left: float
+    left: Sequence[WaveMachine],
+    cap: int,
+    away: int,
+    seconds_left: float,
+    is_short: bool = False,
 ) -> list[str]:
     """Return the machines that are to be emptied, those already closing included.
 
@@ -55,9 +69,13 @@
         Machines away now.
     seconds_left : float
         Until the wave is due.
+    is_short : bool
+        Whether tasks wait for machines.
     """
     room = cap - away
-    if room <= 0:
+    rounds = math.ceil(len(left) / max(1, cap))
+    least = rounds * SECONDS_AN_IDLE_MACHINE * IDLE_RESERVE
+    if room <= 0 or (is_short and seconds_left > least):
         return [item.machine for item in left if item.is_closing]
     usable = [item for item in left if item.is_up]
     pace = len(left) * SECONDS_A_MACHINE * RESERVE / max(seconds_left, 1.0)
--- a/tests/scheduling/test_demand.py
+++ b/tests/scheduling/test_demand.py
@@ -1,7 +1,7 @@
 from testtools import TestCase
 
 from arbutuscleat.jobs import TaskKey
-from arbutuscleat.scheduling import WorkerView, movable_tasks, service_demand
+from arbutuscleat.scheduling import WorkerView, movable_tasks, service_demands
 from tests.fakes.jobs import JOB, TableBench, job, run, step, worker
 
 LIFE = ("w0", 5)
@@ -66,10 +66,11 @@
         bench.apply(worker=worker())
         bench.accept(job(steps=[step(3), step(4, after=[0])]))
         bench.start(run())
-        demand = service_demand(bench.table, "karachi", 1_000)
+        demand = service_demands(bench.table, ["karachi"], 1_000)["karachi"]
         self.assertEqual((1_000, 2_000), (demand.running_cpu, demand.waiting_cpu))
 
     def test_tasks_that_must_stand_apart_need_machines(self):
         bench = TableBench()
         bench.accept(job(steps=[step(5, spread_limit=2)]))
-        self.assertEqual(3, service_demand(bench.table, "karachi", 1).least_machines)
+        demand = service_demands(bench.table, ["karachi"], 1)["karachi"]
+        self.assertEqual(3, demand.least_machines)
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from arbutuscleat.scheduling import Demand, PoolMachine, PoolPlanner
+from arbutuscleat.scheduling import Demand, PoolMachine, PoolPlanner, is_short
 
 SIZE = 64_000
 
@@ -29,6 +29,11 @@
         # the other service keeps one.
         self.assertEqual(3, sum(service == "billing" for _, service in found))
 
+    def test_machines_are_short_when_one_more_would_be_filled(self):
+        for waiting, expected in ((SIZE, False), (SIZE + 1, True)):
+            demands = [Demand(), Demand(waiting_cpu=waiting)]
+            self.assertEqual(expected, is_short(demands, SIZE))
+
     def test_a_service_keeps_room_for_its_next_jobs(self):
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         found = plan(machines, karachi=Demand())
--- a/tests/scheduling/test_wave_planner.py
+++ b/tests/scheduling/test_wave_planner.py
@@ -34,6 +34,13 @@
         left = [machine("a", 9), machine("b", 3)]
         self.assertEqual(["b"], choose_machines(left, 1, 0, 60.0))
 
+    def test_a_wave_gives_way_to_waiting_tasks_while_there_is_time(self):
+        """Twenty idle machines, eight at once, as a queue's turn begins."""
+        left = [machine(f"m{number}") for number in range(20)]
+        self.assertEqual([], choose_machines(left, 8, 0, 26.0, is_short=True))
+        self.assertEqual(8, len(choose_machines(left, 8, 0, 26.0, is_short=False)))
+        self.assertEqual(8, len(choose_machines(left, 8, 0, 17.0, is_short=True)))
+
     def test_a_machine_that_is_not_up_waits(self):
         left = [machine("a", is_up=False)]
         self.assertEqual([], choose_machines(left, 1, 0, 60.0))
