An entry node that is cut off from most control instances sends callers elsewhere sooner

Ruled out: nodes of other data centres (they served).

Change: silent for 0.5 s is enough when fewer than half of the control instances answer; in an election they do answer. While not ready, connections are closed after their answer, so that callers come back to another node.

--- a/arbutuscleat/access/control_link.py
+++ b/arbutuscleat/access/control_link.py
@@ -143,6 +143,17 @@
         """Return how long no leader has answered or been named."""
         return self._clock.monotonic() - self._heard_at
 
+    def is_cut_off(self) -> bool:
+        """Return whether fewer than half of the control instances answer.
+
+        Then no leader is to be found from here, while others may well have one.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            hosts = list(self._members)
+        silent = sum(self._avoided.get(host, 0.0) > now for host in hosts)
+        return 2 * silent > len(hosts)
+
     def close(self) -> None:
         """Close all connections."""
         with self._lock:
--- a/arbutuscleat/nodes/entry_node.py
+++ b/arbutuscleat/nodes/entry_node.py
@@ -20,13 +20,17 @@
 MAX_BODY_BYTES = 262_144
 """The limit of the platform's configuration."""
 
-LOOK_SECONDS = 0.5
+LOOK_SECONDS = 0.25
 """How often an entry node looks whether control still answers."""
 
 UNREADY_SECONDS = 2.5
 """Silence of control after which callers should be sent elsewhere: longer than an
 election, which moving them would not shorten."""
 
+CUT_OFF_SECONDS = 0.5
+"""The same when most control instances are out of reach: callers of a data centre that
+is cut off are served elsewhere; two looks, so that one lost call sends nobody away."""
+
 UNROUTED_SECONDS = 3.0
 """From unready until no new connection comes: two misses of a check each second."""
 
@@ -82,7 +86,7 @@
         credentials = Credentials(cfg.cluster, "", cfg.host, uuid.uuid4().hex)
         self._link = ControlLink(cfg.read_seeds, cfg.peer_port, credentials, clock)
         self._knows_leader = False
-        front = make_front(self._link, self._closing.is_set)
+        front = make_front(self._link, lambda: not self.is_ready())
         self._callers = HttpServer(
             cfg.callers, front, CALLER_THREADS, MAX_HEADER_BYTES, MAX_BODY_BYTES
         )
@@ -117,9 +121,17 @@
     def _look(self) -> None:
         while not self._clock.sleep(self._stopping, LOOK_SECONDS):
             found = self._link.refresh()
-            ready = found or self._link.silent_seconds() < UNREADY_SECONDS
+            is_cut_off = self._link.is_cut_off()
+            limit = CUT_OFF_SECONDS if is_cut_off else UNREADY_SECONDS
+            silent_seconds = self._link.silent_seconds()
+            ready = found or silent_seconds < limit
             if ready != self._knows_leader:
-                logging.info("control %s", "answers" if ready else "is silent")
+                logging.info(
+                    "control %s: silent for %.1f s%s",
+                    "answers" if ready else "is silent",
+                    silent_seconds,
+                    ", most instances are out of reach" if is_cut_off else "",
+                )
             self._knows_leader = ready
 
     def _check(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
--- a/tests/access/test_control_link.py
+++ b/tests/access/test_control_link.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 
 from arbutuscleat.access import ControlLink
+from arbutuscleat.access.control_link import AVOID_SECONDS
 from arbutuscleat.wire import CallError, CallErrorKind, Credentials
 from arbutuscleat.wire.gen_jobs.ttypes import JobAnswer, JobRequest, Verdict
 from tests.fakes import ManualClock
@@ -75,6 +76,22 @@
         outcome = self.call()
         self.assertEqual((None, False), (outcome.answer, outcome.sent))
 
+    def test_it_is_cut_off_when_most_instances_do_not_answer(self):
+        for down, expected in ((HOSTS[:1], False), (HOSTS[:2], True), (HOSTS, True)):
+            self.control = Control()
+            self.link = self.control.link()
+            self.control.down = dict.fromkeys(down, CallErrorKind.CONNECT)
+            self.control.leader = ""
+            self.call()
+            self.assertEqual(expected, self.link.is_cut_off(), down)
+
+    def test_a_link_is_no_longer_cut_off_when_instances_answer_again(self):
+        self.control.down = dict.fromkeys(HOSTS, CallErrorKind.CONNECT)
+        self.call()
+        self.control.down = {}
+        self.control.clock.advance(AVOID_SECONDS)
+        self.assertFalse(self.link.is_cut_off())
+
     def test_a_lost_answer_may_have_been_taken(self):
         self.control.down = dict.fromkeys(HOSTS, CallErrorKind.LOST)
         outcome = self.call()
