--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -13,6 +13,10 @@
 """Idle time after which a machine may leave its service: the time of a move, below
 which leaving costs more than it saves."""
 
+PARKS_AT_ONCE = 2
+"""Machines let go in one plan: after an order a machine is out of reach of a new leader
+for some seconds, so not all idle ones are ordered together."""
+
 SPARE_SHARE = 0.35
 """Room above what runs and waits, as a share of it: what arrives during a move."""
 
@@ -182,6 +186,8 @@
     ) -> list[Move]:
         moves = []
         for item in givers:
+            if len(moves) >= PARKS_AT_ONCE:
+                break
             if have[item.service_name] > needed[item.service_name]:
                 have[item.service_name] -= 1
                 moves.append(Move(item.machine, standby))
