--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -184,7 +184,7 @@
         have: dict[str, int],
         standby: str,
     ) -> list[Move]:
-        moves = []
+        moves: list[Move] = []
         for item in givers:
             if len(moves) >= PARKS_AT_ONCE:
                 break
