--- a/arbutuscleat/daemons/control.py
+++ b/arbutuscleat/daemons/control.py
@@ -29,9 +29,9 @@
     WavePlanner,
 )
 from arbutuscleat.membership import AckTable, ControlClient, ControlService
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.settings import ControlSettings
 from arbutuscleat.state import ControlMachine
-from arbutuscleat.telemetry import Metrics
 from arbutuscleat.wire import Address, Credentials, ThriftServer
 from arbutuscleat.wire.gen import Control
 
--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -34,6 +34,7 @@
     Subscription,
     ViewStore,
 )
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.routing import (
     Admission,
     Answer,
@@ -56,7 +57,7 @@
 )
 from arbutuscleat.settings import EntrySettings
 from arbutuscleat.state import Member
-from arbutuscleat.telemetry import Metrics, Tracing
+from arbutuscleat.telemetry import Tracing
 from arbutuscleat.wire import Address, ChannelPool, Credentials, ThriftServer
 from arbutuscleat.wire.gen import Control, Entry
 
--- a/arbutuscleat/daemons/fronts.py
+++ b/arbutuscleat/daemons/fronts.py
@@ -14,9 +14,9 @@
     StatusFront,
 )
 from arbutuscleat.membership import ControlClient
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.settings import ProcessSettings
 from arbutuscleat.state import FleetConfiguration
-from arbutuscleat.telemetry import Metrics
 from arbutuscleat.wire import Address
 
 CONFIGURATION_PATHS = ("pools", "labels", "selectors", "instances", "waves")
--- a/arbutuscleat/http/caller_front.py
+++ b/arbutuscleat/http/caller_front.py
@@ -14,8 +14,9 @@
     parse_labels,
     validate_labels,
 )
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.routing import Answer, Request, Router
-from arbutuscleat.telemetry import TRACEPARENT, Metrics, Tracing, current_trace_id
+from arbutuscleat.telemetry import TRACEPARENT, Tracing, current_trace_id
 from arbutuscleat.web.http_request import HttpRequest
 from arbutuscleat.web.http_response import HttpResponse
 from arbutuscleat.web.problem import OUTCOME_HEADER, problem_response, refuse
--- a/arbutuscleat/http/monitoring_front.py
+++ b/arbutuscleat/http/monitoring_front.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from arbutuscleat.core import RefusalReason
-from arbutuscleat.telemetry import Metrics
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.web.http_request import HttpRequest
 from arbutuscleat.web.http_response import HttpResponse, json_response, text_response
 from arbutuscleat.web.problem import refuse
--- /dev/null
+++ b/arbutuscleat/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Metrics of one process."""
+
+from .metrics import Metrics, labelled
+
+__all__ = ["Metrics", "labelled"]
--- a/arbutuscleat/telemetry/metrics.py
+++ b/arbutuscleat/metrics/metrics.py
@@ -1,7 +1,7 @@
 """Metrics: counters, gauges and latency histograms of one process."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -18,6 +18,7 @@
         self._lock = threading.Lock()
         self._counters: dict[str, int] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._collectors: list[Callable[[], Mapping[str, float]]] = []
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, **labels: str) -> None:
@@ -31,6 +32,11 @@
         with self._lock:
             self._gauges[name] = read
 
+    def collect(self, read: Callable[[], Mapping[str, float]]) -> None:
+        """Register a function that returns gauges, labels included, when shown."""
+        with self._lock:
+            self._collectors.append(read)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration."""
         key = _key(name, labels)
@@ -56,10 +62,18 @@
             for key, histogram in sorted(self._histograms.items()):
                 lines.extend(_summary(key, histogram))
             gauges = list(self._gauges.items())
+            collectors = list(self._collectors)
+        for read_all in collectors:
+            lines.extend(f"{key} {value:g}" for key, value in read_all().items())
         lines.extend(f"{name} {read():g}" for name, read in sorted(gauges))
         return "\n".join(lines) + "\n"
 
 
+def labelled(name: str, **labels: str) -> str:
+    """Return a metric's name with its labels, as it is shown."""
+    return _key(name, labels)
+
+
 def _key(name: str, labels: dict[str, str]) -> str:
     if not labels:
         return name
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -24,11 +24,15 @@
 from arbutuscleat.execution import ExecutionLimits, Executor, MachineKeeper, Provider
 from arbutuscleat.execution.executor import MakeClient
 from arbutuscleat.jobs import JobTable, QueueConfig
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.scheduling import Planner
 from arbutuscleat.web import HttpServer
 from arbutuscleat.wire import Address, Credentials, ThriftServer
 from arbutuscleat.wire.gen_jobs import JobControl
 
+from .control_metrics import ControlMetrics
+from .metrics_server import MetricsServer
+
 HTTP_THREADS = 12
 """Requests of workers and operators at a time; more wait for a thread."""
 
@@ -74,6 +78,10 @@
         Name that all processes of the installation share.
     limits : ExecutionLimits
         Times that leases go by.
+    metrics : Address, optional
+        Where the process shows its metrics.
+    metrics_path : str
+        What is asked for there.
     """
 
     host: str
@@ -84,6 +92,8 @@
     read_seeds: Callable[[], Sequence[str]]
     cluster: str
     limits: ExecutionLimits
+    metrics: Address | None = None
+    metrics_path: str = ""
 
 
 class ControlNode:
@@ -185,6 +195,12 @@
             MAX_HEADER_BYTES,
             MAX_BODY_BYTES,
         )
+        self.metrics = Metrics()
+        gauges = ControlMetrics(self._replica, self._table, self._executor, clock)
+        self.metrics.collect(gauges.read)
+        self._metrics_server = MetricsServer(
+            cfg.metrics, cfg.metrics_path, self.metrics
+        )
         self._is_founder = identity.incarnation == FOUNDER_INCARNATION
 
     def start(self) -> None:
@@ -196,6 +212,7 @@
             self._keeper.start()
         self._joiner.start()
         self._http.start()
+        self._metrics_server.start()
         logging.info(
             "control node %s listens on %s%s",
             self._cfg.host,
@@ -214,6 +231,7 @@
         self._replica.stop()
         self._thrift.stop()
         self._link.close()
+        self._metrics_server.stop()
 
     def reload(self) -> None:
         """Seeds are read whenever they are needed; nothing else may change."""
--- a/arbutuscleat/nodes/entry_node.py
+++ b/arbutuscleat/nodes/entry_node.py
@@ -9,9 +9,12 @@
 
 from arbutuscleat.access import ControlLink
 from arbutuscleat.core import SystemClock
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.web import HttpServer
 from arbutuscleat.wire import Address, Credentials
 
+from .metrics_server import MetricsServer
+
 CALLER_THREADS = 24
 """Calls at a time: those of a burst while an election lasts."""
 
@@ -34,7 +37,7 @@
 UNROUTED_SECONDS = 3.0
 """From unready until no new connection comes: two misses of a check each second."""
 
-MakeFront = Callable[[ControlLink, Callable[[], bool]], Callable]
+MakeFront = Callable[[ControlLink, Callable[[], bool], Metrics], Callable]
 
 
 @dataclass(frozen=True)
@@ -55,6 +58,10 @@
         Name that all processes of the installation share.
     readiness_path : str
         What the balancer asks for.
+    metrics : Address, optional
+        Where the process shows its metrics.
+    metrics_path : str
+        What is asked for there.
     """
 
     host: str
@@ -64,6 +71,8 @@
     read_seeds: Callable[[], Sequence[str]]
     cluster: str
     readiness_path: str
+    metrics: Address | None = None
+    metrics_path: str = ""
 
 
 class EntryNode:
@@ -86,13 +95,17 @@
         credentials = Credentials(cfg.cluster, "", cfg.host, uuid.uuid4().hex)
         self._link = ControlLink(cfg.read_seeds, cfg.peer_port, credentials, clock)
         self._knows_leader = False
-        front = make_front(self._link, lambda: not self.is_ready())
+        metrics = Metrics()
+        front = make_front(self._link, lambda: not self.is_ready(), metrics)
         self._callers = HttpServer(
             cfg.callers, front, CALLER_THREADS, MAX_HEADER_BYTES, MAX_BODY_BYTES
         )
         self._readiness = HttpServer(
             cfg.readiness, self._check, READINESS_THREADS, MAX_HEADER_BYTES, 0
         )
+        self.metrics = metrics
+        self.metrics.collect(self._gauges)
+        self._metrics_server = MetricsServer(cfg.metrics, cfg.metrics_path, metrics)
         self._watch = threading.Thread(target=self._look, name="watch", daemon=True)
 
     def start(self) -> None:
@@ -100,6 +113,7 @@
         self._callers.start()
         self._readiness.start()
         self._watch.start()
+        self._metrics_server.start()
         logging.info("entry node listens on %s", self._callers.address)
 
     def stop(self) -> None:
@@ -110,6 +124,7 @@
         self._stopping.set()
         self._readiness.stop()
         self._link.close()
+        self._metrics_server.stop()
 
     def reload(self) -> None:
         """Seeds are read whenever they are needed; nothing else may change."""
@@ -134,6 +149,12 @@
                 )
             self._knows_leader = ready
 
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "ready": self.is_ready(),
+            "control_silent_seconds": self._link.silent_seconds(),
+        }
+
     def _check(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         ready = self.is_ready() and environ["PATH_INFO"] == self._cfg.readiness_path
         phrase = "200 OK" if ready else "503 Service Unavailable"
--- /dev/null
+++ b/arbutuscleat/nodes/metrics_server.py
@@ -0,0 +1,60 @@
+"""The address on which a process shows its metrics."""
+
+from collections.abc import Callable, Iterable
+
+from absl import logging
+
+from arbutuscleat.metrics import Metrics
+from arbutuscleat.web import HttpServer
+from arbutuscleat.wire import Address
+
+METRICS_THREADS = 1
+MAX_HEADER_BYTES = 16_384
+
+
+class MetricsServer:
+    """Serves the metrics of a process as text.
+
+    Parameters
+    ----------
+    address : Address or None
+        Where it listens; None serves nothing.
+    path : str
+        What is asked for.
+    metrics : Metrics
+        What is shown.
+    """
+
+    def __init__(self, address: Address | None, path: str, metrics: Metrics):
+        self._path = path
+        self._metrics = metrics
+        self._server: HttpServer | None = None
+        if address is not None:
+            self._server = HttpServer(
+                address, self._answer, METRICS_THREADS, MAX_HEADER_BYTES, 0
+            )
+
+    def start(self) -> None:
+        """Listen; a process serves without metrics when the address is taken."""
+        if self._server is None:
+            return
+        try:
+            self._server.start()
+        except OSError as exc:
+            logging.error("metrics are not served: %s", exc)
+            self._server = None
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
+    def _answer(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        found = environ["PATH_INFO"] == self._path
+        body = self._metrics.render().encode() if found else b""
+        headers = [
+            ("Content-Type", "text/plain; version=0.0.4"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response("200 OK" if found else "404 Not Found", headers)
+        return [body]
--- a/arbutuscleat/nodes/running.py
+++ b/arbutuscleat/nodes/running.py
@@ -1,5 +1,6 @@
 """Running a node: signals, broken invariants, exit code."""
 
+import logging as standard_logging
 import os
 import signal
 import threading
@@ -54,6 +55,7 @@
     except Exception:
         logging.exception("the stop was not graceful")
         # Threads of the HTTP server would keep the process.
+        standard_logging.shutdown()
         os._exit(EXIT_FAILED)
     logging.info("stopped")
     return EXIT_OK
@@ -66,4 +68,5 @@
     name = failure.thread.name if failure.thread is not None else ""
     logging.error("task %s failed", name, exc_info=failure.exc_value)
     if issubclass(failure.exc_type, InvariantError):
+        standard_logging.shutdown()
         os._exit(EXIT_INVARIANT)
--- a/arbutuscleat/routing/router.py
+++ b/arbutuscleat/routing/router.py
@@ -11,7 +11,8 @@
 from returns.result import Failure, Result, Success
 
 from arbutuscleat.core import Clock, Deadline, Instance, Outcome, Refusal, RefusalReason
-from arbutuscleat.telemetry import Metrics, Tracing
+from arbutuscleat.metrics import Metrics
+from arbutuscleat.telemetry import Tracing
 
 from .admission import NO_INSTANCE_READY, Admission, FindOffers
 from .answer_fetcher import AnswerFetcher
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -19,6 +19,7 @@
     EndpointFront,
 )
 from arbutuscleat.membership import AnnouncementTable
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.routing import (
     Admission,
     AnswerFetcher,
@@ -40,7 +41,7 @@
     to_forward_request,
 )
 from arbutuscleat.state import Member, instance_record, member_record
-from arbutuscleat.telemetry import Metrics, Tracing
+from arbutuscleat.telemetry import Tracing
 from arbutuscleat.wire.gen.ttypes import (
     Change,
     Command,
--- /dev/null
+++ b/tests/nodes/test_control_metrics.py
@@ -0,0 +1,42 @@
+"""Gauges of a control node."""
+
+from types import SimpleNamespace
+
+from testtools import TestCase
+
+from arbutuscleat.consensus import Role
+from arbutuscleat.nodes.control_metrics import ControlMetrics
+from tests.fakes import ManualClock
+from tests.fakes.jobs import OTHER_JOB, TableBench, job, run, step, worker
+
+
+class ControlMetricsTest(TestCase):
+    def test_jobs_that_wait_and_tasks_that_run_are_counted(self):
+        bench = TableBench()
+        bench.apply(worker=worker())
+        bench.accept(job(steps=[step(2)]))
+        bench.accept(job(OTHER_JOB))
+        bench.start(run())
+        clock = ManualClock()
+        status = SimpleNamespace(role=Role.LEADER, term=4, commit_index=9)
+        replica = SimpleNamespace(status=lambda: status)
+        executor = SimpleNamespace(
+            sessions={"w1": SimpleNamespace(answers=lambda: False)}
+        )
+        found = ControlMetrics(replica, bench.table, executor, clock).read()
+        wait_ms = clock.now_ms() - 1_000
+        expected = {
+            "leads": 1,
+            "term": 4,
+            "commit_index": 9,
+            "configuration_version": 1,
+            "jobs_held": 2,
+            "jobs_active": 2,
+            "workers": 1,
+            'jobs_waiting{queue="approvals"}': 1,
+            'oldest_wait_seconds{queue="approvals"}': wait_ms / 1000,
+            'tasks_running{service="karachi"}': 1,
+            "worker_sessions": 1,
+            "worker_sessions_silent": 1,
+        }
+        self.assertEqual(expected, found)
