Jobs that are known not to be served in time are refused at once, with when to come back

Admission is a decision of its own: a job is refused when all machines together could not reach it before it is worth nothing, or when no machine can hold a task of it. What is held or on its way into the log is never refused; callers are told to come back one after another.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -5,7 +5,9 @@
 leadership, since a later leader may know better.
 """
 
+import random
 import re
+from collections.abc import Callable
 from typing import Any
 
 from absl import logging
@@ -20,6 +22,13 @@
 )
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import AcceptResult, JobTable, Queue
+from arbutuscleat.scheduling import (
+    Fleet,
+    Rejection,
+    backlog_cpu_ms,
+    check_size,
+    check_wait,
+)
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
@@ -28,6 +37,7 @@
     ControlAnswer,
     JobAnswer,
     JobCommand,
+    JobRecord,
     JobRequest,
     JoinAnswer,
     JoinRequest,
@@ -47,6 +57,9 @@
 BARRIER_SECONDS = 1.0
 """How long a quorum may take to confirm the leadership."""
 
+BACKLOG_SECONDS = 0.1
+"""How old the backlog that a job is judged by may be: a burst adds a few jobs in it."""
+
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 _VERDICTS = {
@@ -68,6 +81,10 @@
         Its state.
     clock : Clock
         Source of time.
+    rng : random.Random
+        Spreads the callers that are to come back.
+    fleet : callable
+        Returns what all machines have, None when they are not known.
     """
 
     def __init__(
@@ -75,10 +92,18 @@
         replica: Replica,
         table: JobTable,
         clock: Clock,
+        rng: random.Random,
+        fleet: Callable[[], Fleet | None] = lambda: None,
     ):
         super().__init__(replica)
         self._table = table
         self._clock = clock
+        self._rng = rng
+        self._fleet = fleet
+        self._submitting: set[str] = set()
+        """Jobs on their way into the log."""
+
+        self._backlogs: dict[str, tuple[float, int]] = {}
 
     def leads(self) -> bool:
         """Return whether this process leads and hears a quorum."""
@@ -112,12 +137,19 @@
             return refusal
         if not _JOB_ID.fullmatch(job_id):
             return self._job_answer(request, Verdict.INVALID, detail="not a job id")
+        rejection = self._reject(request.job, job_id, queue)
+        if rejection is not None:
+            return self._refuse(request, job_id, queue, rejection)
         record = request.job
         record.job_id = job_id
         record.queue = queue.name
         record.service_name = queue.service_name
         record.accepted_at_ms = self._clock.now_ms()
-        result = self._propose(JobCommand(accept=record))
+        self._submitting.add(job_id)
+        try:
+            result = self._propose(JobCommand(accept=record))
+        finally:
+            self._submitting.discard(job_id)
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
         if result.unwrap() is AcceptResult.CONFLICT:
@@ -240,6 +272,42 @@
 
     # ---- details ----
 
+    def _reject(self, record: JobRecord, job_id: str, queue: Queue) -> Rejection | None:
+        """Return why a job that is new is not accepted, if that is so."""
+        table = self._table
+        with table.lock:
+            if job_id in table.jobs or job_id in self._submitting:
+                return None  # What may have been accepted is never refused.
+            found = check_size(record.steps, self._fleet())
+            if found is None and not record.repeat_count:
+                backlog = self._backlog(queue.service_name)
+                share = self._rng.random()
+                found = check_wait(record.steps, queue, backlog, self._fleet(), share)
+            return found
+
+    def _backlog(self, service_name: str) -> int:
+        """Return the work ahead of a new job, reckoned anew ten times a second."""
+        now = self._clock.monotonic()
+        held = self._backlogs.get(service_name)
+        if held is None or now - held[0] > BACKLOG_SECONDS:
+            held = (now, backlog_cpu_ms(self._table, service_name))
+            self._backlogs[service_name] = held
+        return held[1]
+
+    def _refuse(
+        self, request: SubmitRequest, job_id: str, queue: Queue, rejection: Rejection
+    ) -> JobAnswer:
+        logging.info(
+            "job %s of queue %s refused: %s; come back in %d ms",
+            job_id,
+            queue.name,
+            rejection.reason,
+            rejection.retry_after_ms,
+        )
+        answer = self._job_answer(request, Verdict.REFUSED, detail=rejection.reason)
+        answer.retry_after_ms = rejection.retry_after_ms
+        return answer
+
     def _find(
         self, request: SubmitRequest | JobRequest
     ) -> tuple[Queue | None, str, Any]:
--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -15,6 +15,7 @@
 from arbutuscleat.scheduling import (
     Demand,
     DemandHistory,
+    Fleet,
     Move,
     PoolMachine,
     PoolPlanner,
@@ -88,6 +89,9 @@
         self._history = DemandHistory()
         self._moving: dict[str, str] = {}
         """Machines being emptied for a move, by the service they go to."""
+        self.fleet: Fleet | None = None
+        """What all machines have; None before the first list."""
+
         self._thread = threading.Thread(target=self._run, name="machines", daemon=True)
 
     def start(self) -> None:
@@ -153,6 +157,7 @@
     def _turn(self, machines: list[MachineState]) -> None:
         by_name = {item.machine: item for item in machines}
         self._watch.look(by_name)
+        self.fleet = _fleet(machines)
         wanted: set[str] = set()
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
@@ -348,3 +353,14 @@
         if record is not None:
             command = RemoveWorker(worker_id=worker_id, born_ms=record.born_ms)
             self._executor.propose(JobCommand(remove_worker=command))
+
+
+def _fleet(machines: list[MachineState]) -> Fleet | None:
+    if not machines:
+        return None
+    return Fleet(
+        cpu=sum(item.cpu for item in machines),
+        most_cpu=max(item.cpu for item in machines),
+        most_mem_mb=max(item.mem_mb for item in machines),
+        most_gpu=max(item.gpu for item in machines),
+    )
--- a/arbutuscleat/execution/provider.py
+++ b/arbutuscleat/execution/provider.py
@@ -40,6 +40,8 @@
         Its kind and its rack.
     cpu : int
         Thousandths of a core.
+    mem_mb, gpu : int
+        Its memory in MB and its accelerators.
     in_upkeep : bool
         Whether it is under upkeep.
     """
@@ -50,6 +52,8 @@
     worker_id: str
     labels: tuple[str, ...] = ()
     cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
     in_upkeep: bool = False
 
     @property
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -25,7 +25,7 @@
 from arbutuscleat.execution.executor import MakeClient
 from arbutuscleat.jobs import JobTable, QueueConfig
 from arbutuscleat.metrics import Metrics
-from arbutuscleat.scheduling import Planner
+from arbutuscleat.scheduling import Fleet, Planner
 from arbutuscleat.web import HttpServer
 from arbutuscleat.wire import Address, Credentials, ThriftServer
 from arbutuscleat.wire.gen_jobs import JobControl
@@ -147,7 +147,9 @@
             random.Random(),
             make_peer,
         )
-        service = JobService(self._replica, self._table, clock)
+        service = JobService(
+            self._replica, self._table, clock, random.Random(), self._fleet
+        )
         self._thrift = ThriftServer(
             JobControl.Processor(service),
             Address(cfg.host, cfg.peer_port),
@@ -169,7 +171,7 @@
             clock,
             cfg.limits,
         )
-        self._keeper = None
+        self._keeper: MachineKeeper | None = None
         if provider is not None:
             self._keeper = MachineKeeper(
                 self._replica,
@@ -233,5 +235,8 @@
         self._link.close()
         self._metrics_server.stop()
 
+    def _fleet(self) -> Fleet | None:
+        return None if self._keeper is None else self._keeper.fleet
+
     def reload(self) -> None:
         """Seeds are read whenever they are needed; nothing else may change."""
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Decisions on jobs and workers, without network or threads."""
 
+from .admission import Fleet, Rejection, backlog_cpu_ms, check_size, check_wait
 from .demand import job_demand, movable_tasks, service_demands
 from .demand_history import DemandHistory
 from .objective import longest_chain_ms, objective_at_ms
@@ -11,13 +12,18 @@
 __all__ = [
     "Demand",
     "DemandHistory",
+    "Fleet",
     "Move",
     "Plan",
     "Planner",
     "PoolMachine",
     "PoolPlanner",
+    "Rejection",
     "WaveMachine",
     "WorkerView",
+    "backlog_cpu_ms",
+    "check_size",
+    "check_wait",
     "choose_machines",
     "is_short",
     "job_demand",
