Tasks that stand still on a worker that answers are stopped and start elsewhere

StallWatch finds a run that ends by itself and has shown the same progress for 2 s or 5% of its estimate in three looks; the worker gets nothing new for 3 s. Tests first failed.

--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -25,6 +25,7 @@
 
 from .limits import ExecutionLimits
 from .order_sender import OrderSender, Run
+from .stall_watch import StallWatch
 from .worker_client import (
     HoldAnswer,
     HoldOrder,
@@ -44,6 +45,10 @@
 """How long a worker may keep a hold open while runs that it did not list are being
 stopped: a call's time several times over."""
 
+STALLED_SECONDS = 3.0
+"""How long a worker gets nothing new on which a task has stood still: longer than it
+takes to notice the next one."""
+
 RENEWALS_UNANSWERED = 2
 """Holds without an answer after which the lease is no longer renewed."""
 
@@ -118,6 +123,7 @@
         self._acknowledged = 0
         self._failed_in_a_row = 0
         self._misses_runs = False
+        self._stalls = StallWatch()
         self.running: tuple[RunningTask, ...] = ()
         self._thread = threading.Thread(target=self._hold_on, name="hold", daemon=True)
 
@@ -244,6 +250,7 @@
         ended = {(end.key, end.number) for end in answer.finished}
         listed = {task.key: task.number for task in answer.running}
         self._stop_unwanted(listed)
+        self._stop_stalled(answer)
         lost = []
         self._misses_runs = False
         for key, number in believed.items():
@@ -303,6 +310,30 @@
             if stopped.get(key) != number:
                 self.order_stop(key, number)
 
+    def _stop_stalled(self, answer: HoldAnswer) -> None:
+        """Stop tasks that stand still; nothing new starts beside them for a while."""
+        progressing = []
+        with self._table.lock:
+            for item in answer.running:
+                job = self._table.jobs.get(item.key.job_id)
+                step = None if job is None else job.steps[item.key.step]
+                if step is not None and not step.long_running and not step.gang:
+                    progressing.append((item, step.estimated_ms))
+        stalled = self._stalls.look(progressing, self._clock.monotonic())
+        if stalled:
+            self._contact.pause(STALLED_SECONDS)
+        stopped = self._sender.stopped()
+        for key, number in stalled:
+            if stopped.get(key) == number:
+                continue
+            logging.info(
+                "run %d of %s at %s stands still and is stopped",
+                number,
+                key,
+                self.worker_id,
+            )
+            self.order_stop(key, number)
+
     def _take_refusal(self, outcome: OrderOutcome) -> None:
         if outcome is OrderOutcome.OTHER_LIFE:
             logging.info("worker %s is gone: another is at its address", self.worker_id)
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -1,5 +1,7 @@
 """What a session does with a worker that answers, is silent, late or somebody else."""
 
+from dataclasses import replace
+
 from testtools import TestCase
 
 from arbutuscleat.emulator.worker_model import WorkerModel
@@ -8,6 +10,7 @@
     HoldAnswer,
     OrderAnswer,
     OrderOutcome,
+    RunningTask,
     WorkerClient,
 )
 from arbutuscleat.execution.session import LOOK_AGAIN_SECONDS, WorkerSession
@@ -294,6 +297,25 @@
         waits = [o.wait_ms for name, o in self.link.calls if name == "hold"]
         self.assertEqual(int(1000 * LIMITS.busy_wait), waits[-1])
 
+    def test_a_task_that_stands_still_starts_elsewhere(self):
+        """The worker answers all calls while its tasks hang."""
+        self.start()
+        frozen = RunningTask(KEY, 1, 40, 0)
+        hold = self.model.hold
+        self.model.hold = lambda order, timeout: replace(
+            hold(order, timeout), running=(frozen,) if self.model.running() else ()
+        )
+        self.model._work = None
+        for item in self.model._runs.values():
+            item.seconds = None
+        began = self.clock.monotonic()
+        while self.status() is TaskStatus.RUNNING:
+            self.assertTrue(self.clock.monotonic() - began < 4.0)
+            self.turn()
+            self.clock.advance(0.5)
+        self.assertEqual({}, self.model.running())
+        self.assertFalse(self.session.is_usable())
+
     def test_one_lost_hold_is_repeated_at_once(self):
         self.start()
         self.link.answers_lost = 1
