Machines idle for a moment help where tasks wait

Change: 0.25 s are enough for a machine to go where tasks wait; 1.5 s still pass before one is let go. Test first failed.

--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -10,9 +10,13 @@
 from dataclasses import dataclass
 
 IDLE_BEFORE_MOVE_SECONDS = 1.5
-"""Idle time after which a machine may leave its service: the time of a move, below
+"""Idle time after which a machine may go to the standby pool: the time of a move, below
 which leaving costs more than it saves."""
 
+IDLE_BEFORE_HELP_SECONDS = 0.25
+"""The same when tasks wait in another service: one look, since the next one may be a
+new leader's first."""
+
 PARKS_AT_ONCE = 2
 """Machines let go in one plan: after an order a machine is out of reach of a new leader
 for some seconds, so not all idle ones are ordered together."""
@@ -148,7 +152,8 @@
                 have[name] += 1
                 moves.append(Move(found.machine, name))
         if standby and may_park:
-            moves.extend(self._park(givers, needed, have, standby))
+            idle = [i for i in givers if i.idle_seconds >= IDLE_BEFORE_MOVE_SECONDS]
+            moves.extend(self._park(idle, needed, have, standby))
         return moves
 
     def _machines_needed(self, demand: Demand, pool: Sequence[PoolMachine]) -> int:
@@ -172,7 +177,7 @@
                 for item in pool
                 if item.is_up
                 and not item.in_wave
-                and item.idle_seconds >= IDLE_BEFORE_MOVE_SECONDS
+                and item.idle_seconds >= IDLE_BEFORE_HELP_SECONDS
             )
         found.sort(key=lambda item: -item.idle_seconds)
         return found
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -35,6 +35,14 @@
             demands = [Demand(), Demand(waiting_cpu=waiting)]
             self.assertEqual(expected, is_short(demands, SIZE))
 
+    def test_a_machine_idle_for_a_moment_helps_but_is_not_let_go(self):
+        """A new leader, in a turn: nothing has been seen idle for long."""
+        machines = [machine("m1", "billing", -1.0)]
+        machines += [machine(f"k{i}", "karachi", idle=0.5) for i in range(4)]
+        self.assertEqual(set(), plan(machines, billing=Demand(), karachi=Demand()))
+        found = plan(machines, billing=Demand(SIZE, SIZE), karachi=Demand())
+        self.assertEqual({"billing"}, {service for _, service in found})
+
     def test_a_service_keeps_room_for_its_next_jobs(self):
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         gone = set()
