--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -119,6 +119,8 @@
         """Order the end of a run, so that its task starts elsewhere."""
         with self._table.lock:
             session = self.sessions.get(worker_id)
+            active = self._table.active
+            self._moved = {k: n for k, n in self._moved.items() if k.job_id in active}
             self._moved[key] = number
         if session is not None:
             session.order_stop(key, number)
