--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -5,9 +5,7 @@
 leadership, since a later leader may know better.
 """
 
-import random
 import re
-from collections.abc import Callable
 from typing import Any
 
 from absl import logging
@@ -22,13 +20,7 @@
 )
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import AcceptResult, JobTable, Queue
-from arbutuscleat.scheduling import (
-    Fleet,
-    Rejection,
-    backlog_cpu_ms,
-    check_size,
-    check_wait,
-)
+from arbutuscleat.scheduling import Rejection
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
@@ -37,7 +29,6 @@
     ControlAnswer,
     JobAnswer,
     JobCommand,
-    JobRecord,
     JobRequest,
     JoinAnswer,
     JoinRequest,
@@ -51,15 +42,14 @@
     WorkerRecord,
 )
 
+from .admission_gate import AdmissionGate
+
 COMMIT_SECONDS = 2.0
 """How long a command may take to be committed; an election takes less."""
 
 BARRIER_SECONDS = 1.0
 """How long a quorum may take to confirm the leadership."""
 
-BACKLOG_SECONDS = 0.1
-"""How old the backlog that a job is judged by may be: a burst adds a few jobs in it."""
-
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 _VERDICTS = {
@@ -81,10 +71,8 @@
         Its state.
     clock : Clock
         Source of time.
-    rng : random.Random
-        Spreads the callers that are to come back.
-    fleet : callable
-        Returns what all machines have, None when they are not known.
+    gate : AdmissionGate
+        Judges the jobs that are handed in.
     """
 
     def __init__(
@@ -92,18 +80,12 @@
         replica: Replica,
         table: JobTable,
         clock: Clock,
-        rng: random.Random,
-        fleet: Callable[[], Fleet | None] = lambda: None,
+        gate: AdmissionGate,
     ):
         super().__init__(replica)
         self._table = table
         self._clock = clock
-        self._rng = rng
-        self._fleet = fleet
-        self._submitting: set[str] = set()
-        """Jobs on their way into the log."""
-
-        self._backlogs: dict[str, tuple[float, int]] = {}
+        self._gate = gate
 
     def leads(self) -> bool:
         """Return whether this process leads and hears a quorum."""
@@ -137,7 +119,7 @@
             return refusal
         if not _JOB_ID.fullmatch(job_id):
             return self._job_answer(request, Verdict.INVALID, detail="not a job id")
-        rejection = self._reject(request.job, job_id, queue)
+        rejection = self._gate.check(request.job, job_id, queue)
         if rejection is not None:
             return self._refuse(request, job_id, queue, rejection)
         record = request.job
@@ -145,11 +127,8 @@
         record.queue = queue.name
         record.service_name = queue.service_name
         record.accepted_at_ms = self._clock.now_ms()
-        self._submitting.add(job_id)
-        try:
+        with self._gate.submitting(job_id):
             result = self._propose(JobCommand(accept=record))
-        finally:
-            self._submitting.discard(job_id)
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
         if result.unwrap() is AcceptResult.CONFLICT:
@@ -272,28 +251,6 @@
 
     # ---- details ----
 
-    def _reject(self, record: JobRecord, job_id: str, queue: Queue) -> Rejection | None:
-        """Return why a job that is new is not accepted, if that is so."""
-        table = self._table
-        with table.lock:
-            if job_id in table.jobs or job_id in self._submitting:
-                return None  # What may have been accepted is never refused.
-            found = check_size(record.steps, self._fleet())
-            if found is None and not record.repeat_count:
-                backlog = self._backlog(queue.service_name)
-                share = self._rng.random()
-                found = check_wait(record.steps, queue, backlog, self._fleet(), share)
-            return found
-
-    def _backlog(self, service_name: str) -> int:
-        """Return the work ahead of a new job, reckoned anew ten times a second."""
-        now = self._clock.monotonic()
-        held = self._backlogs.get(service_name)
-        if held is None or now - held[0] > BACKLOG_SECONDS:
-            held = (now, backlog_cpu_ms(self._table, service_name))
-            self._backlogs[service_name] = held
-        return held[1]
-
     def _refuse(
         self, request: SubmitRequest, job_id: str, queue: Queue, rejection: Rejection
     ) -> JobAnswer:
--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -27,7 +27,6 @@
     AdvanceWave,
     JobCommand,
     OrderMachines,
-    RemoveWorker,
 )
 
 from .executor import Executor
@@ -35,13 +34,11 @@
 from .machine_leases import MachineLeases
 from .machine_watch import MachineWatch
 from .provider import MachineOrder, MachineState, Provider
+from .worker_emptier import WorkerEmptier
 
 TURN_SECONDS = 0.25
 """Between two looks at the machines."""
 
-TURNS_BEFORE_ORDER = 2
-"""Plans of the executor after which nothing planned before is still unlogged."""
-
 
 class MachineKeeper:
     """Carries out waves and moves while this process leads.
@@ -84,8 +81,7 @@
         self._pools = PoolPlanner()
         self._stopping = threading.Event()
         self._term = -1
-        self._closing: dict[str, int] = {}
-        """Workers that are being emptied, with the executor's turn when it began."""
+        self._emptier = WorkerEmptier(table, executor, self._watch)
         self._history = DemandHistory()
         self._moving: dict[str, str] = {}
         """Machines being emptied for a move, by the service they go to."""
@@ -139,11 +135,9 @@
         return held
 
     def _forget(self) -> None:
-        if self._closing:
-            self._executor.set_closing(set())
         self._leases.forget()
         self._watch.forget()
-        self._closing = {}
+        self._emptier.forget()
         self._moving = {}
         self._history.forget()
 
@@ -167,7 +161,7 @@
         for wave in waves:
             wanted |= self._plan_wave(wave, by_name, short)
         wanted |= self._plan_moves(machines, wanted, waves, standby, demands)
-        self._close_workers(wanted, by_name)
+        self._emptier.empty({by_name[m].worker_id for m in wanted if m in by_name})
         for wave in waves:
             self._order_upkeep(wave, by_name, wanted)
         self._order_moves(by_name)
@@ -193,7 +187,7 @@
                     machine=machine,
                     is_up=state.is_up and self._leases.may_hold(machine, since),
                     is_empty=load == 0,
-                    is_closing=state.worker_id in self._closing,
+                    is_closing=self._emptier.is_closing(state.worker_id),
                     load=load,
                 )
             )
@@ -211,7 +205,7 @@
             state = by_name[machine]
             if not state.is_up:
                 continue
-            if self._is_emptied(state.worker_id):
+            if self._emptier.is_emptied(state.worker_id):
                 ready.append(machine)
             else:
                 self._move_lasting(state.worker_id)
@@ -225,7 +219,7 @@
             outcome = self._provider.upkeep(machine, wave.number, self._term)
             if outcome is MachineOrder.DONE:
                 self._watch.note_upkeep(machine)
-                self._drop_worker(state.worker_id)
+                self._emptier.drop(state.worker_id)
                 self._advance(wave, machine, finished=True)
             elif outcome is MachineOrder.UNKNOWN:
                 self._watch.note_upkeep(machine)
@@ -306,7 +300,7 @@
                 continue
             elif self._watch.cpu_in_use(state.worker_id):
                 del self._moving[machine]  # Something has started after all.
-            elif self._is_emptied(state.worker_id):
+            elif self._emptier.is_emptied(state.worker_id):
                 ready.append(machine)
         for machine in self._log_orders(ready):
             if not self._may_order(machine):
@@ -314,46 +308,10 @@
             service_name = self._moving[machine]
             outcome = self._provider.move(machine, service_name, self._term)
             if outcome is MachineOrder.DONE:
-                self._drop_worker(by_name[machine].worker_id)
+                self._emptier.drop(by_name[machine].worker_id)
             elif outcome in (MachineOrder.REFUSED, MachineOrder.BUSY):
                 del self._moving[machine]
 
-    # ---- emptying ----
-
-    def _close_workers(
-        self, wanted: set[str], by_name: dict[str, MachineState]
-    ) -> None:
-        turn = self._executor.turns
-        worker_ids = {by_name[m].worker_id for m in wanted if m in by_name}
-        for worker_id in worker_ids:
-            self._closing.setdefault(worker_id, turn)
-        for worker_id in list(self._closing):
-            if worker_id not in worker_ids:
-                del self._closing[worker_id]
-        self._executor.set_closing(set(self._closing))
-
-    def _is_emptied(self, worker_id: str) -> bool:
-        """Return whether nothing runs on a worker and nothing is on its way."""
-        if not worker_id:
-            return True
-        closed_at = self._closing.get(worker_id)
-        if closed_at is None:
-            return False
-        with self._table.lock:
-            known = worker_id in self._table.workers
-        if not known:
-            return True
-        if self._executor.turns < closed_at + TURNS_BEFORE_ORDER:
-            return False
-        return not self._watch.cpu_in_use(worker_id)
-
-    def _drop_worker(self, worker_id: str) -> None:
-        with self._table.lock:
-            record = self._table.workers.get(worker_id)
-        if record is not None:
-            command = RemoveWorker(worker_id=worker_id, born_ms=record.born_ms)
-            self._executor.propose(JobCommand(remove_worker=command))
-
 
 def _fleet(machines: list[MachineState]) -> Fleet | None:
     if not machines:
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -15,14 +15,13 @@
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import JobTable, RunOutcome, TaskKey
 from arbutuscleat.wire.gen_jobs.ttypes import (
-    EndRecord,
     JobCommand,
     RemoveWorker,
-    RunEnds,
     RunRecord,
     WorkerRecord,
 )
 
+from .end_log import EndLog, Propose
 from .limits import ExecutionLimits
 from .order_sender import OrderSender, Run
 from .stall_watch import StallWatch
@@ -56,9 +55,6 @@
 """How much longer than the worker may wait we wait for its answer: some turns of a
 leader's tasks on a machine that runs slowly."""
 
-Propose = Callable[[JobCommand], bool]
-"""Puts a command through the log; False when it is not known to be in it."""
-
 
 class WorkerSession:
     """The leader's conversation with one life of a worker.
@@ -106,6 +102,7 @@
         self._may_order = may_order
         self._clock = clock
         self._limits = limits
+        self._ends = EndLog(self.life, propose, clock)
         self._contact = WorkerContact(clock, limits, former_lease_until)
         self._sender = OrderSender(
             self.worker_id,
@@ -269,31 +266,13 @@
         fresh = [end for end in answer.finished if end.position > self._acknowledged]
         if not fresh:
             return True
-        ends = [
-            EndRecord(
-                run=end.key.run_record(end.number, self.life),
-                outcome=int(end.outcome),
-                checkpoint=end.checkpoint,
-            )
-            for end in fresh
-        ]
-        if not self._propose(
-            JobCommand(ends=RunEnds(ends=ends, at_ms=self._clock.now_ms()))
-        ):
+        if not self._ends.log_listed(fresh):
             return False
         self._acknowledged = max(end.position for end in fresh)
         for end in fresh:
             if end.outcome is RunOutcome.DONE:
                 self._failed_in_a_row = 0
-            else:
-                logging.info(
-                    "run %d of %s at %s ended as %s",
-                    end.number,
-                    end.key,
-                    self.worker_id,
-                    end.outcome.name.lower(),
-                )
-            if end.outcome is RunOutcome.FAILED:
+            elif end.outcome is RunOutcome.FAILED:
                 self._failed_in_a_row += 1
             self._sender.forget_stop(end.key, end.number)
         return True
@@ -364,23 +343,7 @@
     def _log_lost(self, lost: list[Run], reason: str) -> None:
         if not lost:
             return
-        for key, number in lost:
-            logging.info(
-                "run %d of %s at %s is lost: %s",
-                number,
-                key,
-                self.worker_id,
-                reason,
-            )
-        ends = [
-            EndRecord(
-                run=key.run_record(number, self.life),
-                outcome=int(RunOutcome.LOST),
-                checkpoint="",
-            )
-            for key, number in lost
-        ]
-        self._propose(JobCommand(ends=RunEnds(ends=ends, at_ms=self._clock.now_ms())))
+        self._ends.log_lost(lost, reason)
         for key, number in lost:
             self._sender.forget_stop(key, number)
 
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from arbutuscleat.access import ControlLink, JobService, Joiner
+from arbutuscleat.access import AdmissionGate, ControlLink, JobService, Joiner
 from arbutuscleat.consensus import (
     FOUNDER_INCARNATION,
     FolderDisk,
@@ -147,9 +147,8 @@
             random.Random(),
             make_peer,
         )
-        service = JobService(
-            self._replica, self._table, clock, random.Random(), self._fleet
-        )
+        gate = AdmissionGate(self._table, clock, random.Random(), self._fleet)
+        service = JobService(self._replica, self._table, clock, gate)
         self._thrift = ThriftServer(
             JobControl.Processor(service),
             Address(cfg.host, cfg.peer_port),
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -5,7 +5,7 @@
 from returns.result import Success
 from testtools import TestCase
 
-from arbutuscleat.access import JobService
+from arbutuscleat.access import AdmissionGate, JobService
 from arbutuscleat.scheduling import Fleet
 from arbutuscleat.wire.gen_jobs.ttypes import SubmitRequest, Verdict
 from tests.fakes import ManualClock
@@ -35,13 +35,9 @@
         self.bench = TableBench()
         self.bench.apply(worker=worker())
         self.clock = ManualClock()
-        self.service = JobService(
-            FakeReplica(self.bench),
-            self.bench.table,
-            self.clock,
-            random.Random(1),
-            lambda: FLEET,
-        )
+        table = self.bench.table
+        self.gate = AdmissionGate(table, self.clock, random.Random(1), lambda: FLEET)
+        self.service = JobService(FakeReplica(self.bench), table, self.clock, self.gate)
         self.service._leader = lambda: ""
 
     def submit(self, job_id, steps=None):
@@ -71,8 +67,8 @@
     def test_a_job_on_its_way_into_the_log_is_not_refused(self):
         self.submit("1" * 16, LONG)
         self.clock.advance(1.0)
-        self.service._submitting.add(JOB)
-        self.assertEqual(Verdict.DONE, self.submit(JOB).verdict)
+        with self.gate.submitting(JOB):
+            self.assertEqual(Verdict.DONE, self.submit(JOB).verdict)
 
     def test_a_task_that_no_machine_can_hold_is_refused(self):
         answer = self.submit(JOB, [step(cpu=64_001)])
