A replica names a leader only while it hears it

Change: a replica that has not heard its leader for the longest election timeout names none. Test first failed.

--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True)
 class ReplicaStatus:
-    """What a replica says about itself."""
+    """What a replica says about itself; no leader unless heard a moment ago."""
 
     node_id: str
     incarnation: str
@@ -203,7 +203,7 @@
                 incarnation=state.incarnation,
                 role=state.role,
                 term=state.term,
-                leader=state.leader,
+                leader=state.known_leader(),
                 commit_index=state.commit_index,
                 voter=state.is_voter(),
                 failure=state.failure,
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -119,6 +119,18 @@
         silence = self.clock.monotonic() - self.last_heard
         return silence < self.cfg.election_seconds
 
+    def known_leader(self) -> str:
+        """Return the leader, or nothing when it has been silent for an election.
+
+        A replica that is no voter never stands for election, so it would name a leader
+        that it was cut off from for ever.
+        """
+        silence = self.clock.monotonic() - self.last_heard
+        longest = self.cfg.election_seconds * self.cfg.election_spread
+        if self.role is not Role.LEADER and silence > longest:
+            return ""
+        return self.leader
+
     def quorum_heard_since(self, moment: float) -> bool:
         """Return whether a majority answered a request sent at or after `moment`."""
         heard = 0
--- a/tests/consensus/test_returning_leader.py
+++ b/tests/consensus/test_returning_leader.py
@@ -6,6 +6,22 @@
 from tests.consensus.bench import Bench, entries
 
 
+class KnownLeaderTest(TestCase):
+    def test_a_leader_that_is_silent_is_not_named_any_more(self):
+        """A learner in a data centre that is cut off stands for no election."""
+        bench = Bench(founder=False)
+        bench.append(entries(1, 1), term=1, leader="b")
+        self.assertEqual("b", bench.replica.status().leader)
+        bench.clock.advance(bench.cfg.election_seconds * bench.cfg.election_spread)
+        bench.clock.advance(0.01)
+        self.assertEqual("", bench.replica.status().leader)
+
+    def test_a_leader_names_itself(self):
+        bench = Bench().lead()
+        bench.clock.advance(60.0)
+        self.assertEqual("a", bench.replica.status().leader)
+
+
 class ReturningLeaderTest(TestCase):
     def ask_at_once(self, bench):
         bench.clock.advance(bench.cfg.return_seconds + 0.01)
