An order that ends forgets only its own run

Found by reading: when a stop of run 1 was repeated while run 2 of the same task was ordered on the same worker, the end of the first order also forgot the second, and the next hold could take run 2 for missing and stop it. Work was lost, no rule broken. Test first failed.

--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -205,7 +205,8 @@
 
     def _drop(self, order: _Order) -> None:
         with self._lock:
-            self._pending.pop(order.key, None)
+            if self._pending.get(order.key) == order.number:
+                del self._pending[order.key]
 
     def _may_send(self) -> bool:
         return not self._closed.is_set() and self._may_order()
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -274,6 +274,14 @@
         self.assertEqual([JOB, OTHER_JOB, JOB], starts)
         self.assertTrue(self.session.is_usable())
 
+    def test_an_old_order_of_a_task_leaves_its_next_run_alone(self):
+        """A stop of run 1 ends after run 2 has been ordered on the same worker."""
+        sender = self.session._sender
+        sender.order_stop(KEY, 1)
+        sender.order_start(run(number=2))
+        sender._try_first(sender._orders.get())
+        self.assertEqual({KEY}, sender.pending())
+
     def test_a_worker_that_leaves_two_orders_unanswered_gets_nothing_new(self):
         self.bench.accept(job(OTHER_JOB))
         self.link.cut = True
