Upkeep under way, the largest machine and answered stops are each worked out in one place

Reading the change: the machines whose upkeep is under way were derived in two places, in one of them anew for each machine of a wave; the largest machine was looked for beside the fleet that has it; two loops skipped runs whose stop was answered.

--- a/arbutuscleat/execution/machine_keeper.py
+++ b/arbutuscleat/execution/machine_keeper.py
@@ -145,7 +145,7 @@
         """Take upkeep that a former leader may just have ordered as under way."""
         with self._table.lock:
             for wave in self._table.waves.values():
-                for machine in wave.ordered - wave.finished:
+                for machine in wave.under_way():
                     self._watch.note_upkeep(machine)
 
     def _turn(self, machines: list[MachineState]) -> None:
@@ -156,7 +156,7 @@
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
         standby, demands = self._demands()
-        machine_cpu = max((item.cpu for item in machines), default=0)
+        machine_cpu = 0 if self.fleet is None else self.fleet.most_cpu
         short = is_short(demands.values(), machine_cpu)
         for wave in waves:
             wanted |= self._plan_wave(wave, by_name, short)
@@ -252,7 +252,7 @@
         standby: str,
         demands: dict[str, Demand],
     ) -> set[str]:
-        in_wave = {m for w in waves for m in w.machines if m in w.ordered - w.finished}
+        in_wave = {machine for wave in waves for machine in wave.under_way()}
         pool = [
             PoolMachine(
                 machine=item.machine,
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -284,10 +284,13 @@
                 for key, number in listed.items()
                 if not self._table.is_wanted(key, number)
             ]
+        for key, number in self._not_stopped(unwanted):
+            self.order_stop(key, number)
+
+    def _not_stopped(self, runs: list[Run]) -> list[Run]:
+        """Return those whose stop has not been answered yet."""
         stopped = self._sender.stopped()
-        for key, number in unwanted:
-            if stopped.get(key) != number:
-                self.order_stop(key, number)
+        return [(key, number) for key, number in runs if stopped.get(key) != number]
 
     def _stop_stalled(self, answer: HoldAnswer) -> None:
         """Stop tasks that stand still; nothing new starts beside them for a while."""
@@ -301,10 +304,7 @@
         stalled = self._stalls.look(progressing, self._clock.monotonic())
         if stalled:
             self._contact.pause(STALLED_SECONDS)
-        stopped = self._sender.stopped()
-        for key, number in stalled:
-            if stopped.get(key) == number:
-                continue
+        for key, number in self._not_stopped(stalled):
             logging.info(
                 "run %d of %s at %s stands still and is stopped",
                 number,
--- a/arbutuscleat/jobs/wave.py
+++ b/arbutuscleat/jobs/wave.py
@@ -22,6 +22,10 @@
         self.ordered: set[str] = set(record.ordered or ())
         self.finished: set[str] = set(record.finished or ())
 
+    def under_way(self) -> set[str]:
+        """Return the machines whose upkeep may be ordered and is not known as begun."""
+        return self.ordered - self.finished
+
     def is_complete(self) -> bool:
         """Return whether the upkeep of every machine is over."""
         return self.finished >= set(self.machines)
