Leader load: where the leader's time goes

LeaderLoad serves the durations of plans, commits of starts, starts, lists and iterations of the machine controller and moves as leader_seconds{operation}, and logs a line every two seconds with the share of a core used.

--- a/arbutuscleat/execution/__init__.py
+++ b/arbutuscleat/execution/__init__.py
@@ -1,6 +1,7 @@
 """Execution of jobs by the leader: dispatch to workers and control of machines."""
 
 from .executor import Executor
+from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .machine_controller import MachineController
 from .provider import MachineOrderOutcome, MachineState, Provider
@@ -22,6 +23,7 @@
     "FinishedRun",
     "HoldAnswer",
     "HoldOrder",
+    "LeaderLoad",
     "MachineController",
     "MachineOrderOutcome",
     "MachineState",
--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -30,6 +30,7 @@
     WorkerRecord,
 )
 
+from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .session import WorkerSession
 from .worker_client import WorkerClient
@@ -69,6 +70,8 @@
         Source of time.
     limits : ExecutionLimits
         Lease durations and timeouts.
+    load : LeaderLoad, optional
+        Records where the leader's time goes.
 
     Attributes
     ----------
@@ -86,7 +89,9 @@
         planner: Planner,
         clock: Clock,
         limits: ExecutionLimits,
+        load: LeaderLoad | None = None,
     ):
+        self._load = LeaderLoad(clock) if load is None else load
         self._replica = replica
         self._table = table
         self._make_client = make_client
@@ -181,12 +186,14 @@
                 self._term = self._replica.term()
                 logging.info("leading term %d: sessions begin", self._term)
             self._plan_once()
+            self._load.log_if_due()
 
     def _plan_once(self) -> None:
         with self._table.lock:
-            self._reconcile_sessions()
-            views = self._views()
-            plan = self._planner.plan(self._table, views, self._clock.now_ms())
+            with self._load.timed("plan"):
+                self._reconcile_sessions()
+                views = self._views()
+                plan = self._planner.plan(self._table, views, self._clock.now_ms())
             self.plan_count += 1
             stops = self._take_due_stops()
             if not plan.runs and not stops:
@@ -203,7 +210,8 @@
 
     def _start_runs(self, runs: list[RunRecord]) -> None:
         command = JobCommand(starts=RunStarts(runs=runs))
-        result = self._replica.propose(encode(command), PROPOSE_TIMEOUT_SECONDS)
+        with self._load.timed("commit of starts"):
+            result = self._replica.propose(encode(command), PROPOSE_TIMEOUT_SECONDS)
         if not isinstance(result, Success):
             logging.warning("commit of %d run starts is not confirmed", len(runs))
             return
@@ -260,6 +268,7 @@
             self._clock,
             self._limits,
             former_lease_until,
+            self._load,
         )
         session.start()
         return session
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -31,6 +31,7 @@
 )
 
 from .executor import Executor
+from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .machine_leases import MachineLeases
 from .machine_tracker import MachineTracker
@@ -60,6 +61,8 @@
         Lease durations and timeouts.
     holder : str
         Name under which this process sends orders.
+    load : LeaderLoad, optional
+        Records the duration of an iteration and of a move.
     """
 
     def __init__(
@@ -71,7 +74,9 @@
         clock: Clock,
         limits: ExecutionLimits,
         holder: str,
+        load: LeaderLoad | None = None,
     ):
+        self._load = LeaderLoad(clock) if load is None else load
         self._replica = replica
         self._table = table
         self._executor = executor
@@ -86,6 +91,8 @@
         self._demand_history = DemandHistory()
         self._moving: dict[str, str] = {}
         """Target service of each machine that is being drained for a move."""
+        self._planned_at: dict[str, float] = {}
+        """Monotonic time at which each of these moves was planned."""
         self.fleet: FleetCapacity | None = None
         """Capacity of all machines; None before the first list."""
 
@@ -114,9 +121,11 @@
             self._reset()
             self._term = self._replica.term()
             self._restore_upkeep()
-        machines = self._provider.machines()
+        with self._load.timed("list of machines"):
+            machines = self._provider.machines()
         if machines is not None:
-            self._reconcile(machines)
+            with self._load.timed("machine iteration"):
+                self._reconcile(machines)
 
     def _may_order(self, machine: str) -> bool:
         """Return whether an order for a machine may be sent at this moment."""
@@ -280,6 +289,7 @@
         ]
         for move in self._pool_planner.plan(pool, demands, standby, self._may_park()):
             self._moving[move.machine] = move.service_name
+            self._planned_at[move.machine] = self._clock.monotonic()
             self._log_move(move, demands)
         return set(self._moving)
 
@@ -322,6 +332,8 @@
             service_name = self._moving[machine]
             outcome = self._provider.move(machine, service_name, self._term)
             if outcome is MachineOrderOutcome.DONE:
+                planned_at = self._planned_at[machine]
+                self._load.observe("move", self._clock.monotonic() - planned_at)
                 self._drainer.remove_worker(by_name[machine].worker_id)
             elif outcome in (MachineOrderOutcome.REFUSED, MachineOrderOutcome.BUSY):
                 del self._moving[machine]
--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -17,6 +17,7 @@
 from arbutuscleat.jobs import JobTable, TaskKey
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord
 
+from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .worker_client import (
     OrderAnswer,
@@ -49,6 +50,7 @@
     start: RunRecord | None
     key: TaskKey
     number: int
+    queued_at: float = 0.0
 
 
 class OrderSender:
@@ -74,6 +76,8 @@
         Source of time.
     limits : ExecutionLimits
         Timeouts of calls.
+    load : LeaderLoad
+        Records the time from the commit of a start to its answer.
     """
 
     def __init__(
@@ -87,7 +91,9 @@
         status: WorkerStatus,
         clock: Clock,
         limits: ExecutionLimits,
+        load: LeaderLoad,
     ):
+        self._load = load
         self._worker_id = worker_id
         self._client = client
         self._fence = fence
@@ -124,7 +130,7 @@
         key = TaskKey.of(run)
         with self._lock:
             self._pending[key] = run.number
-        self._orders.put(_Order(run, key, run.number))
+        self._orders.put(_Order(run, key, run.number, self._clock.monotonic()))
 
     def order_stop(self, key: TaskKey, number: int) -> None:
         """Queue the stop of a run, unless an order for this run is pending."""
@@ -250,6 +256,8 @@
         )
         if not self._record_answer(answer):
             return False
+        if not is_retry:
+            self._load.observe("start", self._clock.monotonic() - order.queued_at)
         if answer.outcome is not OrderOutcome.DONE:
             self._handle_rejection(order, answer.outcome, is_retry)
         return True
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -24,6 +24,7 @@
     WorkerRecord,
 )
 
+from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .order_sender import OrderSender, Run
 from .run_end_recorder import Propose, RunEndRecorder
@@ -86,6 +87,8 @@
     former_lease_until : float
         Monotonic time in seconds by which all leases granted by former leaders have
         expired.
+    load : LeaderLoad, optional
+        Records the time from the commit of a start to its answer.
 
     Attributes
     ----------
@@ -108,6 +111,7 @@
         clock: Clock,
         limits: ExecutionLimits,
         former_lease_until: float,
+        load: LeaderLoad | None = None,
     ):
         self.worker_id: str = record.worker_id
         self.incarnation = (record.worker_id, record.born_ms)
@@ -130,6 +134,7 @@
             self._status,
             clock,
             limits,
+            LeaderLoad(clock) if load is None else load,
         )
         self._wake = threading.Condition()
         self._closed = threading.Event()
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -24,6 +24,7 @@
 from arbutuscleat.execution import (
     ExecutionLimits,
     Executor,
+    LeaderLoad,
     MachineController,
     Provider,
 )
@@ -169,6 +170,8 @@
             service,
             lambda: self._replica.status().leader,
         )
+        self.metrics = Metrics()
+        load = LeaderLoad(clock, self.metrics)
         self._executor = Executor(
             self._replica,
             self._table,
@@ -176,6 +179,7 @@
             Planner(),
             clock,
             cfg.limits,
+            load,
         )
         self._machine_controller: MachineController | None = None
         if provider is not None:
@@ -187,6 +191,7 @@
                 clock,
                 cfg.limits,
                 cfg.host,
+                load,
             )
         self._joiner = Joiner(
             self._replica,
@@ -203,7 +208,6 @@
             MAX_HEADER_BYTES,
             MAX_BODY_BYTES,
         )
-        self.metrics = Metrics()
         control_metrics = ControlMetrics(
             self._replica, self._table, self._executor, clock
         )
