--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -72,6 +72,8 @@
         Lease durations and timeouts.
     load : LeaderLoad, optional
         Records where the leader's time goes.
+    start_threads : bool, default=True
+        Whether sessions run their own threads; otherwise the caller runs their steps.
 
     Attributes
     ----------
@@ -90,7 +92,9 @@
         clock: Clock,
         limits: ExecutionLimits,
         load: LeaderLoad | None = None,
+        start_threads: bool = True,
     ):
+        self._start_threads = start_threads
         self._load = LeaderLoad(clock) if load is None else load
         self._replica = replica
         self._table = table
@@ -174,19 +178,23 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            if not self._replica.leads():
-                if self.sessions:
-                    logging.info("lost the leadership, closing all worker sessions")
-                    self._close_sessions()
-                self._term = -1
-                self._clock.sleep(self._stopping, FOLLOWER_POLL_SECONDS)
-                continue
-            if self._replica.term() != self._term:
+            self.run_once()
+
+    def run_once(self) -> None:
+        """Run one iteration of the loop."""
+        if not self._replica.leads():
+            if self.sessions:
+                logging.info("lost the leadership, closing all worker sessions")
                 self._close_sessions()
-                self._term = self._replica.term()
-                logging.info("leading term %d: sessions begin", self._term)
-            self._plan_once()
-            self._load.log_if_due()
+            self._term = -1
+            self._clock.sleep(self._stopping, FOLLOWER_POLL_SECONDS)
+            return
+        if self._replica.term() != self._term:
+            self._close_sessions()
+            self._term = self._replica.term()
+            logging.info("leading term %d: sessions begin", self._term)
+        self._plan_once()
+        self._load.log_if_due()
 
     def _plan_once(self) -> None:
         with self._table.lock:
@@ -270,7 +278,8 @@
             former_lease_until,
             self._load,
         )
-        session.start()
+        if self._start_threads:
+            session.start()
         return session
 
     def _close_sessions(self) -> None:
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -1,4 +1,6 @@
-"""Tests of maintenance waves after a change of leader."""
+"""Tests of maintenance waves after a change of leader, and of pool moves."""
+
+import threading
 
 from testtools import TestCase
 
@@ -11,14 +13,28 @@
     WaveRecord,
 )
 from tests.fakes import ManualClock
-from tests.fakes.jobs import JobTableHarness
+from tests.fakes.jobs import JobTableHarness, job, step
 from tests.fakes.provider import FakeProvider
 
 LIMITS = ExecutionLimits()
 CAP = 2
+ORDERS_AT_ONCE = 4
+BARRIER_SECONDS = 5.0
 MACHINES = [f"m{number}" for number in range(6)]
 
 
+class ConcurrentProvider(FakeProvider):
+    """Answers a move only once several moves have been sent."""
+
+    def __init__(self, names, service_name):
+        super().__init__(names, service_name)
+        self.barrier = threading.Barrier(ORDERS_AT_ONCE)
+
+    def move(self, machine, service_name, fence):
+        self.barrier.wait(BARRIER_SECONDS)
+        return super().move(machine, service_name, fence)
+
+
 class FakeReplica:
     """A replica whose leadership is set by the test."""
 
@@ -67,11 +83,14 @@
         self.harness = JobTableHarness()
         self.provider = FakeProvider(MACHINES)
         self.replica = FakeReplica(self.clock)
-        self.controller = MachineController(
+        self.controller = self.make_controller(self.provider)
+
+    def make_controller(self, provider):
+        return MachineController(
             self.replica,
             self.harness.table,
             FakeExecutor(self.harness),
-            self.provider,
+            provider,
             self.clock,
             LIMITS,
             "b",
@@ -157,3 +176,12 @@
         self.replica.lead()
         self.reconcile(2)
         self.assertTrue(len(set(self.provider.upkeeps)) <= CAP)
+
+    def test_orders_for_machines_do_not_wait_for_each_other(self):
+        """Guards against a pool that fills one order after another during a peak."""
+        provider = ConcurrentProvider(MACHINES[:ORDERS_AT_ONCE], "portal")
+        self.controller = self.make_controller(provider)
+        self.harness.accept(job(steps=[step(ORDERS_AT_ONCE, cpu=64_000)]))
+        self.replica.lead()
+        self.reconcile(2)
+        self.assertEqual(ORDERS_AT_ONCE, len(provider.moves))
