Limit the runs of a worker that fails whatever it starts

Cause: its capacity is free again at once, and its grade only orders the workers that have room. In a peak no other worker has any, so it received every waiting task, the tasks that it had failed included.

At most a third of a service's workers are limited, as more failing workers point to the jobs. A task that has failed waits for another worker if any other could hold it.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -7,7 +7,8 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 
 from absl import logging
 from returns.result import Success
@@ -44,6 +45,10 @@
 PROPOSE_TIMEOUT_SECONDS = 2.0
 """How long the loop waits for a proposal to be committed."""
 
+MAX_LIMITED_FRACTION = 0.34
+"""Largest fraction of a service's workers that circuit breakers may limit. If more
+workers fail their runs, the jobs are the likely cause."""
+
 READY_PERCENT = 100
 """Progress reported by a long-running task that has finished starting up."""
 
@@ -291,19 +296,39 @@
     def _views(self) -> dict[str, WorkerView]:
         """Return the workers with the capacity left by the runs in the table."""
         views = {}
+        limits: dict[str, dict[str, int]] = {}
         for worker_id, session in self.sessions.items():
             record = self._table.workers[worker_id]
             usable = session.is_usable() and not record.draining
             usable = usable and worker_id not in self._draining
             view = WorkerView(record, usable, session.grade())
+            finite_runs = 0
             for key in self._table.runs.get(session.incarnation, ()):
                 job = self._table.jobs.get(key.job_id)
                 if job is not None:
-                    view.reserve(job.steps[key.step], key[:3])
+                    step = job.steps[key.step]
+                    view.reserve(step, key[:3])
+                    finite_runs += not step.long_running
             views[worker_id] = view
+            limit = session.max_new_runs(finite_runs)
+            if limit is not None:
+                limits.setdefault(record.service_name, {})[worker_id] = limit
+        _limit_new_runs(views, limits)
         return views
 
 
+def _limit_new_runs(
+    views: Mapping[str, WorkerView], limits: Mapping[str, Mapping[str, int]]
+) -> None:
+    """Apply the limits of circuit breakers, given by service and worker id."""
+    workers = Counter(view.record.service_name for view in views.values())
+    for service_name, limit_by_worker in limits.items():
+        if len(limit_by_worker) > workers[service_name] * MAX_LIMITED_FRACTION:
+            continue
+        for worker_id, limit in limit_by_worker.items():
+            views[worker_id].max_new_runs = limit
+
+
 def _log_starts(runs: list[RunRecord]) -> None:
     """Log one line for each step that has tasks starting."""
     groups: dict[tuple[str, int, int], list[str]] = {}
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -24,6 +24,7 @@
     WorkerRecord,
 )
 
+from .failure_breaker import FailureBreaker
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .order_sender import OrderSender, Run
@@ -139,7 +140,7 @@
         self._wake = threading.Condition()
         self._closed = threading.Event()
         self._acknowledged = 0
-        self._consecutive_failures = 0
+        self._breaker = FailureBreaker(clock)
         self._has_missing_runs = False
         self._stall_detector = StallDetector()
         self.running: tuple[RunningTask, ...] = ()
@@ -170,7 +171,17 @@
 
     def grade(self) -> int:
         """Return the number of consecutive failed runs, at most 3."""
-        return min(self._consecutive_failures, 3)
+        return self._breaker.grade()
+
+    def max_new_runs(self, running: int) -> int | None:
+        """Return how many runs may be scheduled on the worker; None for any number.
+
+        Parameters
+        ----------
+        running : int
+            Number of runs on the worker that end by themselves.
+        """
+        return self._breaker.max_new_runs(running)
 
     def order_start(self, run: RunRecord) -> None:
         """Queue the start of a run that is committed to the log."""
@@ -296,12 +307,19 @@
         self._acknowledged = max(end.position for end in new_ends)
         for end in new_ends:
             if end.outcome is RunOutcome.DONE:
-                self._consecutive_failures = 0
+                self._breaker.record_success()
             elif end.outcome is RunOutcome.FAILED:
-                self._consecutive_failures += 1
+                self._record_failure(end.key)
             self._sender.clear_stop(end.key, end.number)
         return True
 
+    def _record_failure(self, key: TaskKey) -> None:
+        if self._breaker.record_failure(key.job_id):
+            logging.info(
+                "worker %s fails every run: no new ones for now, then one at a time",
+                self.worker_id,
+            )
+
     def _stop_unwanted(self, listed: dict[TaskKey, int]) -> None:
         with self._table.lock:
             unwanted = [
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -204,8 +204,13 @@
         workers: Sequence[WorkerView],
         rack: str,
     ) -> WorkerView | None:
+        """Return the worker for a task, or None if it has to wait.
+
+        A task that has failed waits for another worker rather than use up its next
+        attempt on the same one.
+        """
         best = None
-        best_rank: tuple[int, bool, bool, int] | None = None
+        best_rank: tuple[bool, int, bool, int] | None = None
         group = task.key[:3]
         for view in workers:
             if not view.accepts(step, group):
@@ -214,11 +219,14 @@
                 task.failures > 0 and task.incarnation[0] == view.record.worker_id
             )
             rank = (
-                view.grade,
                 failed_here,
+                view.grade,
                 bool(rack) and view.rack != rack,
                 view.cpu,
             )
             if best_rank is None or rank < best_rank:
                 best, best_rank = view, rank
+        if best_rank is not None and best_rank[0]:
+            if any(view is not best and view.could_hold(step) for view in workers):
+                return None
         return best
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -31,9 +31,21 @@
         The worker's rack; empty if unknown.
     counts : dict
         Number of tasks on the worker by job, occurrence and step.
+    max_new_runs : int or None
+        Number of further runs that may be scheduled; None for any number.
     """
 
-    __slots__ = ("record", "usable", "grade", "cpu", "mem_mb", "gpu", "rack", "counts")
+    __slots__ = (
+        "record",
+        "usable",
+        "grade",
+        "cpu",
+        "mem_mb",
+        "gpu",
+        "rack",
+        "counts",
+        "max_new_runs",
+    )
 
     def __init__(self, record: WorkerRecord, usable: bool, grade: int):
         self.record = record
@@ -44,6 +56,7 @@
         self.gpu: int = record.gpu
         self.rack = rack_of(record.labels or ())
         self.counts: dict[tuple[str, int, int], int] = {}
+        self.max_new_runs: int | None = None
 
     @property
     def incarnation(self) -> WorkerIncarnation:
@@ -60,12 +73,24 @@
 
     def accepts(self, step: StepRecord, group: tuple[str, int, int]) -> bool:
         """Return whether the label, spread and capacity allow one more task."""
+        if self.max_new_runs == 0:
+            return False
         if step.required_label and step.required_label not in self.record.labels:
             return False
         if step.spread_limit and self.counts.get(group, 0) >= step.spread_limit:
             return False
         return self.fits(step)
 
+    def could_hold(self, step: StepRecord) -> bool:
+        """Return whether the worker could run a task of `step` if it was idle."""
+        return (
+            self.max_new_runs != 0
+            and (not step.required_label or step.required_label in self.record.labels)
+            and (step.fills or step.cpu <= self.record.cpu)
+            and step.mem_mb <= self.record.mem_mb
+            and step.gpu <= self.record.gpu
+        )
+
     def reserve(self, step: StepRecord, group: tuple[str, int, int]) -> None:
         """Reserve capacity for one more task of `step`.
 
@@ -81,6 +106,8 @@
         self.mem_mb -= step.mem_mb
         self.gpu -= step.gpu
         self.counts[group] = self.counts.get(group, 0) + 1
+        if self.max_new_runs is not None:
+            self.max_new_runs -= 1
 
     def release(self, step: StepRecord, group: tuple[str, int, int]) -> None:
         """Undo `reserve`."""
@@ -89,6 +116,8 @@
         self.mem_mb += step.mem_mb
         self.gpu += step.gpu
         self.counts[group] -= 1
+        if self.max_new_runs is not None:
+            self.max_new_runs += 1
 
 
 def rack_of(labels: Iterable[str]) -> str:
