A worker that is being removed does not end the machine controller

'thread machines failed ... KeyError' in Executor._views.

Cause: movable_tasks reads the sessions from the controller's thread. A worker removed from the table since the executor last reconciled its sessions has a session and no record. The same class elsewhere: _order_upkeep looked up a machine that the provider's list no longer has if a move of it was planned.

Also: unit tests of the circuit breaker.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -298,7 +298,9 @@
         views = {}
         limits: dict[str, dict[str, int]] = {}
         for worker_id, session in self.sessions.items():
-            record = self._table.workers[worker_id]
+            record = self._table.workers.get(worker_id)
+            if record is None:
+                continue  # Removed since the sessions were last reconciled.
             usable = session.is_usable() and not record.draining
             usable = usable and worker_id not in self._draining
             view = WorkerView(record, usable, session.grade())
@@ -313,11 +315,11 @@
             limit = session.max_new_runs(finite_runs)
             if limit is not None:
                 limits.setdefault(record.service_name, {})[worker_id] = limit
-        _limit_new_runs(views, limits)
+        limit_new_runs(views, limits)
         return views
 
 
-def _limit_new_runs(
+def limit_new_runs(
     views: Mapping[str, WorkerView], limits: Mapping[str, Mapping[str, int]]
 ) -> None:
     """Apply the limits of circuit breakers, given by service and worker id."""
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -16,7 +16,7 @@
 from absl import logging
 
 from arbutuscleat.consensus import Replica
-from arbutuscleat.core import Clock
+from arbutuscleat.core import Clock, InvariantError
 from arbutuscleat.jobs import JobTable, Wave
 from arbutuscleat.scheduling import (
     Demand,
@@ -119,7 +119,16 @@
 
     def _run(self) -> None:
         while not self._clock.sleep(self._stopping, POLL_SECONDS):
+            self.run_once()
+
+    def run_once(self) -> None:
+        """Run one iteration; if it fails, the next one begins with a new list."""
+        try:
             self.reconcile_once()
+        except InvariantError:
+            raise
+        except Exception:
+            logging.exception("an iteration of the machine controller failed")
 
     def reconcile_once(self) -> None:
         """Run one iteration: list the machines and send the orders that are due."""
@@ -231,8 +240,8 @@
         for machine in wave.machines:
             if machine not in to_drain or machine in wave.finished:
                 continue
-            state = by_name[machine]
-            if not state.is_up:
+            state = by_name.get(machine)
+            if state is None or not state.is_up:
                 continue
             if self._drainer.is_drained(state.worker_id):
                 ready.append(machine)
--- a/tests/execution/test_failing_worker.py
+++ b/tests/execution/test_failing_worker.py
@@ -4,8 +4,9 @@
 
 from arbutuscleat.emulator.worker_model import WorkerModel
 from arbutuscleat.execution import ExecutionLimits, Executor
+from arbutuscleat.execution.executor import limit_new_runs
 from arbutuscleat.jobs import JobPhase, RunOutcome
-from arbutuscleat.scheduling import Planner
+from arbutuscleat.scheduling import Planner, WorkerView
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JobTableHarness, job, step, worker
 from tests.fakes.replica import HarnessReplica
@@ -68,3 +69,18 @@
         self.play()
         share = len(self.models[FAILING].started) / len(self.harness.table.jobs)
         self.assertTrue(share < 0.05, share)
+
+
+class LimitedWorkersTest(TestCase):
+    def limits(self, failing, count):
+        names = [f"w{number}" for number in range(count)]
+        views = {name: WorkerView(worker(name), True, 0) for name in names}
+        limit_new_runs(views, {"karachi": {name: 0 for name in names[:failing]}})
+        return [views[name].max_new_runs for name in names]
+
+    def test_a_third_of_a_service_may_be_limited(self):
+        self.assertEqual([0, None, None], self.limits(1, 3))
+
+    def test_more_failing_workers_are_not_limited_at_all(self):
+        self.assertEqual([None, None, None], self.limits(2, 3))
+        self.assertEqual([None], self.limits(1, 1))
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -186,3 +186,16 @@
         self.replica.lead()
         self.reconcile(2)
         self.assertEqual(ORDERS_AT_ONCE, len(provider.moves))
+
+    def test_a_failed_iteration_does_not_end_the_controller(self):
+        """Guards against waves and moves that stop for good under one leader."""
+        self.add_wave()
+        self.replica.lead()
+        machines = self.provider.machines
+        self.provider.machines = lambda: 1 / 0
+        with self.assertLogs("absl", "ERROR"):
+            self.controller.run_once()
+        self.provider.machines = machines
+        for _ in range(4):
+            self.controller.run_once()
+        self.assertEqual(CAP, len(self.provider.upkeeps))
