--- /dev/null
+++ b/tests/platform/test_http_calls.py
@@ -0,0 +1,91 @@
+"""Tests of the adapter's HTTP client against a scripted server."""
+
+import socket
+import threading
+
+from berthline.http_calls import HttpCalls
+from testtools import TestCase
+
+from arbutuscleat.wire import Address
+
+TIMEOUT = 5.0
+SHORT_TIMEOUT = 0.2
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ok": 1}'
+CUT_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ok'
+LAST_ANSWER = ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
+
+
+class ScriptedServer:
+    """Answers the requests of each connection from its script, then closes it.
+
+    Parameters
+    ----------
+    scripts : list of list of bytes or None
+        The answers on each connection, in the order of acceptance. None: no answer.
+    """
+
+    def __init__(self, scripts):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self.listener.getsockname()[1])
+        self.requests = []
+        self.closed = threading.Event()
+        self.finish = threading.Event()
+        threading.Thread(target=self.run, args=(scripts,), daemon=True).start()
+
+    def run(self, scripts):
+        for script in scripts:
+            conn, _ = self.listener.accept()
+            with conn:
+                for answer in script:
+                    self.requests.append(conn.recv(65_536))
+                    if answer is None:
+                        self.finish.wait(TIMEOUT)
+                    else:
+                        conn.sendall(answer)
+            self.closed.set()
+
+
+class HttpCallsTest(TestCase):
+    def serve(self, *scripts):
+        server = ScriptedServer(scripts)
+        self.addCleanup(server.listener.close)
+        self.addCleanup(server.finish.set)
+        calls = HttpCalls(server.address, {"X-Caller": "test"})
+        self.addCleanup(calls.close)
+        return server, calls
+
+    def call(self, calls, timeout=TIMEOUT):
+        return calls.call("POST", "/v1/hold", {"wait-ms": 1}, timeout)
+
+    def test_a_connection_is_used_again(self):
+        server, calls = self.serve([ANSWER, ANSWER])
+        results = [self.call(calls), self.call(calls)]
+        self.assertEqual([(200, {"ok": 1})] * 2, [(r.status, r.tree) for r in results])
+        self.assertIn(b"X-Caller: test", server.requests[1])
+
+    def test_an_idle_connection_closed_by_its_server_is_replaced(self):
+        server, calls = self.serve([ANSWER], [ANSWER])
+        self.call(calls)
+        server.closed.wait(TIMEOUT)
+        self.assertEqual(200, self.call(calls).status)
+
+    def test_a_connection_whose_server_announces_its_end_is_not_kept(self):
+        _, calls = self.serve([LAST_ANSWER], [ANSWER])
+        self.assertEqual([200, 200], [self.call(calls).status for _ in range(2)])
+
+    def test_a_late_answer_is_not_read_as_that_of_the_next_call(self):
+        server, calls = self.serve([None], [ANSWER])
+        result = self.call(calls, SHORT_TIMEOUT)
+        self.assertEqual((0, True), (result.status, result.sent))
+        server.finish.set()
+        self.assertEqual(200, self.call(calls).status)
+
+    def test_an_answer_that_is_cut_off_is_none(self):
+        _, calls = self.serve([CUT_ANSWER])
+        result = self.call(calls)
+        self.assertEqual((0, {}, True), (result.status, result.tree, result.sent))
+
+    def test_a_refused_connection_has_sent_nothing(self):
+        server, calls = self.serve()
+        server.listener.close()
+        self.assertFalse(self.call(calls).sent)
