--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -19,9 +19,10 @@
 single iteration of the machine controller, so that a new leader can move machines
 almost immediately."""
 
-MAX_PARKED_PER_PLAN = 2
-"""Machines parked in one plan. A new leader cannot order a machine for some seconds
-after an order of its predecessor, so not all idle machines are ordered together."""
+MAX_PARKED_FRACTION = 0.05
+"""Largest fraction of all machines that one plan parks, but at least one machine. A
+new leader cannot order a machine for some seconds after an order of its predecessor,
+so not all idle machines are ordered together."""
 
 HEADROOM_FRACTION = 0.35
 """Headroom for work that arrives during a move, as a fraction of the running and
@@ -183,7 +184,8 @@
                 moves.append(Move(found.machine, name))
         if standby and may_park:
             idle = [i for i in surplus if i.idle_seconds >= IDLE_BEFORE_PARK_SECONDS]
-            moves.extend(self._park(idle, needed, have, standby))
+            at_most = max(1, int(len(machines) * MAX_PARKED_FRACTION))
+            moves.extend(self._park(idle, needed, have, standby, at_most))
         return moves
 
     def _machines_needed(self, demand: Demand, pool: Sequence[PoolMachine]) -> int:
@@ -218,10 +220,11 @@
         needed: Mapping[str, int],
         have: dict[str, int],
         standby: str,
+        at_most: int,
     ) -> list[Move]:
         moves: list[Move] = []
         for item in surplus:
-            if len(moves) >= MAX_PARKED_PER_PLAN:
+            if len(moves) >= at_most:
                 break
             if have[item.service_name] > needed[item.service_name]:
                 have[item.service_name] -= 1
