--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -20,9 +20,12 @@
 almost immediately."""
 
 MAX_PARKED_FRACTION = 0.05
-"""Largest fraction of all machines that one plan parks, but at least one machine. A
-new leader cannot order a machine for some seconds after an order of its predecessor,
-so not all idle machines are ordered together."""
+"""Largest fraction of all machines that one plan parks. A new leader cannot order a
+machine for some seconds after an order of its predecessor, so not all idle machines are
+ordered together."""
+
+MIN_PARKED_PER_PLAN = 2
+"""Machines that one plan may park however few there are."""
 
 HEADROOM_FRACTION = 0.35
 """Headroom for work that arrives during a move, as a fraction of the running and
@@ -184,7 +187,7 @@
                 moves.append(Move(found.machine, name))
         if standby and may_park:
             idle = [i for i in surplus if i.idle_seconds >= IDLE_BEFORE_PARK_SECONDS]
-            at_most = max(1, int(len(machines) * MAX_PARKED_FRACTION))
+            at_most = max(MIN_PARKED_PER_PLAN, int(len(machines) * MAX_PARKED_FRACTION))
             moves.extend(self._park(idle, needed, have, standby, at_most))
         return moves
 
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -1,7 +1,10 @@
 from testtools import TestCase
 
 from arbutuscleat.scheduling import Demand, PoolMachine, PoolPlanner, has_shortage
-from arbutuscleat.scheduling.pool_planner import MAX_PARKED_PER_PLAN
+from arbutuscleat.scheduling.pool_planner import (
+    MAX_PARKED_FRACTION,
+    MIN_PARKED_PER_PLAN,
+)
 
 SIZE = 64_000
 
@@ -56,7 +59,13 @@
     def test_idle_machines_are_parked_a_few_at_a_time(self):
         """If the leader is lost, its successor can still order the other machines."""
         machines = [machine(f"k{i}", "karachi") for i in range(20)]
-        self.assertEqual(MAX_PARKED_PER_PLAN, len(plan(machines, karachi=Demand())))
+        self.assertEqual(MIN_PARKED_PER_PLAN, len(plan(machines, karachi=Demand())))
+
+    def test_parking_keeps_up_with_the_number_of_machines(self):
+        """Guards against pools of a large fleet that stay up long after a peak."""
+        machines = [machine(f"k{i}", "karachi") for i in range(400)]
+        expected = int(len(machines) * MAX_PARKED_FRACTION)
+        self.assertEqual(expected, len(plan(machines, karachi=Demand())))
 
     def test_unavailable_machines_do_not_move(self):
         kept = {
