An order for a machine that raises counts as executed

If one order of a batch raised, the outcomes of the others were dropped, upkeep under way among them, so the next iteration could take down more machines than the wave's cap until the provider's list shows them. An order that raises is logged and its outcome is UNKNOWN, as it may have arrived. The threads end with the loop, not while it may still use them. test_an_order_that_raises_counts_as_executed failed before.

--- a/arbutuscleat/execution/failure_breaker.py
+++ b/arbutuscleat/execution/failure_breaker.py
@@ -12,7 +12,7 @@
 from arbutuscleat.core import Clock
 
 MAX_FAILED_JOBS = 3
-"""Number of jobs that may fail in a row: most sound workers never fail two."""
+"""Number of jobs in a row that open the breaker. Sound workers rarely fail two."""
 
 STREAK_SECONDS = 5.0
 """Failures further apart than this do not belong to one row: long-running tasks may
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -113,13 +113,13 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop the reconcile loop; orders that are not sent yet are dropped."""
+        """Stop the reconcile loop."""
         self._stopping.set()
-        self._order_pool.shutdown(wait=False, cancel_futures=True)
 
     def _run(self) -> None:
         while not self._clock.sleep(self._stopping, POLL_SECONDS):
             self.run_once()
+        self._order_pool.shutdown(wait=False)
 
     def run_once(self) -> None:
         """Run one iteration; if it fails, the next one begins with a new list."""
@@ -276,7 +276,15 @@
 
         The outcome is None for an order that was not sent.
         """
-        outcomes = self._order_pool.map(order, machines)
+
+        def send(machine: str) -> MachineOrderOutcome | None:
+            try:
+                return order(machine)
+            except Exception:
+                logging.exception("the order for machine %s failed", machine)
+                return MachineOrderOutcome.UNKNOWN
+
+        outcomes = self._order_pool.map(send, machines)
         return list(zip(machines, outcomes, strict=True))
 
     def _advance(self, wave: Wave, machine: str, finished: bool) -> bool:
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -187,6 +187,25 @@
         self.reconcile(2)
         self.assertEqual(ORDERS_AT_ONCE, len(provider.moves))
 
+    def test_an_order_that_raises_counts_as_executed(self):
+        """Guards against more than the cap under upkeep after a failed call."""
+        self.add_wave()
+        upkeep = self.provider.upkeep
+        failing = set(MACHINES[:1])
+
+        def raise_after_order(machine, wave, fence):
+            upkeep(machine, wave, fence)
+            if machine in failing:
+                self.provider.set(machine, is_up=True, in_upkeep=False)
+                raise OSError("connection lost")
+            return MachineOrderOutcome.DONE
+
+        self.provider.upkeep = raise_after_order
+        self.replica.lead()
+        with self.assertLogs("absl", "ERROR"):
+            self.reconcile(4)
+        self.assertEqual(MACHINES[:CAP], sorted(set(self.provider.upkeeps)))
+
     def test_a_failed_iteration_does_not_end_the_controller(self):
         """Guards against waves and moves that stop for good under one leader."""
         self.add_wave()
