--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -1,13 +1,11 @@
 from testtools import TestCase
 
 from arbutuscleat.emulator.worker_model import WorkerModel
-from arbutuscleat.execution import ExecutionLimits, Executor
 from arbutuscleat.jobs import RunOutcome
-from arbutuscleat.scheduling import Planner
 from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker
 from tests.fakes import ManualClock
+from tests.fakes.executor import make_executor, run_once
 from tests.fakes.jobs import JOB, JobTableHarness, job, step, worker
-from tests.fakes.replica import HarnessReplica
 
 
 class ExecutorTest(TestCase):
@@ -15,27 +13,13 @@
         super().setUp()
         self.clock = ManualClock()
         self.harness = JobTableHarness()
-        self.executor = Executor(
-            HarnessReplica(self.harness),
-            self.harness.table,
-            self.make_client,
-            Planner(),
-            self.clock,
-            ExecutionLimits(),
-            start_threads=False,
-        )
+        self.executor = make_executor(self.harness, self.clock, self.make_client)
 
     def make_client(self, record):
         return WorkerModel(
             self.clock, record.born_ms, lambda order: (None, RunOutcome.DONE)
         )
 
-    def run_once(self):
-        self.executor.run_once()
-        for session in self.executor.sessions.values():
-            session.send_queued_orders()
-            session.hold_once()
-
     def test_tasks_are_movable_while_another_worker_is_being_removed(self):
         """Guards against a lookup of a worker that was removed since the last plan."""
         for worker_id in ("w1", "w2", "w3"):
@@ -43,7 +27,7 @@
         steps = [step(1, long_running=True, may_miss=1)]
         self.harness.accept(job(steps=steps))
         for _ in range(3):
-            self.run_once()
+            run_once(self.executor)
         (place,) = {key for key in self.harness.table.runs}
         others = {"w1", "w2", "w3"} - {place[0]}
         removed = RemoveWorker(worker_id=min(others), born_ms=5)
--- a/tests/execution/test_failing_worker.py
+++ b/tests/execution/test_failing_worker.py
@@ -3,13 +3,12 @@
 from testtools import TestCase
 
 from arbutuscleat.emulator.worker_model import WorkerModel
-from arbutuscleat.execution import ExecutionLimits, Executor
 from arbutuscleat.execution.executor import limit_new_runs
 from arbutuscleat.jobs import JobPhase, RunOutcome
-from arbutuscleat.scheduling import Planner, WorkerView
+from arbutuscleat.scheduling import WorkerView
 from tests.fakes import ManualClock
+from tests.fakes.executor import make_executor, run_once
 from tests.fakes.jobs import JobTableHarness, job, step, worker
-from tests.fakes.replica import HarnessReplica
 
 SECONDS = 20.0
 STEP_SECONDS = 0.1
@@ -27,15 +26,7 @@
         self.models = {}
         for worker_id in [*SOUND, FAILING]:
             self.harness.apply(worker=worker(worker_id, cpu=8_000))
-        self.executor = Executor(
-            HarnessReplica(self.harness),
-            self.harness.table,
-            self.make_client,
-            Planner(),
-            self.clock,
-            ExecutionLimits(),
-            start_threads=False,
-        )
+        self.executor = make_executor(self.harness, self.clock, self.make_client)
 
     def make_client(self, record):
         self.models[record.worker_id] = WorkerModel(
@@ -54,10 +45,7 @@
             for extra in range(JOBS_PER_STEP):
                 job_id = f"{number * JOBS_PER_STEP + extra:016x}"
                 self.harness.accept(job(job_id, steps=[step(1)]))
-            self.executor.run_once()
-            for session in self.executor.sessions.values():
-                session.send_queued_orders()
-                session.hold_once()
+            run_once(self.executor)
             self.clock.advance(STEP_SECONDS)
 
     def test_no_job_fails_because_one_worker_fails_every_run(self):
--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -148,13 +148,17 @@
     def test_a_task_that_failed_waits_for_another_worker(self):
         """Guards against a worker that uses up all attempts of a task in a peak."""
         self.add_worker("w1", cpu=1_000)
-        self.add_worker("w2", cpu=1_000)
+        self.add_worker("w2", cpu=1_000, labels=["b", "r1"])
         self.harness.accept(job())
-        self.harness.accept(job(OTHER_JOB))
-        self.harness.start(run(worker_id="w1"), run(OTHER_JOB, worker_id="w2"))
+        self.harness.start(run(worker_id="w1"))
         self.harness.end(run(worker_id="w1"), RunOutcome.FAILED)
-        del self.workers["w2"]
+        steps = [step(1, long_running=True, required_label="b")]
+        self.harness.accept(job(OTHER_JOB, steps=steps))
+        self.assertEqual([(OTHER_JOB, 0, "w2")], self.placed())
+
+    def test_a_task_that_failed_on_the_only_worker_is_placed_there_again(self):
+        self.add_worker("w1")
+        self.harness.accept(job())
+        self.harness.start(run())
+        self.harness.end(run(), RunOutcome.FAILED)
         self.assertEqual([(JOB, 0, "w1")], self.placed())
-        self.add_worker("w3", cpu=1_000)
-        self.assertEqual([(JOB, 0, "w3")], self.placed())
-        self.harness.start(run(JOB, number=2, worker_id="w1"))
