Tests of the HTTP client: the scripted server reads whole requests

Cause: http.client sends a request in two parts, the headers and the body. The server of the test took each recv for a whole request. Where the parts arrived apart, it answered the body as if it were the second request, and closed the connection.

Change: the server reads the headers, then as many bytes as Content-Length gives, for all tests of the file. The checks are the same.

--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -1,7 +1,9 @@
 """Tests of the adapter's HTTP client against a scripted server."""
 
+import io
 import socket
 import threading
+from http.client import parse_headers
 
 from berthline.http_calls import HttpCalls
 from testtools import TestCase
@@ -15,6 +17,15 @@
 LAST_ANSWER = ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
 
 
+def read_request(reader):
+    """Return the bytes of one whole request, which may arrive in several parts."""
+    lines = [reader.readline()]
+    while lines[-1].strip():
+        lines.append(reader.readline())
+    headers = parse_headers(io.BytesIO(b"".join(lines[1:])))
+    return b"".join(lines) + reader.read(int(headers.get("Content-Length", 0)))
+
+
 class ScriptedServer:
     """Answers the requests of each connection from its script, then closes it.
 
@@ -35,9 +46,9 @@
     def run(self, scripts):
         for script in scripts:
             conn, _ = self.listener.accept()
-            with conn:
+            with conn, conn.makefile("rb") as reader:
                 for answer in script:
-                    self.requests.append(conn.recv(65_536))
+                    self.requests.append(read_request(reader))
                     if answer is None:
                         self.finish.wait(TIMEOUT)
                     else:
