Reasons of waiting tasks: log lines and gauges

The leader now checks once a second which steps have waiting tasks, since when, and for up to 32 of them, long-running ones first, which limit keeps them from each worker. Waits are logged after 2 s and whenever they have doubled, and counted in steps_waiting and steps_waiting_oldest_seconds by reason. Runs of long-running tasks that their worker does not list count as waits as well. Decisions are the same as before.

WorkerView.limit replaces accepts' three conditions and names the first that fails.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -19,6 +19,8 @@
 from arbutuscleat.scheduling import (
     Demand,
     Planner,
+    StepWaits,
+    WaitReason,
     WorkerView,
     movable_tasks,
     service_demands,
@@ -86,6 +88,8 @@
         Number of plans made so far.
     sessions : dict of str to WorkerSession
         The open session with each worker, by worker id.
+    step_waits : StepWaits
+        The steps with waiting tasks, by the latest check; guarded by the table's lock.
     """
 
     def __init__(
@@ -113,6 +117,7 @@
         self._draining: set[str] = set()
         self._moved: dict[TaskKey, int] = {}
         self.plan_count = 0
+        self.step_waits = StepWaits()
         self.sessions: dict[str, WorkerSession] = {}
         self._thread = threading.Thread(target=self._run, name="executor", daemon=True)
 
@@ -207,6 +212,7 @@
                 self._reconcile_sessions()
                 views = self._views()
                 plan = self._planner.plan(self._table, views, self._clock.now_ms())
+            self._check_waits(views)
             self.plan_count += 1
             stops = self._take_due_stops()
             if not plan.runs and not stops:
@@ -221,6 +227,28 @@
         if plan.runs:
             self._start_runs(plan.runs)
 
+    def _check_waits(self, views: Mapping[str, WorkerView]) -> None:
+        """Observe the tasks that the plan has left waiting, if a check is due."""
+        now = self._clock.monotonic()
+        if self.step_waits.is_due(now):
+            with self._load.timed("check of waits"):
+                self.step_waits.check(
+                    self._table, views, self._unlisted(), now, self._clock.now_ms()
+                )
+
+    def _unlisted(self) -> list[TaskKey]:
+        """Return the long-running tasks with a run that its worker does not list."""
+        found = []
+        for session in self.sessions.values():
+            runs = self._table.runs.get(session.incarnation, {})
+            listed = {(task.key, task.number) for task in session.running}
+            for key, task in runs.items():
+                job = self._table.active.get(key.job_id)
+                if job is not None and job.steps[key.step].long_running:
+                    if (key, task.number) not in listed:
+                        found.append(key)
+        return found
+
     def _start_runs(self, runs: list[RunRecord]) -> None:
         command = JobCommand(starts=RunStarts(runs=runs))
         with self._load.timed("commit of starts"):
@@ -292,6 +320,8 @@
             session.close()
         self.sessions = {}
         self._session_count = 0
+        with self._table.lock:
+            self.step_waits.reset()
 
     def _views(self) -> dict[str, WorkerView]:
         """Return the workers with the capacity left by the runs in the table."""
@@ -301,9 +331,10 @@
             record = self._table.workers.get(worker_id)
             if record is None:
                 continue  # Removed since the sessions were last reconciled.
-            usable = session.is_usable() and not record.draining
-            usable = usable and worker_id not in self._draining
-            view = WorkerView(record, usable, session.grade())
+            reason = self._unusable_because(session, record)
+            view = WorkerView(record, reason is None, session.grade())
+            if reason is not None:
+                view.unusable_because = reason
             finite_runs = 0
             for key in self._table.runs.get(session.incarnation, ()):
                 job = self._table.jobs.get(key.job_id)
@@ -318,6 +349,19 @@
         limit_new_runs(views, limits)
         return views
 
+    def _unusable_because(
+        self, session: WorkerSession, record: WorkerRecord
+    ) -> WaitReason | None:
+        """Return why no runs may be scheduled on a worker; None if they may."""
+        if record.draining:
+            return WaitReason.LEAVING
+        if record.worker_id in self._draining:
+            return WaitReason.DRAINING
+        if session.is_usable():
+            return None
+        responsive = session.is_responsive()
+        return WaitReason.PAUSED if responsive else WaitReason.UNRESPONSIVE
+
 
 def limit_new_runs(
     views: Mapping[str, WorkerView], limits: Mapping[str, Mapping[str, int]]
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -85,3 +85,7 @@
         self.failures = 0
         self.incarnation = NO_WORKER
         self.checkpoint = ""
+
+    def failed_on(self, worker_id: str) -> bool:
+        """Return whether the task has failed and its latest run was on this worker."""
+        return self.failures > 0 and self.incarnation[0] == worker_id
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -42,6 +42,7 @@
         }
         with self._table.lock:
             gauges |= self._table_gauges()
+            gauges |= self._wait_gauges()
             sessions = list(self._executor.sessions.values())
         gauges["worker_sessions"] = len(sessions)
         gauges["worker_sessions_silent"] = sum(
@@ -77,3 +78,24 @@
         for service, count in running.items():
             gauges[labelled("tasks_running", service=service)] = count
         return gauges
+
+    def _wait_gauges(self) -> dict[str, float]:
+        """Return number and longest wait of the steps with waiting tasks."""
+        now = self._clock.monotonic()
+        steps: Counter[tuple[str, str]] = Counter()
+        oldest: dict[tuple[str, str], float] = {}
+        for wait in self._executor.step_waits.waits():
+            kind = "long-running" if wait.is_long_running else "finite"
+            reason = "not compared" if wait.reason is None else str(wait.reason)
+            steps[kind, reason] += 1
+            oldest[kind, reason] = max(
+                oldest.get((kind, reason), 0.0), now - wait.since
+            )
+        gauges: dict[str, float] = {}
+        for (kind, reason), count in steps.items():
+            labels = {"kind": kind, "reason": reason}
+            gauges[labelled("steps_waiting", **labels)] = count
+            gauges[labelled("steps_waiting_oldest_seconds", **labels)] = oldest[
+                kind, reason
+            ]
+        return gauges
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -6,6 +6,8 @@
 from .objective import critical_path_ms, objective_at_ms
 from .planner import Plan, Planner
 from .pool_planner import Demand, Move, PoolMachine, PoolPlanner, has_shortage
+from .step_waits import StepWait, StepWaits
+from .wait_reason import WaitReason
 from .wave_planner import WaveMachine, choose_machines
 from .worker_view import WorkerView
 
@@ -19,6 +21,9 @@
     "PoolMachine",
     "PoolPlanner",
     "Rejection",
+    "StepWait",
+    "StepWaits",
+    "WaitReason",
     "WaveMachine",
     "WorkerView",
     "backlog_cpu_ms",
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -215,11 +215,8 @@
         for view in workers:
             if not view.accepts(step, group):
                 continue
-            failed_here = (
-                task.failures > 0 and task.incarnation[0] == view.record.worker_id
-            )
             rank = (
-                failed_here,
+                task.failed_on(view.record.worker_id),
                 view.grade,
                 bool(rack) and view.rack != rack,
                 view.cpu,
--- /dev/null
+++ b/arbutuscleat/scheduling/step_waits.py
@@ -0,0 +1,217 @@
+"""Step waits: which steps have waiting tasks, since when, and for which reasons.
+
+A task may wait because the fleet is full, or because of a limit that no other run will
+ever lift. The planner does the same in both cases: nothing. The leader therefore checks
+at intervals which limits keep the waiting tasks from each worker. Waits that last are
+logged, each time their duration has doubled, and counted by reason in the metrics.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from absl import logging
+
+from arbutuscleat.jobs import JobState, JobTable, TaskKey, TaskState, TaskStatus
+from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
+
+from .wait_reason import WaitReason
+from .worker_view import WorkerView
+
+CHECK_SECONDS = 1.0
+"""Interval between checks."""
+
+LOG_AFTER_SECONDS = 2.0
+"""Duration after which a wait is logged. Most waits in a load peak are shorter."""
+
+MAX_EXPLAINED = 32
+"""Number of steps per check whose limits are compared with each worker. It bounds how
+long the table is locked."""
+
+MAX_LINES = 8
+"""Number of waits logged per check."""
+
+Group = tuple[str, int, int]
+"""A job, occurrence and step."""
+
+
+@dataclass(slots=True)
+class StepWait:
+    """Waiting tasks of one step.
+
+    Parameters
+    ----------
+    group : tuple of str, int and int
+        The job, occurrence and step.
+    is_long_running : bool
+        Whether the tasks run until the job is cancelled.
+    since : float
+        Monotonic time in seconds of the check that first saw tasks waiting.
+    task_count : int
+        Number of waiting tasks.
+    reasons : Counter of WaitReason
+        Number of workers by the reason that keeps the first waiting task from them;
+        empty if not compared.
+    log_at : float
+        Monotonic time in seconds from which the wait is logged again.
+    """
+
+    group: Group
+    is_long_running: bool
+    since: float
+    task_count: int = 0
+    reasons: Counter[WaitReason] = field(default_factory=Counter)
+    log_at: float = 0.0
+
+    @property
+    def reason(self) -> WaitReason | None:
+        """The reason that is nearest to a start; None if not compared."""
+        return max(self.reasons, default=None)
+
+
+class StepWaits:
+    """Observes waiting tasks at intervals; not thread-safe."""
+
+    def __init__(self) -> None:
+        self._waits: dict[Group, StepWait] = {}
+        self._checked_at = float("-inf")
+
+    def reset(self) -> None:
+        """Discard all observations, after this process gained or lost leadership."""
+        self._waits = {}
+
+    def waits(self) -> list[StepWait]:
+        """Return the waits of the latest check: long-running steps first, by age."""
+        return sorted(
+            self._waits.values(),
+            key=lambda wait: (not wait.is_long_running, wait.since),
+        )
+
+    def is_due(self, now: float) -> bool:
+        """Return whether the next check is due, at monotonic time `now` in seconds."""
+        return now - self._checked_at >= CHECK_SECONDS
+
+    def check(
+        self,
+        table: JobTable,
+        views: Mapping[str, WorkerView],
+        unlisted: Iterable[TaskKey],
+        now: float,
+        now_ms: int,
+    ) -> None:
+        """Update the waits, and log those that last.
+
+        Parameters
+        ----------
+        table : JobTable
+            The job table; the caller holds its lock.
+        views : mapping of str to WorkerView
+            All workers by id, with the capacity left after the latest plan.
+        unlisted : iterable of TaskKey
+            Tasks with a run that its worker does not list.
+        now : float
+            Monotonic time in seconds.
+        now_ms : int
+            Current Unix time in milliseconds.
+        """
+        self._checked_at = now
+        waiting = dict(_waiting_tasks(table, now_ms))
+        for key in unlisted:
+            task = _find_task(table, key)
+            if task is not None:
+                waiting.setdefault(key[:3], []).append(task)
+        self._waits = {
+            group: self._waits.get(group)
+            or StepWait(group, bool(_step(table, group).long_running), now)
+            for group in waiting
+        }
+        by_service: dict[str, list[WorkerView]] = {}
+        for view in views.values():
+            by_service.setdefault(view.record.service_name, []).append(view)
+        for position, wait in enumerate(self.waits()):
+            tasks = waiting[wait.group]
+            wait.task_count = len(tasks)
+            wait.reasons = Counter()
+            if position < MAX_EXPLAINED:
+                service = table.service_of(table.jobs[wait.group[0]])
+                wait.reasons = wait_reasons(
+                    _step(table, wait.group), tasks[0], by_service.get(service, ())
+                )
+        self._log(now)
+
+    def _log(self, now: float) -> None:
+        due = [
+            wait
+            for wait in self.waits()
+            if wait.reasons and now >= max(wait.log_at, wait.since + LOG_AFTER_SECONDS)
+        ]
+        for wait in due[:MAX_LINES]:
+            age = now - wait.since
+            wait.log_at = now + age
+            reasons = sorted(wait.reasons.items(), reverse=True)
+            logging.info(
+                "job %s: occurrence %d, step %d: %s tasks waiting for %.1f s: %d (%s)",
+                *wait.group,
+                "long-running" if wait.is_long_running else "finite",
+                age,
+                wait.task_count,
+                ", ".join(f"{reason}: {count}" for reason, count in reasons),
+            )
+
+
+def wait_reasons(
+    step: StepRecord, task: TaskState, workers: Sequence[WorkerView]
+) -> Counter[WaitReason]:
+    """Return the number of workers by the reason that keeps a task from them.
+
+    Parameters
+    ----------
+    step : StepRecord
+        The step of the task.
+    task : TaskState
+        A task that is waiting, or has a run that its worker does not list.
+    workers : sequence of WorkerView
+        The workers of the service.
+    """
+    if task.status is TaskStatus.RUNNING:
+        return Counter({WaitReason.NOT_LISTED: 1})
+    if not workers:
+        return Counter({WaitReason.NO_WORKER: 1})
+    return Counter(_reason(step, task, view) for view in workers)
+
+
+def _reason(step: StepRecord, task: TaskState, view: WorkerView) -> WaitReason:
+    limit = view.limit(step, task.key[:3])
+    if limit is not None:
+        return limit
+    if task.failed_on(view.record.worker_id):
+        return WaitReason.FAILED_RUN
+    return WaitReason.GANG if step.gang else WaitReason.NOT_PLANNED
+
+
+def _waiting_tasks(
+    table: JobTable, now_ms: int
+) -> Iterator[tuple[Group, list[TaskState]]]:
+    for job in table.active.values():
+        for occurrence in range(job.occurrence_count()):
+            if job.record.repeat_count and job.due_at_ms(occurrence) > now_ms:
+                break
+            for number in range(len(job.steps)):
+                if not job.is_ready(occurrence, number):
+                    continue
+                tasks = [
+                    task
+                    for task in job.tasks(occurrence, number)
+                    if task.status is TaskStatus.WAITING
+                ]
+                if tasks:
+                    yield (job.job_id, occurrence, number), tasks
+
+
+def _find_task(table: JobTable, key: TaskKey) -> TaskState | None:
+    job: JobState | None = table.active.get(key.job_id)
+    return None if job is None else job.task(key)
+
+
+def _step(table: JobTable, group: Group) -> StepRecord:
+    return table.jobs[group[0]].steps[group[2]]
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -5,6 +5,8 @@
 from arbutuscleat.jobs.task import WorkerIncarnation
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord, WorkerRecord
 
+from .wait_reason import WaitReason
+
 
 class WorkerView:
     """Free capacity and condition of one worker while a plan is made.
@@ -33,6 +35,8 @@
         Number of tasks on the worker by job, occurrence and step.
     max_new_runs : int or None
         Number of further runs that may be scheduled; None for any number.
+    unusable_because : WaitReason
+        Why new runs may not be scheduled on a worker that is not usable.
     """
 
     __slots__ = (
@@ -45,6 +49,7 @@
         "rack",
         "counts",
         "max_new_runs",
+        "unusable_because",
     )
 
     def __init__(self, record: WorkerRecord, usable: bool, grade: int):
@@ -57,29 +62,42 @@
         self.rack = rack_of(record.labels or ())
         self.counts: dict[tuple[str, int, int], int] = {}
         self.max_new_runs: int | None = None
+        self.unusable_because = WaitReason.UNRESPONSIVE
 
     @property
     def incarnation(self) -> WorkerIncarnation:
         """The worker's incarnation: its id and start time."""
         return (self.record.worker_id, self.record.born_ms)
 
-    def fits(self, step: StepRecord) -> bool:
-        """Return whether there is free capacity for one more task of `step`."""
-        return (
-            (step.fills or step.cpu <= self.cpu)
-            and step.mem_mb <= self.mem_mb
-            and step.gpu <= self.gpu
-        )
-
     def accepts(self, step: StepRecord, group: tuple[str, int, int]) -> bool:
-        """Return whether the label, spread and capacity allow one more task."""
-        if self.max_new_runs == 0:
-            return False
+        """Return whether one more task of `step` may be scheduled on the worker."""
+        return self.limit(step, group) is None
+
+    def limit(self, step: StepRecord, group: tuple[str, int, int]) -> WaitReason | None:
+        """Return what prevents one more task of `step`; None if nothing does.
+
+        Parameters
+        ----------
+        step : StepRecord
+            The step.
+        group : tuple of str, int and int
+            The task's job, occurrence and step.
+        """
+        if not self.usable:
+            return self.unusable_because
         if step.required_label and step.required_label not in self.record.labels:
-            return False
+            return WaitReason.LABEL
         if step.spread_limit and self.counts.get(group, 0) >= step.spread_limit:
-            return False
-        return self.fits(step)
+            return WaitReason.SPREAD_LIMIT
+        if self.max_new_runs == 0:
+            return WaitReason.CIRCUIT_BREAKER
+        if step.gpu > self.gpu:
+            return WaitReason.ACCELERATORS
+        if step.mem_mb > self.mem_mb:
+            return WaitReason.MEMORY
+        if not step.fills and step.cpu > self.cpu:
+            return WaitReason.CPU
+        return None
 
     def could_hold(self, step: StepRecord) -> bool:
         """Return whether the worker could run a task of `step` if it was idle."""
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -6,6 +6,7 @@
 
 from arbutuscleat.consensus import Role
 from arbutuscleat.nodes.control_metrics import ControlMetrics
+from arbutuscleat.scheduling import StepWaits
 from tests.fakes import ManualClock
 from tests.fakes.jobs import OTHER_JOB, JobTableHarness, job, run, step, worker
 
@@ -20,8 +21,12 @@
         clock = ManualClock()
         status = SimpleNamespace(role=Role.LEADER, term=4, commit_index=9)
         replica = SimpleNamespace(status=lambda: status)
+        step_waits = StepWaits()
+        step_waits.check(harness.table, {}, [], clock.monotonic(), clock.now_ms())
+        clock.advance(1.5)
         executor = SimpleNamespace(
-            sessions={"w1": SimpleNamespace(is_responsive=lambda: False)}
+            sessions={"w1": SimpleNamespace(is_responsive=lambda: False)},
+            step_waits=step_waits,
         )
         gauges = ControlMetrics(replica, harness.table, executor, clock).read()
         wait_ms = clock.now_ms() - 1_000
@@ -38,5 +43,7 @@
             'tasks_running{service="karachi"}': 1,
             "worker_sessions": 1,
             "worker_sessions_silent": 1,
+            'steps_waiting{kind="finite",reason="no worker"}': 2,
+            'steps_waiting_oldest_seconds{kind="finite",reason="no worker"}': 1.5,
         }
         self.assertEqual(expected, gauges)
