--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -5,6 +5,8 @@
 from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, step, worker
 
 NOW_MS = 1_000
+ENDED_AT_MS = 2_000
+BUSY_JOB = "00000000000000c3"
 
 
 class PlannerTest(TestCase):
@@ -25,6 +27,10 @@
             name: WorkerView(record, True, self.grades[name])
             for name, record in self.workers.items()
         }
+        for view in views.values():
+            for key in self.harness.table.runs.get(view.incarnation, ()):
+                steps = self.harness.table.jobs[key.job_id].steps
+                view.reserve(steps[key.step], key[:3])
         return Planner().plan(self.harness.table, views, now_ms)
 
     def placed(self, now_ms=NOW_MS):
@@ -162,3 +168,51 @@
         self.harness.start(run())
         self.harness.end(run(), RunOutcome.FAILED)
         self.assertEqual([(JOB, 0, "w1")], self.placed())
+
+    def occupy(self, *worker_ids, **fields):
+        """Start a task of 1 core on each of these workers."""
+        self.harness.accept(job(BUSY_JOB, steps=[step(len(worker_ids), **fields)]))
+        for index, worker_id in enumerate(worker_ids):
+            self.harness.start(run(BUSY_JOB, index=index, worker_id=worker_id))
+
+    def fail_on_w1(self, **fields):
+        """Let the first task of a job fail on w1."""
+        self.harness.accept(job(steps=[step(**fields)]))
+        self.harness.start(run())
+        self.harness.end(run(), RunOutcome.FAILED)
+
+    def test_a_failed_task_is_not_lost_if_its_step_is_on_all_other_workers(self):
+        """Guards against a wait for workers that a spread limit rules out for good."""
+        self.add_worker("w1")
+        self.add_worker("w2")
+        self.fail_on_w1(count=2, long_running=True, spread_limit=1)
+        self.harness.start(run(index=1, worker_id="w2"))
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
+
+    def test_a_failed_task_is_not_lost_if_no_other_worker_ever_gets_free(self):
+        """Guards against a wait for workers that are full of long-running tasks."""
+        self.add_worker("w1", cpu=1_000)
+        self.add_worker("w2", cpu=1_000)
+        self.occupy("w2", long_running=True)
+        self.fail_on_w1(long_running=True)
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
+
+    def test_a_failed_task_does_not_wait_without_end_for_a_full_worker(self):
+        """Guards against tasks that are lost while another worker stays full."""
+        self.add_worker("w1", cpu=1_000)
+        self.add_worker("w2", cpu=1_000)
+        self.occupy("w2")
+        self.fail_on_w1()
+        self.assertEqual([], self.placed(ENDED_AT_MS + 1_900))
+        self.assertEqual([(JOB, 0, "w1")], self.placed(ENDED_AT_MS + 2_000))
+
+    def test_small_tasks_do_not_starve_a_long_running_task(self):
+        """Guards against capacity that is given away piece by piece."""
+        self.add_worker("w1", cpu=2_000)
+        self.add_worker("w2", cpu=2_000)
+        self.occupy("w1", "w2")
+        self.harness.accept(job(steps=[step(cpu=2_000, long_running=True)]))
+        self.harness.accept(job(OTHER_JOB, steps=[step(4)]))
+        self.assertEqual(1, len(self.placed()))
+        self.harness.end(run(BUSY_JOB), RunOutcome.DONE)
+        self.assertIn((JOB, 0, "w1"), self.placed())
