A failed task no longer waits for a worker that never takes it

Cause: since a task that has failed on a worker waits if any other worker could hold it when idle. The wait looked neither at the spread limit of the step nor at what long-running tasks keep of the others, and had no end. With the tasks of a step spread over a pool, the only worker left is the one where the task failed.

Fix: a failed task waits for at most 2 s from the end of its run, and a long-running one only if another worker takes it once all finite runs there have ended. Both clocks are those of leaders; if they differ by more than 2 s, the task does not wait.

--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -258,13 +258,19 @@
         for end in command.ends:
             run = end.run
             key = TaskKey.of(run)
-            self._end_one(key, run.number, RunOutcome(end.outcome), end.checkpoint)
+            outcome = RunOutcome(end.outcome)
+            self._end_one(key, run.number, outcome, end.checkpoint, command.at_ms)
             job = self.jobs.get(run.job_id)
             if job is not None and not job.is_over():
                 self._close_if_ended(job, key, command.at_ms)
 
     def _end_one(
-        self, key: TaskKey, number: int, outcome: RunOutcome, checkpoint: str
+        self,
+        key: TaskKey,
+        number: int,
+        outcome: RunOutcome,
+        checkpoint: str = "",
+        at_ms: int = 0,
     ) -> None:
         job = self.jobs.get(key.job_id)
         task = None if job is None else job.task(key)
@@ -282,6 +288,7 @@
         task.status = TaskStatus.WAITING
         if outcome is RunOutcome.FAILED:
             task.failures += 1
+            task.failed_at_ms = at_ms
         if checkpoint:
             task.checkpoint = checkpoint
             if step.gang:
@@ -354,7 +361,7 @@
 
     def _end_runs_as_lost(self, incarnation: WorkerIncarnation) -> None:
         for task in list(self.runs.get(incarnation, {}).values()):
-            self._end_one(task.key, task.number, RunOutcome.LOST, "")
+            self._end_one(task.key, task.number, RunOutcome.LOST)
 
     def _add_wave(self, record: WaveRecord) -> bool:
         if record.wave in self.waves:
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -70,19 +70,31 @@
         The highest run number assigned so far; 0 before the first run.
     failures : int
         Number of runs that ended with `RunOutcome.FAILED`.
+    failed_at_ms : int
+        Unix millisecond at which the latest of these ends was recorded; 0 if there is
+        none, or if it is older than the snapshot that this replica was restored from.
     incarnation : WorkerIncarnation
         The worker incarnation that the latest run was assigned to.
     checkpoint : str
         Checkpoint from which the next run resumes; empty to start afresh.
     """
 
-    __slots__ = ("key", "status", "number", "failures", "incarnation", "checkpoint")
+    __slots__ = (
+        "key",
+        "status",
+        "number",
+        "failures",
+        "failed_at_ms",
+        "incarnation",
+        "checkpoint",
+    )
 
     def __init__(self, key: TaskKey):
         self.key = key
         self.status = TaskStatus.WAITING
         self.number = 0
         self.failures = 0
+        self.failed_at_ms = 0
         self.incarnation = NO_WORKER
         self.checkpoint = ""
 
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -20,6 +20,11 @@
 """Approximate limit of runs per plan, which bounds how long the table is locked. The
 plan ends with the job that reaches it."""
 
+OTHER_WORKER_WAIT_MS = 2_000
+"""Longest wait of a task that has failed on the only worker that accepts it now, for
+another one. It spans a short task and the interval after which a worker that fails
+everything gets no new runs."""
+
 START_DELAY_MS = 20
 """Delay of occurrences after their due time, to tolerate small clock differences."""
 
@@ -79,7 +84,7 @@
         runs: list[RunRecord] = []
         for candidate in candidates:
             workers = by_service[table.service_of(candidate.job)]
-            runs.extend(self._start_job(candidate, workers))
+            runs.extend(self._start_job(candidate, workers, now_ms))
             if len(runs) >= MAX_STARTS:
                 break
         return Plan(runs, next_due_ms)
@@ -129,7 +134,7 @@
         return (1, late, priority, latest_start)
 
     def _start_job(
-        self, candidate: _Candidate, workers: Sequence[WorkerView]
+        self, candidate: _Candidate, workers: Sequence[WorkerView], now_ms: int
     ) -> list[RunRecord]:
         job, occurrence = candidate.job, candidate.occurrence
         runs: list[RunRecord] = []
@@ -144,9 +149,9 @@
                 continue
             if step.gang:
                 if len(waiting) == len(tasks):
-                    runs.extend(self._place_gang(step, waiting, workers))
+                    runs.extend(self._place_gang(step, waiting, workers, now_ms))
             else:
-                runs.extend(self._place_each(step, waiting, workers))
+                runs.extend(self._place_each(step, waiting, workers, now_ms))
         return runs
 
     def _place_each(
@@ -154,10 +159,11 @@
         step: StepRecord,
         waiting: Iterable[TaskState],
         workers: Sequence[WorkerView],
+        now_ms: int,
     ) -> list[RunRecord]:
         runs = []
         for task in waiting:
-            view = self._best_worker(step, task, workers, step.data_rack or "")
+            view = self._best_worker(step, task, workers, now_ms)
             if view is None:
                 if not task.failures:
                     break  # The same requirements: the step's other tasks fit nowhere.
@@ -171,6 +177,7 @@
         step: StepRecord,
         waiting: Sequence[TaskState],
         workers: Sequence[WorkerView],
+        now_ms: int,
     ) -> list[RunRecord]:
         """Place all tasks of a gang or none, on one rack if possible when requested."""
         number = 1 + max(task.number for task in waiting)
@@ -183,7 +190,7 @@
         for group in groups:
             taken: list[tuple[TaskState, WorkerView]] = []
             for task in waiting:
-                view = self._best_worker(step, task, group, step.data_rack or "")
+                view = self._best_worker(step, task, group, now_ms)
                 if view is None:
                     break
                 view.reserve(step, task.key[:3])
@@ -202,16 +209,13 @@
         step: StepRecord,
         task: TaskState,
         workers: Sequence[WorkerView],
-        rack: str,
+        now_ms: int,
     ) -> WorkerView | None:
-        """Return the worker for a task, or None if it has to wait.
-
-        A task that has failed waits for another worker rather than use up its next
-        attempt on the same one.
-        """
+        """Return the worker for a task, or None if it has to wait."""
         best = None
         best_rank: tuple[bool, int, bool, int] | None = None
         group = task.key[:3]
+        rack = step.data_rack or ""
         for view in workers:
             if not view.accepts(step, group):
                 continue
@@ -224,6 +228,27 @@
             if best_rank is None or rank < best_rank:
                 best, best_rank = view, rank
         if best_rank is not None and best_rank[0]:
-            if any(view is not best and view.could_hold(step) for view in workers):
+            others = [view for view in workers if view is not best]
+            if self._waits_for_another(step, task, others, now_ms):
                 return None
         return best
+
+    def _waits_for_another(
+        self,
+        step: StepRecord,
+        task: TaskState,
+        others: Iterable[WorkerView],
+        now_ms: int,
+    ) -> bool:
+        """Return whether a task that has failed should wait for another worker.
+
+        It waits rather than use up its next attempt on the same worker, for a bounded
+        time. A long-running task has any number of attempts, so it only waits if one
+        of the others will accept it.
+        """
+        # The clock of this leader may be behind that of the one that recorded the end.
+        if abs(now_ms - task.failed_at_ms) >= OTHER_WORKER_WAIT_MS:
+            return False
+        if step.long_running:
+            return any(view.will_accept(step, task.key[:3]) for view in others)
+        return any(view.could_hold(step) for view in others)
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -29,6 +29,8 @@
         Free memory in MB.
     gpu : int
         Free accelerators.
+    long_running_cpu, long_running_mem_mb, long_running_gpu : int
+        What long-running tasks use of each.
     rack : str
         The worker's rack; empty if unknown.
     counts : dict
@@ -46,6 +48,9 @@
         "cpu",
         "mem_mb",
         "gpu",
+        "long_running_cpu",
+        "long_running_mem_mb",
+        "long_running_gpu",
         "rack",
         "counts",
         "max_new_runs",
@@ -59,6 +64,9 @@
         self.cpu: int = record.cpu
         self.mem_mb: int = record.mem_mb
         self.gpu: int = record.gpu
+        self.long_running_cpu = 0
+        self.long_running_mem_mb = 0
+        self.long_running_gpu = 0
         self.rack = rack_of(record.labels or ())
         self.counts: dict[tuple[str, int, int], int] = {}
         self.max_new_runs: int | None = None
@@ -101,12 +109,36 @@
 
     def could_hold(self, step: StepRecord) -> bool:
         """Return whether the worker could run a task of `step` if it was idle."""
+        return self._holds(step, self.record.cpu, self.record.mem_mb, self.record.gpu)
+
+    def will_accept(self, step: StepRecord, group: tuple[str, int, int]) -> bool:
+        """Return whether a long-running task is accepted once all finite runs ended.
+
+        Long-running tasks keep their capacity and count for the spread limit.
+
+        Parameters
+        ----------
+        step : StepRecord
+            The step, which is long-running.
+        group : tuple of str, int and int
+            The task's job, occurrence and step.
+        """
+        if step.spread_limit and self.counts.get(group, 0) >= step.spread_limit:
+            return False
+        return self._holds(
+            step,
+            self.record.cpu - self.long_running_cpu,
+            self.record.mem_mb - self.long_running_mem_mb,
+            self.record.gpu - self.long_running_gpu,
+        )
+
+    def _holds(self, step: StepRecord, cpu: int, mem_mb: int, gpu: int) -> bool:
         return (
             self.max_new_runs != 0
             and (not step.required_label or step.required_label in self.record.labels)
-            and (step.fills or step.cpu <= self.record.cpu)
-            and step.mem_mb <= self.record.mem_mb
-            and step.gpu <= self.record.gpu
+            and (step.fills or step.cpu <= cpu)
+            and step.mem_mb <= mem_mb
+            and step.gpu <= gpu
         )
 
     def reserve(self, step: StepRecord, group: tuple[str, int, int]) -> None:
@@ -119,23 +151,25 @@
         group : tuple of str, int and int
             The task's job, occurrence and step.
         """
-        if not step.fills:
-            self.cpu -= step.cpu
-        self.mem_mb -= step.mem_mb
-        self.gpu -= step.gpu
+        self._take(step, 1)
         self.counts[group] = self.counts.get(group, 0) + 1
-        if self.max_new_runs is not None:
-            self.max_new_runs -= 1
 
     def release(self, step: StepRecord, group: tuple[str, int, int]) -> None:
         """Undo `reserve`."""
-        if not step.fills:
-            self.cpu += step.cpu
-        self.mem_mb += step.mem_mb
-        self.gpu += step.gpu
+        self._take(step, -1)
         self.counts[group] -= 1
+
+    def _take(self, step: StepRecord, tasks: int) -> None:
+        cpu = 0 if step.fills else tasks * step.cpu
+        self.cpu -= cpu
+        self.mem_mb -= tasks * step.mem_mb
+        self.gpu -= tasks * step.gpu
+        if step.long_running:
+            self.long_running_cpu += cpu
+            self.long_running_mem_mb += tasks * step.mem_mb
+            self.long_running_gpu += tasks * step.gpu
         if self.max_new_runs is not None:
-            self.max_new_runs += 1
+            self.max_new_runs -= tasks
 
 
 def rack_of(labels: Iterable[str]) -> str:
