A long-running task that fits nowhere reserves the capacity that it needs

What callers may see: LOST, a long-running task without a run while smaller tasks go on.

Cause: long-running tasks come first in each plan, but one that fitted nowhere reserved nothing. Of each piece of capacity that became free, smaller tasks of the same service got all, so that the piece that the larger task needs never came together.

Evidence: test_small_tasks_do_not_starve_a_long_running_task failed before: with 2 cores asked, and 1 core free on each of two workers, both pieces went to tasks of 1 core.

Fix: the task reserves capacity on the worker that lacks least for it, of those that will accept it once their finite runs have ended. No other task is placed on that capacity, so the wait ends with these runs.

--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -2,7 +2,8 @@
 
 The planner is designed for loads in which one queue at a time needs more capacity than
 its workers have. Long-running tasks come first, because they have a value for as long
-as they run. Jobs that can still meet their objective come next, by the priority of
+as they run; one that fits nowhere reserves capacity on the worker where it is likely to
+fit first. Jobs that can still meet their objective come next, by the priority of
 their queue and then by the latest time at which they have to start. Jobs that are
 already late use the remaining capacity.
 """
@@ -164,14 +165,37 @@
         runs = []
         for task in waiting:
             view = self._best_worker(step, task, workers, now_ms)
-            if view is None:
-                if not task.failures:
-                    break  # The same requirements: the step's other tasks fit nowhere.
+            if view is not None:
+                view.reserve(step, task.key[:3])
+                runs.append(task.key.run_record(task.number + 1, view.incarnation))
                 continue
-            view.reserve(step, task.key[:3])
-            runs.append(task.key.run_record(task.number + 1, view.incarnation))
+            is_reserved = step.long_running and self._reserve_next(step, task, workers)
+            if not is_reserved and not task.failures:
+                break  # The same requirements: the step's other tasks fit nowhere.
         return runs
 
+    def _reserve_next(
+        self, step: StepRecord, task: TaskState, workers: Sequence[WorkerView]
+    ) -> bool:
+        """Reserve capacity for a long-running task where it is likely to fit first.
+
+        Otherwise tasks that need less would receive each piece of capacity that
+        becomes free. Return False if no worker will ever accept the task.
+        """
+        group = task.key[:3]
+        candidates = [view for view in workers if view.will_accept(step, group)]
+        if not candidates:
+            return False
+        best = min(
+            candidates,
+            key=lambda view: (
+                task.failed_on(view.record.worker_id),
+                view.shortfall(step),
+            ),
+        )
+        best.reserve(step, group)
+        return True
+
     def _place_gang(
         self,
         step: StepRecord,
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -132,6 +132,19 @@
             self.record.gpu - self.long_running_gpu,
         )
 
+    def shortfall(self, step: StepRecord) -> float:
+        """Return what is missing for a task of `step`, as a fraction of the worker.
+
+        The largest fraction of CPU, memory and accelerators counts; it is negative if
+        the task fits.
+        """
+        needs = [
+            (0 if step.fills else step.cpu, self.cpu, self.record.cpu),
+            (step.mem_mb, self.mem_mb, self.record.mem_mb),
+            (step.gpu, self.gpu, self.record.gpu),
+        ]
+        return max((need - free) / max(1, size) for need, free, size in needs)
+
     def _holds(self, step: StepRecord, cpu: int, mem_mb: int, gpu: int) -> bool:
         return (
             self.max_new_runs != 0
