A worker that was unresponsive is usable again once it answers

Callers saw a long-running task without a run although a worker had room for it, until the leader changed or that worker restarted.

Cause: the hold thread holds a worker only while the table has runs on it. When the lease of an unresponsive worker expires, its runs are recorded as lost, so the table has none. From then on nothing is sent to the worker: the planner starts nothing on a worker whose latest hold is unanswered, and the session holds no worker on which nothing runs. The same for a worker whose last two orders are unanswered.

The session now also holds a worker that is unusable for want of an answer, every 0.5 s besides the timeout, so the wait ends with the first answered hold, about 1 s after the worker is reachable.

Tests of sessions called hold_once, so the condition of the loop was not covered.

--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -2,7 +2,8 @@
 
 One thread sends holds: it renews the lease, records the ends that the worker lists in
 the replicated log, and acknowledges them only afterwards. An `OrderSender` sends the
-start and stop orders.
+start and stop orders. A worker without runs is held only while it is unusable for want
+of an answer, because nothing else would end that.
 
 A run whose start is in the log counts as running until its end is in the log. If the
 worker does not list such a run, the session sends a stop; once the stop has been
@@ -43,7 +44,8 @@
 """Interval between unanswered holds."""
 
 IDLE_POLL_SECONDS = 0.5
-"""Interval at which a session without runs checks for new ones if not notified."""
+"""Interval at which a session without runs checks for new ones if not notified, and
+between unanswered holds of a worker without runs."""
 
 RECHECK_SECONDS = 0.05
 """How long a worker may keep a hold open while runs missing from its list are being
@@ -205,6 +207,10 @@
                 self._clock.sleep(self._closed, RETRY_SECONDS)
             elif self._has_runs() or not self._status.has_answered():
                 self.hold_once()
+            elif self._status.needs_hold():
+                self.hold_once()
+                if self._status.needs_hold():
+                    self._clock.sleep(self._closed, IDLE_POLL_SECONDS)
             else:
                 with self._wake:
                     self._clock.wait(self._wake, IDLE_POLL_SECONDS)
@@ -275,7 +281,11 @@
             return
         self._status.update_clock(answer.clock_ms)
         if self._status.holds_unanswered:
-            logging.info("worker %s is responsive again", self.worker_id)
+            logging.info(
+                "worker %s is responsive again after %d unanswered holds",
+                self.worker_id,
+                self._status.holds_unanswered,
+            )
         is_first = self._status.record_hold()
         self.running = answer.running
         if not self._record_ends(answer):
--- a/arbutuscleat/execution/worker_status.py
+++ b/arbutuscleat/execution/worker_status.py
@@ -86,11 +86,15 @@
         """Return whether the latest hold was answered."""
         return self._has_answered and not self.holds_unanswered
 
+    def needs_hold(self) -> bool:
+        """Return whether the worker is unusable until a hold is answered."""
+        return (
+            not self.is_responsive() or self._orders_unanswered >= MAX_UNANSWERED_ORDERS
+        )
+
     def is_usable(self) -> bool:
         """Return whether new runs may be scheduled on the worker."""
-        if not self.is_responsive() or self._orders_unanswered >= MAX_UNANSWERED_ORDERS:
-            return False
-        return self._clock.monotonic() >= self._unusable_until
+        return not self.needs_hold() and self._clock.monotonic() >= self._unusable_until
 
     # ---- clock and lease ----
 
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -14,9 +14,11 @@
     WorkerClient,
 )
 from arbutuscleat.execution.session import RECHECK_SECONDS, WorkerSession
+from arbutuscleat.execution.worker_status import MAX_UNANSWERED_ORDERS
 from arbutuscleat.jobs import JobPhase, RunOutcome, TaskKey, TaskStatus
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, worker
+from tests.fakes.simulated_clock import SimulatedClock, SimulatedCondition
 
 LIMITS = ExecutionLimits()
 KEY = TaskKey(JOB, 0, 0, 0)
@@ -332,3 +334,55 @@
         self.session.hold_once()
         self.assertEqual(before, self.clock.monotonic())
         self.assertTrue(self.session.is_usable())
+
+
+class HoldThreadTest(TestCase):
+    """The loop of the hold thread, on a simulated clock."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = SimulatedClock()
+        self.addCleanup(self.clock.stop)
+        self.harness = JobTableHarness()
+        self.harness.apply(worker=worker())
+        self.harness.accept(job())
+        self.model = WorkerModel(self.clock, 5, lambda order: (None, RunOutcome.DONE))
+        self.link = FaultyLink(self.model)
+        self.session = WorkerSession(
+            worker(),
+            self.link,
+            7,
+            self.harness.table,
+            self.harness.propose,
+            lambda: True,
+            self.clock,
+            LIMITS,
+            0.0,
+        )
+        self.session._wake = SimulatedCondition(self.clock)
+        self.clock.spawn(self.session._run)
+        self.clock.run(1.0)
+
+    def test_a_worker_is_usable_again_although_its_runs_were_lost_in_between(self):
+        """Guards against a session that no longer holds a worker without runs."""
+        self.harness.start(run())
+        self.link.is_cut = True
+        self.clock.run(2 * LIMITS.max_lease)
+        self.assertEqual({}, self.harness.table.runs)
+        self.assertFalse(self.session.is_usable())
+        self.link.is_cut = False
+        self.clock.run(2.0)
+        self.assertTrue(self.session.is_usable())
+
+    def test_a_worker_is_usable_again_after_unanswered_orders(self):
+        """Guards against counting unanswered orders of runs that are over."""
+        for _ in range(MAX_UNANSWERED_ORDERS):
+            self.session._status.record_unanswered_order()
+        self.assertFalse(self.session.is_usable())
+        self.clock.run(2.0)
+        self.assertTrue(self.session.is_usable())
+
+    def test_a_responsive_worker_without_runs_is_not_held(self):
+        self.link.calls.clear()
+        self.clock.run(10.0)
+        self.assertEqual([], self.link.calls)
