Test of the job queue on Berthline: a failure no longer keeps pytest from ending

When BerthlineTest failed, pytest printed the failure and did not end: the emulated workers and the provider serve in the test process with threads that are not daemons, and only a test that passed stopped them. The cleanup now stops them as well.

Shown with a subclass whose test fails at once: "1 failed in 3.35s", then killed after 60 s (exit code 124); with this change "1 failed in 4.98s" and exit code 1.

--- a/examples/berthline.py
+++ b/examples/berthline.py
@@ -101,6 +101,7 @@
         self._provider_front = StandInProvider(self.provider)
         self.processes: dict[str, subprocess.Popen] = {}
         self._http = urllib3.PoolManager(retries=False, timeout=CALL_SECONDS)
+        self._serves = False
 
     def start(self) -> None:
         """Start all parts, set the configuration and wait until the nodes are ready."""
@@ -111,6 +112,7 @@
             self.start_process(host, "entry")
         for worker in list(self.workers.values()):
             worker.start()
+        self._serves = True
         self.wait(lambda: self.put_config(CONFIG) == 200)
         for host in ENTRY_HOSTS:
             url = f"http://{host}:{self._readiness_port}/v1/readiness"
@@ -121,11 +123,16 @@
         for process in self.processes.values():
             process.terminate()
         codes = {host: p.wait(WAIT_SECONDS) for host, p in self.processes.items()}
-        for worker in self.workers.values():
-            worker.stop()
-        self._provider_front.stop()
+        self._stop_serving()
         return codes
 
+    def kill(self) -> None:
+        """Kill all processes that still run, and stop the emulated parts."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self._stop_serving()
+
     def start_process(self, host: str, role: str) -> None:
         """Start one node."""
         folder = self._folder / host
@@ -190,6 +197,14 @@
                 found.append((json.loads(lines[-1])["time"], host))
         return max(found)[1]
 
+    def _stop_serving(self) -> None:
+        """Stop the emulated provider, which replaces workers, and then the workers."""
+        if self._serves:
+            self._serves = False
+            self._provider_front.stop()
+            for worker in self.workers.values():
+                worker.stop()
+
     def _make_worker(self, machine: str, service_name: str) -> StandInWorker:
         self._worker_count += 1
         worker = StandInWorker(
--- a/tests/processes/test_berthline.py
+++ b/tests/processes/test_berthline.py
@@ -19,14 +19,9 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.demo = BerthlineDemo(Path(folder.name))
-        self.addCleanup(self.kill_processes)
+        self.addCleanup(self.demo.kill)
         self.demo.start()
 
-    def kill_processes(self):
-        for process in self.demo.processes.values():
-            process.kill()
-            process.wait()
-
     def submit(self, number, seconds="0.1", count=3, entry=0):
         content = {"spec": seconds, "steps": [{"count": count, "cpu": 500}]}
         return self.demo.job("POST", PATH % number, content, entry)[0]
