--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 from http.client import parse_headers
+from unittest import mock
 
 from berthline.http_calls import HttpCalls
 from testtools import TestCase
@@ -15,6 +16,10 @@
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ok": 1}'
 CUT_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ok'
 LAST_ANSWER = ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
+CHUNKED_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b'4\r\n{"ok\r\n5\r\n": 2}\r\n0\r\n\r\n'
+)
 
 
 def read_request(reader):
@@ -56,6 +61,18 @@
             self.closed.set()
 
 
+class RecordingSocket(socket.socket):
+    """A socket that records what is written to it."""
+
+    def __init__(self, conn, writes):
+        super().__init__(fileno=conn.detach())
+        self.writes = writes
+
+    def sendall(self, data, *flags):
+        self.writes.append(bytes(data))
+        super().sendall(data, *flags)
+
+
 class HttpCallsTest(TestCase):
     def serve(self, *scripts):
         server = ScriptedServer(scripts)
@@ -96,6 +113,32 @@
         result = self.call(calls)
         self.assertEqual((0, {}, True), (result.status, result.tree, result.sent))
 
+    def test_a_request_is_written_at_once(self):
+        """Guards against a suspended process that completes a half-sent request."""
+        server, calls = self.serve([ANSWER])
+        writes = []
+        create = socket.create_connection
+
+        def connect(*args, **kwargs):
+            return RecordingSocket(create(*args, **kwargs), writes)
+
+        with mock.patch("socket.create_connection", connect):
+            self.call(calls)
+        self.assertEqual(server.requests, writes)
+
+    def test_a_request_with_a_line_break_in_its_path_or_headers_is_not_sent(self):
+        """Guards against a name of another process that adds a header or a request."""
+        server, calls = self.serve([ANSWER])
+        for path, header in (("/a b", "x"), ("/a\r\nX: y", "x"), ("/", "x\r\nY: z")):
+            result = calls.call("POST", path, {}, TIMEOUT, {"X-Name": header})
+            self.assertEqual((0, {}), (result.status, result.tree))
+        self.call(calls)
+        self.assertEqual(1, len(server.requests))
+
+    def test_a_chunked_answer_is_read(self):
+        _, calls = self.serve([CHUNKED_ANSWER, ANSWER])
+        self.assertEqual([{"ok": 2}, {"ok": 1}], [self.call(calls).tree for _ in "12"])
+
     def test_a_refused_connection_has_sent_nothing(self):
         server, calls = self.serve()
         server.listener.close()
