Orders for machines are checked once their connection is open

The check was made before the connection was chosen or opened, which may take up to the timeout of the call, 1 s, while a lease allows 0.5 s; it read the age of the lease before it waited for the replica's lock; and it did not compare the term with that of the fencing token. The provider's client now makes the check once the connection is open, as its last step before the only write, and the age of the lease is read last.

A process suspended between that check and the kernel's send still sends when it resumes. Only a fence that the provider enforces rules this out.

Before the change the three tests of the controller failed with [] != ['m0', 'm1'] (with fakes that ignore the check), that of the HTTP client with TypeError for may_send. With only the old order of the checks, the tests of the term and of the lock fail.

--- a/arbutuscleat/emulator/provider_model.py
+++ b/arbutuscleat/emulator/provider_model.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable
 
-from arbutuscleat.execution import MachineOrderOutcome, MachineState, Provider
+from arbutuscleat.execution import MachineOrderOutcome, MachineState, MaySend, Provider
 
 
 class ProviderModel(Provider):
@@ -34,8 +34,12 @@
         with self._lock:
             return list(self._machines.values())
 
-    def upkeep(self, machine: str, wave: int, fence: int) -> MachineOrderOutcome:
+    def upkeep(
+        self, machine: str, wave: int, fence: int, may_send: MaySend = lambda: True
+    ) -> MachineOrderOutcome:
         """Replace the worker of a machine, once for each wave."""
+        if not may_send():
+            return MachineOrderOutcome.LATER
         with self._lock:
             state = self._machines.get(machine)
             if state is None:
@@ -45,8 +49,16 @@
                 self._replace(state, state.service_name)
             return MachineOrderOutcome.DONE
 
-    def move(self, machine: str, service_name: str, fence: int) -> MachineOrderOutcome:
+    def move(
+        self,
+        machine: str,
+        service_name: str,
+        fence: int,
+        may_send: MaySend = lambda: True,
+    ) -> MachineOrderOutcome:
         """Replace the worker of a machine by one in another pool."""
+        if not may_send():
+            return MachineOrderOutcome.LATER
         with self._lock:
             state = self._machines.get(machine)
             if state is None:
--- a/arbutuscleat/execution/__init__.py
+++ b/arbutuscleat/execution/__init__.py
@@ -4,7 +4,7 @@
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .machine_controller import MachineController
-from .provider import MachineOrderOutcome, MachineState, Provider
+from .provider import MachineOrderOutcome, MachineState, MaySend, Provider
 from .worker_client import (
     FinishedRun,
     HoldAnswer,
@@ -27,6 +27,7 @@
     "MachineController",
     "MachineOrderOutcome",
     "MachineState",
+    "MaySend",
     "OrderAnswer",
     "OrderOutcome",
     "Provider",
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -148,8 +148,16 @@
                 self._reconcile(machines)
 
     def _may_order(self, machine: str) -> bool:
-        """Return whether an order for a machine may be sent at this moment."""
-        return self._leases.may_order(machine) and self._replica.leads()
+        """Return whether an order for a machine may be sent at this moment.
+
+        The age of the lease is checked last, because the replica's answers may wait
+        for its lock.
+        """
+        return (
+            self._replica.leads()
+            and self._replica.term() == self._term
+            and self._leases.may_order(machine)
+        )
 
     def _acquire(self, machines: list[str]) -> list[str]:
         """Commit this process as holder of machines; return those it now holds."""
@@ -255,9 +263,9 @@
         def order(machine: str) -> MachineOrderOutcome | None:
             if machine not in wave.ordered and not self._advance(wave, machine, False):
                 return None
-            if not self._may_order(machine):
-                return None
-            outcome = self._provider.upkeep(machine, wave.number, self._term)
+            outcome = self._provider.upkeep(
+                machine, wave.number, self._term, lambda: self._may_order(machine)
+            )
             if outcome is MachineOrderOutcome.DONE:
                 self._drainer.remove_worker(by_name[machine].worker_id)
                 self._advance(wave, machine, finished=True)
@@ -370,11 +378,11 @@
             elif self._drainer.is_drained(state.worker_id):
                 ready.append(machine)
 
-        def order(machine: str) -> MachineOrderOutcome | None:
-            if not self._may_order(machine):
-                return None
+        def order(machine: str) -> MachineOrderOutcome:
             service_name = self._moving[machine]
-            outcome = self._provider.move(machine, service_name, self._term)
+            outcome = self._provider.move(
+                machine, service_name, self._term, lambda: self._may_order(machine)
+            )
             if outcome is MachineOrderOutcome.DONE:
                 planned_at = self._planned_at[machine]
                 self._load.observe("move", self._clock.monotonic() - planned_at)
--- a/arbutuscleat/execution/provider.py
+++ b/arbutuscleat/execution/provider.py
@@ -1,9 +1,13 @@
 """Machine provider: interface for listing machines and ordering upkeep and moves."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
+MaySend = Callable[[], bool]
+"""Returns whether an order may be sent at this moment."""
+
 
 class MachineOrderOutcome(Enum):
     """How the provider responded to an order."""
@@ -72,7 +76,9 @@
         """Return all machines, or None if the list is currently unavailable."""
 
     @abstractmethod
-    def upkeep(self, machine: str, wave: int, fence: int) -> MachineOrderOutcome:
+    def upkeep(
+        self, machine: str, wave: int, fence: int, may_send: MaySend
+    ) -> MachineOrderOutcome:
         """Order the upkeep of a machine, which ends every run on it immediately.
 
         Parameters
@@ -83,10 +89,15 @@
             Number of the maintenance wave.
         fence : int
             Fencing token of the sender.
+        may_send : callable
+            Returns whether the order may still be sent. It is called immediately before
+            the order is sent; if it returns False, the outcome is LATER.
         """
 
     @abstractmethod
-    def move(self, machine: str, service_name: str, fence: int) -> MachineOrderOutcome:
+    def move(
+        self, machine: str, service_name: str, fence: int, may_send: MaySend
+    ) -> MachineOrderOutcome:
         """Order a machine into another pool, which ends every run on it immediately.
 
         Parameters
@@ -97,4 +108,7 @@
             The service whose pool the machine moves to.
         fence : int
             Fencing token of the sender.
+        may_send : callable
+            Returns whether the order may still be sent. It is called immediately before
+            the order is sent; if it returns False, the outcome is LATER.
         """
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -30,10 +30,10 @@
         super().__init__(names, service_name)
         self.barrier = threading.Barrier(ORDERS_AT_ONCE)
 
-    def move(self, machine, service_name, fence):
+    def move(self, machine, service_name, fence, may_send):
         self.barrier.wait(BARRIER_SECONDS)
         self.set(machine, is_up=False)
-        return super().move(machine, service_name, fence)
+        return super().move(machine, service_name, fence, may_send)
 
 
 class FakeReplica:
@@ -193,8 +193,8 @@
         upkeep = self.provider.upkeep
         failing = set(MACHINES[:1])
 
-        def raise_after_order(machine, wave, fence):
-            upkeep(machine, wave, fence)
+        def raise_after_order(machine, wave, fence, may_send):
+            upkeep(machine, wave, fence, may_send)
             if machine in failing:
                 self.provider.set(machine, is_up=True, in_upkeep=False)
                 raise OSError("connection lost")
@@ -206,6 +206,39 @@
             self.reconcile(4)
         self.assertEqual(MACHINES[:CAP], sorted(set(self.provider.upkeeps)))
 
+    def order_upkeep_after(self, pause):
+        """Return the upkeep ordered if `pause` is called just before each sending."""
+        self.add_wave()
+        upkeep = self.provider.upkeep
+
+        def pause_then_send(*args):
+            pause()
+            return upkeep(*args)
+
+        self.provider.upkeep = pause_then_send
+        self.replica.lead()
+        self.reconcile(2)
+        return self.provider.upkeeps
+
+    def test_a_pause_before_an_order_is_sent_prevents_it(self):
+        """Guards against an order that a suspended leader sends when it resumes."""
+        ordered = self.order_upkeep_after(
+            lambda: self.clock.advance(LIMITS.machine_lease)
+        )
+        self.assertEqual([], ordered)
+
+    def test_a_new_term_before_an_order_is_sent_prevents_it(self):
+        """Guards against an order under the fencing token of an earlier term."""
+        self.assertEqual([], self.order_upkeep_after(self.replica.lead))
+
+    def test_a_wait_for_the_replica_counts_towards_the_age_of_the_lease(self):
+        """Guards against a lease that expires while the replica's lock is awaited."""
+        self.add_wave()
+        self.replica.lead()
+        self.replica.leads = lambda: self.clock.advance(LIMITS.machine_lease) or True
+        self.reconcile(2)
+        self.assertEqual([], self.provider.upkeeps)
+
     def test_a_failed_iteration_does_not_end_the_controller(self):
         """Guards against waves and moves that stop for good under one leader."""
         self.add_wave()
--- a/tests/fakes/provider.py
+++ b/tests/fakes/provider.py
@@ -34,12 +34,16 @@
     def machines(self):
         return list(self.states.values())
 
-    def upkeep(self, machine, wave, fence):
+    def upkeep(self, machine, wave, fence, may_send):
+        if not may_send():
+            return MachineOrderOutcome.LATER
         self.upkeeps.append(machine)
         if self.outcome is MachineOrderOutcome.DONE:
             self.set(machine, is_up=False, in_upkeep=True)
         return self.outcome
 
-    def move(self, machine, service_name, fence):
+    def move(self, machine, service_name, fence, may_send):
+        if not may_send():
+            return MachineOrderOutcome.LATER
         self.moves.append((machine, service_name))
         return self.outcome
--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -44,6 +44,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = Address("127.0.0.1", self.listener.getsockname()[1])
         self.requests = []
+        self.accepted = threading.Event()
         self.closed = threading.Event()
         self.finish = threading.Event()
         threading.Thread(target=self.run, args=(scripts,), daemon=True).start()
@@ -51,6 +52,7 @@
     def run(self, scripts):
         for script in scripts:
             conn, _ = self.listener.accept()
+            self.accepted.set()
             with conn, conn.makefile("rb") as reader:
                 for answer in script:
                     self.requests.append(read_request(reader))
@@ -126,6 +128,21 @@
             self.call(calls)
         self.assertEqual(server.requests, writes)
 
+    def test_whether_a_request_may_be_sent_is_checked_on_the_open_connection(self):
+        """Guards against an order sent after a slow connect has outlived its lease."""
+        server, calls = self.serve([ANSWER])
+
+        def refuse():
+            self.assertTrue(server.accepted.wait(TIMEOUT))
+            self.assertEqual([], server.requests)
+            return False
+
+        result = calls.call("POST", "/refused", {}, TIMEOUT, may_send=refuse)
+        self.assertEqual((0, False), (result.status, result.sent))
+        self.assertEqual(200, self.call(calls).status)
+        self.assertEqual(1, len(server.requests))
+        self.assertIn(b"/v1/hold", server.requests[0])
+
     def test_a_request_with_a_line_break_in_its_path_or_headers_is_not_sent(self):
         """Guards against a name of another process that adds a header or a request."""
         server, calls = self.serve([ANSWER])
