A leader that leads again in its term keeps counting its fencing tokens

Callers saw a task without a run although workers had room for it: the log had a run of it on a worker that rejected every call, for the rest of the leader's term. The worker was not usable either.

Cause: a leader that hears no quorum for a moment closes its sessions, and counted the next ones from 1. It stays leader of its term if answers arrive before its election timer checks the quorum, so some workers got a lower fencing token than before, and answered each hold with "fence". Such a hold was repeated for ever.

Evidence: in the new test one of two workers, the one that had restarted since the term began, is not usable after the quorum was lost once.

The count of sessions now goes on for the life of the process, so each session has a higher token than all that the process used in this term.

Before: test_workers_accept_the_sessions_of_a_leader_that_regained_its_quorum failed with {'w1': False, 'w2': True} instead of True for both.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -55,7 +55,8 @@
 """Progress reported by a long-running task that has finished starting up."""
 
 SESSIONS_PER_TERM = 1_000_000
-"""Number of fencing tokens available in each term."""
+"""Number of fencing tokens available in each term; a process opens far fewer sessions
+in its lifetime."""
 
 MakeClient = Callable[[WorkerRecord], WorkerClient]
 
@@ -293,6 +294,8 @@
                 self.sessions[worker_id] = self._open_session(record)
 
     def _open_session(self, record: WorkerRecord) -> WorkerSession:
+        # A leader that loses its quorum may lead again in the same term, so the count
+        # never starts again: workers reject tokens lower than those of former sessions.
         self._session_count += 1
         fence = self._term * SESSIONS_PER_TERM + self._session_count
         former_lease_until = (
@@ -319,7 +322,6 @@
         for session in self.sessions.values():
             session.close()
         self.sessions = {}
-        self._session_count = 0
         with self._table.lock:
             self.step_waits.reset()
 
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -34,3 +34,44 @@
         self.harness.apply(remove_worker=removed)
         moved = self.executor.movable_tasks(place[0])
         self.assertEqual([JOB], [key.job_id for key, _ in moved])
+
+
+class QuorumLossTest(TestCase):
+    """A leader that hears no quorum for a moment and then leads in the same term."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.harness = JobTableHarness()
+        self.models = {}
+        self.executor = make_executor(self.harness, self.clock, self.make_client)
+        self.replica = self.executor._replica
+
+    def make_client(self, record):
+        incarnation = (record.worker_id, record.born_ms)
+        if incarnation not in self.models:
+            self.models[incarnation] = WorkerModel(
+                self.clock, record.born_ms, lambda order: (None, RunOutcome.DONE)
+            )
+        return self.models[incarnation]
+
+    def play(self, count=3):
+        for _ in range(count):
+            run_once(self.executor)
+
+    def lose_quorum(self):
+        self.replica.leads = lambda: False
+        self.executor.run_once()
+        del self.replica.leads
+
+    def test_workers_accept_the_sessions_of_a_leader_that_regained_its_quorum(self):
+        """Guards against fencing tokens that are lower than those used before."""
+        for worker_id in ("w1", "w2"):
+            self.harness.apply(worker=worker(worker_id))
+        self.play()
+        self.harness.apply(worker=worker("w1", born_ms=6))
+        self.play()
+        self.lose_quorum()
+        self.play()
+        usable = {name: s.is_usable() for name, s in self.executor.sessions.items()}
+        self.assertEqual({"w1": True, "w2": True}, usable)
