A session that is opened again waits for the leases of the one before

Callers could have seen two runs of one task at a time: with the leadership lost and regained in the same term, or a worker removed and registered again, the new session took only the leases of former leaders into account, counted from the start of the term. If the worker then did not answer, its runs counted as lost at once, while they still ran under the lease of the session before.

The executor now keeps, for each incarnation whose session it has closed, the time at which every lease granted there has expired, and passes it to the next session.

Before: test_a_worker_that_opens_a_session_again_may_still_hold_its_lease failed with the run still active on the worker.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -16,6 +16,7 @@
 from arbutuscleat.consensus import Replica
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import JobTable, TaskKey
+from arbutuscleat.jobs.task import WorkerIncarnation
 from arbutuscleat.scheduling import (
     Demand,
     Planner,
@@ -115,6 +116,9 @@
         self._stopping = threading.Event()
         self._term = -1
         self._session_count = 0
+        self._leased_until: dict[WorkerIncarnation, float] = {}
+        """When the leases granted by closed sessions have expired at the latest."""
+
         self._draining: set[str] = set()
         self._moved: dict[TaskKey, int] = {}
         self.plan_count = 0
@@ -287,7 +291,7 @@
         for worker_id, session in list(self.sessions.items()):
             record = workers.get(worker_id)
             if record is None or record.born_ms != session.incarnation[1]:
-                session.close()
+                self._close_session(session)
                 del self.sessions[worker_id]
         for worker_id, record in workers.items():
             if worker_id not in self.sessions:
@@ -302,6 +306,10 @@
             self._replica.led_since()
             + self._limits.expiry_upper_bound(self._limits.max_lease)
         )
+        incarnation = (record.worker_id, record.born_ms)
+        former_lease_until = max(
+            former_lease_until, self._leased_until.get(incarnation, 0.0)
+        )
         session = WorkerSession(
             record,
             self._make_client(record),
@@ -320,11 +328,22 @@
 
     def _close_sessions(self) -> None:
         for session in self.sessions.values():
-            session.close()
+            self._close_session(session)
         self.sessions = {}
         with self._table.lock:
             self.step_waits.reset()
 
+    def _close_session(self, session: WorkerSession) -> None:
+        session.close()
+        now = self._clock.monotonic()
+        self._leased_until = {
+            incarnation: until
+            for incarnation, until in self._leased_until.items()
+            if until > now
+        }
+        longest = self._limits.expiry_upper_bound(self._limits.max_lease)
+        self._leased_until[session.incarnation] = now + longest
+
     def _views(self) -> dict[str, WorkerView]:
         """Return the workers with the capacity left by the runs in the table."""
         views = {}
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -1,12 +1,15 @@
 from testtools import TestCase
 
 from arbutuscleat.emulator.worker_model import WorkerModel
+from arbutuscleat.execution import ExecutionLimits, HoldAnswer, OrderOutcome
 from arbutuscleat.jobs import RunOutcome
 from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker
 from tests.fakes import ManualClock
 from tests.fakes.executor import make_executor, run_once
 from tests.fakes.jobs import JOB, JobTableHarness, job, step, worker
 
+LIMITS = ExecutionLimits()
+
 
 class ExecutorTest(TestCase):
     def setUp(self):
@@ -75,3 +78,17 @@
         self.play()
         usable = {name: s.is_usable() for name, s in self.executor.sessions.items()}
         self.assertEqual({"w1": True, "w2": True}, usable)
+
+    def test_a_worker_that_opens_a_session_again_may_still_hold_its_lease(self):
+        """Guards against a task that is rescheduled while its former run continues."""
+        self.harness.apply(worker=worker())
+        self.clock.advance(10 * LIMITS.max_lease)
+        self.harness.accept(job(steps=[step(1, long_running=True)]))
+        self.play()
+        model = self.models["w1", 5]
+        self.assertEqual(1, len(model.running()))
+        self.lose_quorum()
+        model.hold = lambda order, timeout: HoldAnswer(OrderOutcome.NO_ANSWER)
+        while self.harness.table.runs:
+            self.play(1)
+        self.assertEqual({}, model.running())
