Only holds of a responsive worker renew its lease

Callers saw the tasks of a worker that stopped answering without a run for 8.5 to 9.2 s, although other workers had room. Long-running tasks are the ones that wait for it: a finite task waits as well, but other finite tasks take the room.

Cause: the lease of an unresponsive worker has to expire before its tasks run elsewhere. The first hold without an answer was repeated with a renewal, and the time of the lease was counted from that second hold, up to 1.9 s later: the first may be kept open for 1.5 s. Whether the lease had expired was checked every 0.6 s.

A retry no longer renews the lease. If it is answered, the next hold is sent at once and renews it, so a lost hold costs at most 1.9 s and one call of the 6 s of a lease. The check is made before and after the pause between holds. The end of a lease is recorded after its expiry is computed, so that a pause of the process in between does not make the recorded end too early.

--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -242,13 +242,12 @@
             return False
         if not self._may_send():
             return True  # The next session will find the run in the log.
-        self._status.record_lease()
         answer = self._client.start(
             StartOrder(
                 key=key,
                 number=order.number,
                 spec=spec,
-                expires_ms=self._status.expires_ms(),
+                expires_ms=self._status.grant_lease(),
                 fence=self._fence,
                 checkpoint=checkpoint,
             ),
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -55,11 +55,6 @@
 """How long no new runs are scheduled on a worker after a task stalled there. It is
 longer than detecting the next stalled task takes."""
 
-MAX_UNANSWERED_RENEWALS = 2
-"""Number of unanswered holds after which the lease is no longer renewed. Holds can
-arrive although their responses are lost, so otherwise the lease would never be certain
-to have expired."""
-
 HOLD_TIMEOUT_MARGIN_SECONDS = 0.4
 """Added to the time that a worker may keep a hold open to get the timeout of the call.
 It allows for scheduling delays of the leader's threads on a slow machine."""
@@ -223,10 +218,9 @@
         """Send one hold and handle the response: one iteration of the hold thread."""
         expected_runs, is_busy = self._expected_runs()
         stopped = self._sender.stopped()
-        unanswered = self._status.holds_unanswered
-        renew = self._status.has_clock() and unanswered < MAX_UNANSWERED_RENEWALS
-        if renew:
-            self._status.record_lease()
+        # A hold can arrive although its response is lost. If retries renewed the lease,
+        # it would never be certain to have expired.
+        renew = self._status.has_clock() and not self._status.holds_unanswered
         wait = 0.0
         if self._status.is_responsive():
             wait = self._limits.busy_wait if is_busy else self._limits.hold_wait
@@ -236,7 +230,7 @@
             HoldOrder(
                 fence=self._fence,
                 acknowledged=self._acknowledged,
-                expires_ms=self._status.expires_ms() if renew else None,
+                expires_ms=self._status.grant_lease() if renew else None,
                 wait_ms=int(1000 * wait),
             ),
             wait + HOLD_TIMEOUT_MARGIN_SECONDS,
@@ -387,12 +381,18 @@
         if self._status.holds_unanswered == 1:
             logging.info("worker %s: hold failed: %s", self.worker_id, outcome.value)
             return  # A single call can be lost, so the hold is retried immediately.
-        if self._status.has_lease_expired():
-            with self._table.lock:
-                runs = self._table.runs.get(self.incarnation, {})
-                lost = [(key, task.number) for key, task in runs.items()]
-            self._record_lost(lost, "the lease of its unresponsive worker has expired")
+        self._record_expired()
         self._clock.sleep(self._closed, RETRY_SECONDS)
+        self._record_expired()
+
+    def _record_expired(self) -> None:
+        """Record all runs of the unresponsive worker as lost once its lease expired."""
+        if self._closed.is_set() or not self._status.has_lease_expired():
+            return
+        with self._table.lock:
+            runs = self._table.runs.get(self.incarnation, {})
+            lost = [(key, task.number) for key, task in runs.items()]
+        self._record_lost(lost, "the lease of its unresponsive worker has expired")
 
     def _remove_worker(self) -> None:
         command = RemoveWorker(
--- a/arbutuscleat/execution/worker_status.py
+++ b/arbutuscleat/execution/worker_status.py
@@ -106,17 +106,16 @@
         """Return whether a reading of the worker's clock has been received."""
         return self._worker_clock.is_known()
 
-    def expires_ms(self) -> int:
+    def grant_lease(self) -> int:
         """Return when a lease granted now expires, in ms on the worker's clock."""
-        return self._worker_clock.after_ms(self._limits.lease)
-
-    def record_lease(self) -> None:
-        """Record that a lease is about to be granted."""
-        end = self._clock.monotonic() + self._limits.expiry_upper_bound(
-            self._limits.lease
-        )
+        expires_ms = self._worker_clock.after_ms(self._limits.lease)
+        # Read after the worker's clock, so that a pause of this process in between
+        # does not make the recorded end too early.
+        now = self._clock.monotonic()
         with self._lock:
+            end = now + self._limits.expiry_upper_bound(self._limits.lease)
             self._lease_until = max(self._lease_until, end)
+        return expires_ms
 
     def has_lease_expired(self) -> bool:
         """Return whether every lease granted so far is certain to have expired."""
