A start does not prolong a lease that still lasts

Callers saw the tasks of a worker that stopped answering without a run for up to 9.1 s.

Cause: each start granted a new lease. A worker counts as responsive until a hold or two orders are unanswered, so starts are sent to it for up to 1.9 s after it stopped answering, and the end of the lease of all its runs was counted from the last of them.

Evidence: in the new test a start 1.5 s after the worker stopped answering delays the other task of the worker to 9.05 s, 2.4 s more than its lease and the tolerance.

A start now carries the expiry of the latest lease, as long as more than half of that lease is left. The hold thread renews the lease of a worker with runs, at least every 1.9 s, so starts renew nothing that matters; a start on an idle worker grants a new one.

Before: test_a_start_on_a_dark_worker_does_not_prolong_its_lease failed with 9.05 s.

--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -247,7 +247,7 @@
                 key=key,
                 number=order.number,
                 spec=spec,
-                expires_ms=self._status.grant_lease(),
+                expires_ms=self._status.start_lease(),
                 fence=self._fence,
                 checkpoint=checkpoint,
             ),
--- a/arbutuscleat/execution/worker_status.py
+++ b/arbutuscleat/execution/worker_status.py
@@ -41,6 +41,8 @@
         self._lock = threading.Lock()
         self._worker_clock = WorkerClock(clock)
         self._lease_until = lease_until
+        self._expires_ms = 0
+        self._reusable_until = 0.0
         self._unusable_until = 0.0
         self._orders_unanswered = 0
         self._has_answered = False
@@ -115,8 +117,21 @@
         with self._lock:
             end = now + self._limits.expiry_upper_bound(self._limits.lease)
             self._lease_until = max(self._lease_until, end)
+            self._expires_ms = expires_ms
+            self._reusable_until = now + self._limits.lease / 2
         return expires_ms
 
+    def start_lease(self) -> int:
+        """Return when the lease of a run that starts now expires, like `grant_lease`.
+
+        A lease that still lasts is not renewed: only an answered hold shows that the
+        worker is responsive, and its other runs are rescheduled once it has expired.
+        """
+        with self._lock:
+            if self._clock.monotonic() < self._reusable_until:
+                return self._expires_ms
+        return self.grant_lease()
+
     def has_lease_expired(self) -> bool:
         """Return whether every lease granted so far is certain to have expired."""
         return self._clock.monotonic() > self._lease_until
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -402,6 +402,7 @@
         self.harness = JobTableHarness()
         self.harness.apply(worker=worker())
         self.harness.accept(job(steps=[step(1, long_running=True)]))
+        self.harness.accept(job(OTHER_JOB, steps=[step(16)]))
         self.model = WorkerModel(self.clock, 5, lambda order: (None, RunOutcome.DONE))
         self.link = DarkLink(self.clock, self.model)
         self.session = WorkerSession(
@@ -455,6 +456,14 @@
             self.start(run(number=task.number + 1))
             self.clock.run(3.0)
 
+    def test_a_start_on_a_dark_worker_does_not_prolong_its_lease(self):
+        self.go_dark()
+        self.clock.run(1.5)
+        self.start(run(job_id=OTHER_JOB))
+        waited = self.seconds_until_rescheduled()
+        bound = LIMITS.expiry_upper_bound(LIMITS.lease)
+        self.assertTrue(waited < bound + 0.5, waited)
+
 
 class DarkLink(FaultyLink):
     """A link on which an unanswered call takes as long as its timeout."""
