No starts are sent to a worker that has become unresponsive

Callers saw the tasks of a worker that stopped answering without a run for tens of seconds: the more tasks had just been scheduled there, the longer. Long-running tasks on it did not run elsewhere in that time, although other workers had room for them.

Cause: a plan can schedule many tasks on one worker. Their starts were sent one after another, each with a first attempt, then a retry, then a stop, though the worker had left holds and orders unanswered by then. Each of these starts could arrive, so each granted a lease, and the runs of the worker count as lost only once the last lease has expired. The starts were retried one by one, about 2 s each.

Evidence: in the new test 16 tasks are scheduled on a worker that has just stopped answering.

A start whose turn comes while the worker is unresponsive is not sent; its run is recorded as lost, so the task is rescheduled at once. One whose first attempt was not answered is left to the session: the next answered hold lists the run, or the session stops it.

Before: test_queued_starts_do_not_prolong_the_lease_of_a_dark_worker failed with 35.65 s, test_starts_queued_behind_unanswered_ones_are_not_sent with 0 tasks waiting after 2 s instead of 14.

--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -3,7 +3,7 @@
 Orders are sent one at a time. An unanswered order is passed to a second thread, which
 retries it, so that the orders queued behind it are not delayed by further timeouts. A
 start that remains unanswered is followed by a stop: once the stop has been answered,
-the run can never start.
+the run can never start. While the worker is unresponsive, no starts are sent.
 """
 
 import queue
@@ -203,6 +203,8 @@
     def _retry(self, order: _Order) -> None:
         try:
             if order.start is not None:
+                if self._status.needs_hold():
+                    return  # The session handles the run after its next holds.
                 if self._try_start(order, self._limits.call, True):
                     return
                 self._log_failed_start(order, OrderOutcome.NO_ANSWER)
@@ -242,6 +244,9 @@
             return False
         if not self._may_send():
             return True  # The next session will find the run in the log.
+        if self._status.needs_hold() and not is_retry:
+            self._record_lost([(key, order.number)], "its worker is unresponsive")
+            return True
         answer = self._client.start(
             StartOrder(
                 key=key,
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -442,6 +442,23 @@
         self.assertEqual({}, self.model.running())
         return self.clock.monotonic() - self.dark_since
 
+    def test_queued_starts_do_not_prolong_the_lease_of_a_dark_worker(self):
+        """Guards against retries that count as leases granted, one after another."""
+        self.go_dark()
+        for index in range(16):
+            self.start(run(job_id=OTHER_JOB, index=index))
+        waited = self.seconds_until_rescheduled()
+        self.assertTrue(waited < LIMITS.expiry_upper_bound(LIMITS.lease) + 1.0, waited)
+
+    def test_starts_queued_behind_unanswered_ones_are_not_sent(self):
+        self.go_dark()
+        for index in range(16):
+            self.start(run(job_id=OTHER_JOB, index=index))
+        self.clock.run(2.0)
+        tasks = self.harness.table.jobs[OTHER_JOB].all_tasks()
+        waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
+        self.assertEqual(16 - MAX_UNANSWERED_ORDERS, len(waiting))
+
     def test_tasks_of_a_dark_worker_are_rescheduled_once_its_lease_has_expired(self):
         """Guards against renewals by holds that are retries of an unanswered one."""
         for delay in (0.0, 0.4, 0.8, 1.2):
