A new leader waits for leases as long as leaders grant them

Callers saw the tasks of a worker that stopped answering shortly before the leader changed without a run for more than 10.7 s after that change.

Cause: a new leader waited for the longest lease that a worker accepts, 10 s and the tolerance, although leaders grant 6 s. A lease could be longer in two cases. The expiry was computed from a reading of the worker's clock, which may run 2% slow, and the reading of an idle worker may be minutes old. And a process that was paused between the check that it leads and the computation granted a lease of 6 s from the end of the pause.

The estimate of a worker's clock now allows for a slow clock, so no lease is longer than asked for; an idle worker's clock is read once a minute, so that none is much shorter. The expiry is computed before the check that the process leads. A new leader therefore waits for 6 s and the tolerance.

The random runs take the same bound as a new leader, which is stricter: their check for two runs of a task holds with it.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -302,10 +302,7 @@
         # never starts again: workers reject tokens lower than those of former sessions.
         self._session_count += 1
         fence = self._term * SESSIONS_PER_TERM + self._session_count
-        former_lease_until = (
-            self._replica.led_since()
-            + self._limits.expiry_upper_bound(self._limits.max_lease)
-        )
+        former_lease_until = self._replica.led_since() + self._limits.longest_expiry()
         incarnation = (record.worker_id, record.born_ms)
         former_lease_until = max(
             former_lease_until, self._leased_until.get(incarnation, 0.0)
@@ -341,8 +338,7 @@
             for incarnation, until in self._leased_until.items()
             if until > now
         }
-        longest = self._limits.expiry_upper_bound(self._limits.max_lease)
-        self._leased_until[session.incarnation] = now + longest
+        self._leased_until[session.incarnation] = now + self._limits.longest_expiry()
 
     def _views(self) -> dict[str, WorkerView]:
         """Return the workers with the capacity left by the runs in the table."""
--- a/arbutuscleat/execution/limits.py
+++ b/arbutuscleat/execution/limits.py
@@ -62,3 +62,7 @@
             Duration of the lease in seconds, on the worker's clock.
         """
         return lease / (1.0 - self.clock_drift) + self.margin
+
+    def longest_expiry(self) -> float:
+        """Return the seconds after which any lease granted by a leader has expired."""
+        return self.expiry_upper_bound(min(self.lease, self.max_lease))
--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -242,17 +242,18 @@
             return True
         if not is_current:
             return False
-        if not self._may_send():
-            return True  # The next session will find the run in the log.
-        if self._status.needs_hold() and not is_retry:
+        if self._status.needs_hold() and not is_retry and self._may_send():
             self._record_lost([(key, order.number)], "its worker is unresponsive")
             return True
+        expires_ms = self._status.start_lease()  # As for holds, before the check.
+        if not self._may_send():
+            return True  # The next session will find the run in the log.
         answer = self._client.start(
             StartOrder(
                 key=key,
                 number=order.number,
                 spec=spec,
-                expires_ms=self._status.start_lease(),
+                expires_ms=expires_ms,
                 fence=self._fence,
                 checkpoint=checkpoint,
             ),
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -3,7 +3,7 @@
 One thread sends holds: it renews the lease, records the ends that the worker lists in
 the replicated log, and acknowledges them only afterwards. An `OrderSender` sends the
 start and stop orders. A worker without runs is held only while it is unusable for want
-of an answer, because nothing else would end that.
+of an answer, because nothing else would end that, and once a minute for its clock.
 
 A run whose start is in the log counts as running until its end is in the log. If the
 worker does not list such a run, the session sends a stop; once the stop has been
@@ -206,6 +206,8 @@
                 self.hold_once()
                 if self._status.needs_hold():
                     self._clock.sleep(self._closed, IDLE_POLL_SECONDS)
+            elif self._status.is_clock_reading_due():
+                self.hold_once()
             else:
                 with self._wake:
                     self._clock.wait(self._wake, IDLE_POLL_SECONDS)
@@ -221,6 +223,11 @@
         # A hold can arrive although its response is lost. If retries renewed the lease,
         # it would never be certain to have expired.
         renew = self._status.has_clock() and not self._status.holds_unanswered
+        expires_ms = self._status.grant_lease() if renew else None
+        # The expiry is computed before this check, so a lease granted by a process that
+        # is paused and resumed does not last longer than one of its time as leader.
+        if not self._may_order():
+            return
         wait = 0.0
         if self._status.is_responsive():
             wait = self._limits.busy_wait if is_busy else self._limits.hold_wait
@@ -230,7 +237,7 @@
             HoldOrder(
                 fence=self._fence,
                 acknowledged=self._acknowledged,
-                expires_ms=self._status.grant_lease() if renew else None,
+                expires_ms=expires_ms,
                 wait_ms=int(1000 * wait),
             ),
             wait + HOLD_TIMEOUT_MARGIN_SECONDS,
--- a/arbutuscleat/execution/worker_clock.py
+++ b/arbutuscleat/execution/worker_clock.py
@@ -6,17 +6,19 @@
 class WorkerClock:
     """Estimates a worker's monotonic clock from the readings in its responses.
 
-    The estimate is never ahead of the worker's clock, provided that the clock runs at
-    the correct rate.
+    The estimate is never ahead of the worker's clock, even if that clock runs slow.
 
     Parameters
     ----------
     clock : Clock
         The local clock.
+    drift : float
+        Maximum fraction by which the worker's clock may run slow.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, drift: float):
         self._clock = clock
+        self._drift = drift
         self._worker_ms = 0
         self._seen_at = 0.0
 
@@ -32,5 +34,9 @@
 
     def after_ms(self, seconds: float) -> int:
         """Return the worker's clock `seconds` from now, in milliseconds."""
-        passed = self._clock.monotonic() - self._seen_at
+        passed = self.age() * (1.0 - self._drift)
         return int(self._worker_ms + 1000.0 * (passed + seconds))
+
+    def age(self) -> float:
+        """Return the seconds since the latest reading."""
+        return self._clock.monotonic() - self._seen_at
--- a/arbutuscleat/execution/worker_status.py
+++ b/arbutuscleat/execution/worker_status.py
@@ -16,6 +16,11 @@
 single order can be lost even if the worker is healthy."""
 
 
+MAX_CLOCK_AGE_SECONDS = 60.0
+"""Age of the latest reading of a worker's clock after which a new one is due. The lease
+granted at this age is a fifth shorter if the clock runs at the correct rate."""
+
+
 class WorkerStatus:
     """Responsiveness, clock and lease of one incarnation of a worker.
 
@@ -39,7 +44,7 @@
         self._clock = clock
         self._limits = limits
         self._lock = threading.Lock()
-        self._worker_clock = WorkerClock(clock)
+        self._worker_clock = WorkerClock(clock, limits.clock_drift)
         self._lease_until = lease_until
         self._expires_ms = 0
         self._reusable_until = 0.0
@@ -108,6 +113,10 @@
         """Return whether a reading of the worker's clock has been received."""
         return self._worker_clock.is_known()
 
+    def is_clock_reading_due(self) -> bool:
+        """Return whether the latest reading of the worker's clock is too old."""
+        return self._worker_clock.age() > MAX_CLOCK_AGE_SECONDS
+
     def grant_lease(self) -> int:
         """Return when a lease granted now expires, in ms on the worker's clock."""
         expires_ms = self._worker_clock.after_ms(self._limits.lease)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -92,3 +92,20 @@
         while self.harness.table.runs:
             self.play(1)
         self.assertEqual({}, model.running())
+
+    def test_a_new_leader_waits_for_the_leases_of_the_former_one_and_no_longer(self):
+        """Guards against tasks that wait longer than a leader's leases last."""
+        self.harness.apply(worker=worker())
+        self.harness.accept(job(steps=[step(1, long_running=True)]))
+        self.play()
+        model = self.models["w1", 5]
+        self.assertEqual(1, len(model.running()))
+        since = self.clock.monotonic()
+        self.replica.term = lambda: 2
+        self.replica.led_since = lambda: since
+        model.hold = lambda order, timeout: HoldAnswer(OrderOutcome.NO_ANSWER)
+        while self.harness.table.runs:
+            self.play(1)
+        self.assertEqual({}, model.running())
+        waited = self.clock.monotonic() - since
+        self.assertTrue(waited < LIMITS.expiry_upper_bound(LIMITS.lease) + 1.0, waited)
--- a/tests/execution/test_random_runs.py
+++ b/tests/execution/test_random_runs.py
@@ -156,9 +156,7 @@
             session.close()
         self.sessions = {}
         self.fence += 1000
-        self.former_lease_until = self.clock.monotonic() + LIMITS.expiry_upper_bound(
-            LIMITS.max_lease
-        )
+        self.former_lease_until = self.clock.monotonic() + LIMITS.longest_expiry()
 
     def reconcile_sessions(self):
         for worker_id, link in self.links.items():
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -14,7 +14,10 @@
     WorkerClient,
 )
 from arbutuscleat.execution.session import RECHECK_SECONDS, WorkerSession
-from arbutuscleat.execution.worker_status import MAX_UNANSWERED_ORDERS
+from arbutuscleat.execution.worker_status import (
+    MAX_CLOCK_AGE_SECONDS,
+    MAX_UNANSWERED_ORDERS,
+)
 from arbutuscleat.jobs import JobPhase, RunOutcome, TaskKey, TaskStatus
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, step, worker
@@ -228,6 +231,33 @@
         self.step_once()
         self.assertIs(TaskStatus.WAITING, self.status())
 
+    def test_the_lease_of_a_worker_with_a_slow_clock_is_not_longer(self):
+        """Guards against a start that follows long after the last reading."""
+        now_ms = self.model._now_ms
+        self.model._now_ms = lambda: int(now_ms() * (1.0 - LIMITS.clock_drift))
+        self.session.hold_once()
+        self.clock.advance(MAX_CLOCK_AGE_SECONDS)
+        self.start()
+        left_ms = self.model._expires_ms - self.model._now_ms()
+        self.assertTrue(0 < left_ms <= 1000 * LIMITS.lease + 1, left_ms)  # Rounding.
+
+    def test_a_pause_of_the_process_does_not_prolong_a_lease(self):
+        """Guards against a lease granted by a process that leads no longer."""
+        limit_ms = self.model._now_ms() + 1000 * LIMITS.lease
+        self.session._may_order = self.session._sender._may_order = self.pause
+        self.harness.start(run())
+        self.session.order_start(run())
+        self.session.send_queued_orders()
+        self.assertEqual([(KEY, 1)], self.model.started)
+        self.assertTrue(self.model._expires_ms <= limit_ms)
+        limit_ms = self.model._now_ms() + 1000 * LIMITS.lease
+        self.session.hold_once()
+        self.assertTrue(self.model._expires_ms <= limit_ms)
+
+    def pause(self):
+        self.clock.advance(2.0)
+        return True
+
     def test_a_run_of_a_cancelled_job_is_stopped(self):
         self.start()
         self.harness.cancel()
@@ -391,6 +421,12 @@
         self.clock.run(10.0)
         self.assertEqual([], self.link.calls)
 
+    def test_the_clock_of_a_worker_without_runs_is_read_once_a_minute(self):
+        """Guards against a lease that is too short because the last reading is old."""
+        self.link.calls.clear()
+        self.clock.run(4.5 * MAX_CLOCK_AGE_SECONDS)
+        self.assertEqual(["hold"] * 4, [name for name, _ in self.link.calls])
+
 
 class DarkWorkerTest(TestCase):
     """All threads of a session whose worker stops answering, on a simulated clock."""
