Runs on a worker that rejects the leader are lost after its lease

Callers saw a task without a run although other workers had room, for as long as the leader led.

Cause: a hold that a worker answers with "fence" was repeated every 0.2 s without end, and nothing else happened: the worker stayed unusable, as it should, but its runs, which end with the lease at the latest, stayed in the log.

Such a hold now counts as unanswered: the lease is not renewed, and the runs are recorded as lost once it is certain to have expired. That is safe: if another process has held the worker since, it leads a later term, and this one can commit nothing.

--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -377,13 +377,8 @@
             )
             self._remove_worker()
             return
-        if outcome is OrderOutcome.FENCED:
-            logging.warning(
-                "worker %s rejected the session: it has seen a higher fencing token",
-                self.worker_id,
-            )
-            self._clock.sleep(self._closed, RETRY_SECONDS)
-            return
+        # A worker that rejects the fencing token counts as unresponsive: as long as
+        # this process leads, no other one renews the lease.
         self._status.record_unanswered_hold()
         if self._status.holds_unanswered == 1:
             logging.info("worker %s: hold failed: %s", self.worker_id, outcome.value)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -109,3 +109,33 @@
         self.assertEqual({}, model.running())
         waited = self.clock.monotonic() - since
         self.assertTrue(waited < LIMITS.expiry_upper_bound(LIMITS.lease) + 1.0, waited)
+
+
+class ChangedWorkerTest(TestCase):
+    """Workers that are removed, move to another address or reject the leader."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.harness = JobTableHarness()
+        self.clients = []
+        self.model = WorkerModel(self.clock, 5, lambda order: (None, RunOutcome.DONE))
+        self.executor = make_executor(self.harness, self.clock, self.make_client)
+        self.harness.apply(worker=worker())
+        run_once(self.executor)
+
+    def make_client(self, record):
+        self.clients.append(record)
+        return self.model
+
+    def test_runs_on_a_worker_that_rejects_the_leader_are_lost_after_its_lease(self):
+        """Guards against a run that the log has for as long as the leader leads."""
+        self.harness.accept(job(steps=[step(1, long_running=True)]))
+        run_once(self.executor)
+        since = self.clock.monotonic()
+        self.model._fence = 10**9
+        while self.harness.table.runs:
+            self.assertTrue(self.clock.monotonic() - since < 20.0)
+            run_once(self.executor)
+        self.assertEqual({}, self.model.running())
+        self.assertFalse(self.executor.sessions["w1"].is_usable())
