A closed session is replaced even if its worker is registered again

Callers could see a worker without runs, and tasks on it waiting, until it restarted or the leader changed: nothing was sent to it.

Cause: a session that finds another worker at its address removes its worker from the table and ends. The executor replaced a session only if the worker was gone or had another start time. If the worker announced itself again before the next plan, the ended session stayed, and the worker counted as unusable. The plan may be 2 s away while a commit is awaited. Likewise a worker that announced another address, with the same start time, was called at the former one.

A session is now replaced as well if it has ended or its address differs.

Before: test_a_worker_that_is_removed_and_announced_again_is_usable failed with a worker that is not usable, test_a_worker_that_changes_its_address_is_called_there with the former address.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -290,7 +290,7 @@
         workers = self._table.workers
         for worker_id, session in list(self.sessions.items()):
             record = workers.get(worker_id)
-            if record is None or record.born_ms != session.incarnation[1]:
+            if record is None or not session.is_with(record):
                 self._close_session(session)
                 del self.sessions[worker_id]
         for worker_id, record in workers.items():
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -113,6 +113,7 @@
     ):
         self.worker_id: str = record.worker_id
         self.incarnation = (record.worker_id, record.born_ms)
+        self._address = (record.host, record.port)
         self._client = client
         self._fence = fence
         self._table = table
@@ -158,6 +159,12 @@
             self._wake.notify_all()
         self._client.close()
 
+    def is_with(self, record: WorkerRecord) -> bool:
+        """Return whether this open session calls the worker as it is registered."""
+        address = (record.host, record.port)
+        same = (record.born_ms, address) == (self.incarnation[1], self._address)
+        return same and not self._closed.is_set()
+
     def is_usable(self) -> bool:
         """Return whether new runs may be scheduled on the worker."""
         return not self._closed.is_set() and self._status.is_usable()
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -128,6 +128,22 @@
         self.clients.append(record)
         return self.model
 
+    def test_a_worker_that_is_removed_and_announced_again_is_usable(self):
+        """Guards against a closed session that is kept since the worker is the same."""
+        hold = self.model.hold
+        self.model.hold = lambda order, timeout: HoldAnswer(OrderOutcome.OTHER_WORKER)
+        self.executor.sessions["w1"].hold_once()
+        self.model.hold = hold
+        self.harness.apply(worker=worker())
+        run_once(self.executor)
+        self.assertTrue(self.executor.sessions["w1"].is_usable())
+
+    def test_a_worker_that_changes_its_address_is_called_there(self):
+        self.harness.apply(worker=worker(host="10.0.0.2", sequence=2))
+        run_once(self.executor)
+        self.assertEqual("10.0.0.2", self.clients[-1].host)
+        self.assertTrue(self.executor.sessions["w1"].is_usable())
+
     def test_runs_on_a_worker_that_rejects_the_leader_are_lost_after_its_lease(self):
         """Guards against a run that the log has for as long as the leader leads."""
         self.harness.accept(job(steps=[step(1, long_running=True)]))
