The circuit breaker holds a long-running task back for a second at most

Callers saw a long-running task without a run for up to 8 s after the only worker with room for it had recovered, and longer if a finite task then took its one trial run.

Cause: after several failed runs a worker gets no new runs for 1 s, doubled each time a trial run fails, up to 8 s, until a run succeeds. Long-running tasks never succeed, and between load peaks nothing else runs, so each of their failures, even minutes apart, doubled the time again. The limit is there to save the attempts of finite tasks; a long-running task has any number of them.

The breaker now admits long-running tasks a second after the latest failure, also beside a trial run. They still prefer every worker that has not failed its latest runs, and none is moved to such a worker. A failure more than 5 s after the worker was free to run again opens the breaker for 2 s, not for twice the former time. Finite tasks are limited as before: test_failing_worker.py is unchanged for them.

The two new tests of the breaker, and the one of moves, cover the parts.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -184,6 +184,8 @@
                 and task.number > self._moved.get(task.key, 0)
             }
             views = self._views()
+            for view in views.values():
+                view.admits_long_running = False  # No move to a failing worker.
             return movable_tasks(self._table, session.incarnation, ready_runs, views)
 
     def propose(self, command: JobCommand) -> bool:
@@ -360,6 +362,7 @@
                     view.reserve(step, key[:3])
                     finite_runs += not step.long_running
             views[worker_id] = view
+            view.admits_long_running = session.accepts_long_running()
             limit = session.max_new_runs(finite_runs)
             if limit is not None:
                 limits.setdefault(record.service_name, {})[worker_id] = limit
--- a/arbutuscleat/execution/failure_breaker.py
+++ b/arbutuscleat/execution/failure_breaker.py
@@ -5,6 +5,9 @@
 failed on it without a single success, it gets no new runs for a while. Then it gets
 one run at a time, until one of them succeeds. Failures are counted by job, because
 all tasks of a single job may fail for a reason of their own.
+
+Long-running tasks have any number of attempts and never succeed, so they are limited
+less: a second after the latest failure the worker accepts them again.
 """
 
 import threading
@@ -19,7 +22,8 @@
 fail at any time and never succeed."""
 
 OPEN_SECONDS = 1.0
-"""How long a worker gets no new runs at first; doubled each time a trial run fails."""
+"""How long a worker gets no new runs at first; doubled each time a trial run fails. For
+long-running tasks it is never doubled."""
 
 MAX_OPEN_SECONDS = 8.0
 
@@ -62,12 +66,14 @@
         now = self._clock.monotonic()
         with self._lock:
             self._failures += 1
+            failed_before, self._failed_at = self._failed_at, now
             if self._times_opened and now < self._open_until:
-                return False  # It started before the breaker opened.
-            if not self._times_opened and now - self._failed_at > STREAK_SECONDS:
+                return False  # A long-running task, or it started before.
+            if self._times_opened and now - self._open_until > STREAK_SECONDS:
+                self._times_opened = 1  # No trial run failed right away.
+            if not self._times_opened and now - failed_before > STREAK_SECONDS:
                 self._failed_jobs = set()
             self._failed_jobs.add(job_id)
-            self._failed_at = now
             if not self._times_opened and len(self._failed_jobs) < MAX_FAILED_JOBS:
                 return False
             seconds = min(OPEN_SECONDS * 2**self._times_opened, MAX_OPEN_SECONDS)
@@ -90,6 +96,13 @@
                 return 0
             return max(0, 1 - running)
 
+    def accepts_long_running(self) -> bool:
+        """Return whether long-running tasks may be scheduled on the worker."""
+        with self._lock:
+            if not self._times_opened:
+                return True
+            return self._clock.monotonic() - self._failed_at >= OPEN_SECONDS
+
     def grade(self) -> int:
         """Return the number of consecutive failed runs, at most `MAX_GRADE`."""
         return min(self._failures, MAX_GRADE)
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -187,6 +187,10 @@
         """
         return self._breaker.max_new_runs(running)
 
+    def accepts_long_running(self) -> bool:
+        """Return whether the circuit breaker admits long-running tasks."""
+        return self._breaker.accepts_long_running()
+
     def order_start(self, run: RunRecord) -> None:
         """Queue the start of a run that is committed to the log."""
         self._sender.order_start(run)
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -37,6 +37,8 @@
         Number of tasks on the worker by job, occurrence and step.
     max_new_runs : int or None
         Number of further runs that may be scheduled; None for any number.
+    admits_long_running : bool
+        Whether `max_new_runs` does not apply to long-running tasks.
     unusable_because : WaitReason
         Why new runs may not be scheduled on a worker that is not usable.
     """
@@ -54,6 +56,7 @@
         "rack",
         "counts",
         "max_new_runs",
+        "admits_long_running",
         "unusable_because",
     )
 
@@ -70,6 +73,7 @@
         self.rack = rack_of(record.labels or ())
         self.counts: dict[tuple[str, int, int], int] = {}
         self.max_new_runs: int | None = None
+        self.admits_long_running = False
         self.unusable_because = WaitReason.UNRESPONSIVE
 
     @property
@@ -97,7 +101,7 @@
             return WaitReason.LABEL
         if step.spread_limit and self.counts.get(group, 0) >= step.spread_limit:
             return WaitReason.SPREAD_LIMIT
-        if self.max_new_runs == 0:
+        if not self._admits(step):
             return WaitReason.CIRCUIT_BREAKER
         if step.gpu > self.gpu:
             return WaitReason.ACCELERATORS
@@ -147,13 +151,19 @@
 
     def _holds(self, step: StepRecord, cpu: int, mem_mb: int, gpu: int) -> bool:
         return (
-            self.max_new_runs != 0
+            self._admits(step)
             and (not step.required_label or step.required_label in self.record.labels)
             and (step.fills or step.cpu <= cpu)
             and step.mem_mb <= mem_mb
             and step.gpu <= gpu
         )
 
+    def _admits(self, step: StepRecord) -> bool:
+        """Return whether the circuit breaker permits one more run of `step`."""
+        if self.max_new_runs is None or self.max_new_runs > 0:
+            return True
+        return bool(step.long_running) and self.admits_long_running
+
     def reserve(self, step: StepRecord, group: tuple[str, int, int]) -> None:
         """Reserve capacity for one more task of `step`.
 
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -2,6 +2,7 @@
 
 from arbutuscleat.emulator.worker_model import WorkerModel
 from arbutuscleat.execution import ExecutionLimits, HoldAnswer, OrderOutcome
+from arbutuscleat.execution.failure_breaker import MAX_FAILED_JOBS, OPEN_SECONDS
 from arbutuscleat.jobs import RunOutcome
 from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker
 from tests.fakes import ManualClock
@@ -38,6 +39,25 @@
         moved = self.executor.movable_tasks(place[0])
         self.assertEqual([JOB], [key.job_id for key, _ in moved])
 
+    def test_tasks_are_not_moved_to_a_worker_that_fails_its_runs(self):
+        """Guards against a move to a worker that takes tasks only as a last resort."""
+        for worker_id in ("w1", "w2", "w3"):
+            self.harness.apply(worker=worker(worker_id, cpu=1_000))
+        self.harness.accept(job(steps=[step(2, long_running=True, may_miss=1)]))
+        for _ in range(3):
+            run_once(self.executor)
+        places = {key[0] for key in self.harness.table.runs}
+        (other,) = {"w1", "w2", "w3"} - places
+        self.assertEqual(1, len(self.executor.movable_tasks(min(places))))
+        breaker = self.executor.sessions[other]._breaker
+        for number in range(MAX_FAILED_JOBS):
+            breaker.record_failure(f"job {number}")
+        self.assertEqual([], self.executor.movable_tasks(min(places)))
+        self.clock.advance(OPEN_SECONDS)
+        breaker.max_new_runs = lambda running: 0  # A trial run is active.
+        self.assertTrue(breaker.accepts_long_running())
+        self.assertEqual([], self.executor.movable_tasks(min(places)))
+
 
 class QuorumLossTest(TestCase):
     """A leader that hears no quorum for a moment and then leads in the same term."""
--- a/tests/execution/test_failure_breaker.py
+++ b/tests/execution/test_failure_breaker.py
@@ -73,3 +73,21 @@
         self.assertFalse(self.breaker.record_failure("started before"))
         self.clock.advance(OPEN_SECONDS)
         self.assertEqual(1, self.breaker.max_new_runs(0))
+
+    def test_long_running_tasks_wait_for_a_fixed_time_after_each_failure(self):
+        self.assertTrue(self.breaker.accepts_long_running())
+        self.fail()
+        for _ in range(6):
+            self.assertFalse(self.breaker.accepts_long_running())
+            self.clock.advance(OPEN_SECONDS)
+            self.assertTrue(self.breaker.accepts_long_running())
+            self.breaker.record_failure("long-running")
+
+    def test_a_failure_long_after_the_wait_does_not_double_it_again(self):
+        """Guards against a long wait if no run that could succeed has been tried."""
+        self.fail()
+        for _ in range(6):
+            self.clock.advance(MAX_OPEN_SECONDS + STREAK_SECONDS + 0.1)
+            self.assertTrue(self.breaker.record_failure("long-running"))
+            self.clock.advance(2 * OPEN_SECONDS)
+            self.assertEqual(1, self.breaker.max_new_runs(0))
