An empty pool asks for as many machines as its tasks need

What was seen: for one task of one core, a service without machines was given every machine that was off (9 of 9), and then the idle ones of other services.

Cause: the number of machines is the demand over the size of the largest machine of the pool. An empty pool has none, and the size was taken as 1, a thousandth of a core.

Fix: the sizes of all machines count for an empty pool. It then gets two machines, one for the task and one as headroom for the next jobs.

The new test failed with 9 != 2.

--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -148,7 +148,7 @@
             if item.service_name in pools:
                 pools[item.service_name].append(item)
         needed = {
-            name: self._machines_needed(demand, pools[name])
+            name: self._machines_needed(demand, pools[name] or machines)
             for name, demand in demands.items()
         }
         # Machines that are drained for a wave provide no capacity.
@@ -191,8 +191,9 @@
             moves.extend(self._park(idle, needed, have, standby, at_most))
         return moves
 
-    def _machines_needed(self, demand: Demand, pool: Sequence[PoolMachine]) -> int:
-        size = max((item.cpu for item in pool), default=0) or 1
+    def _machines_needed(self, demand: Demand, machines: Sequence[PoolMachine]) -> int:
+        """Return how many machines of the largest of these sizes a service needs."""
+        size = max((item.cpu for item in machines), default=0) or 1
         wanted = (demand.running_cpu + demand.waiting_cpu) * (1.0 + HEADROOM_FRACTION)
         count = int(-(-wanted // size)) + HEADROOM_MACHINES
         return max(int(count), demand.min_machines)
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -95,6 +95,12 @@
         demand = Demand(running_cpu=SIZE // 2)
         self.assertEqual(set(), plan(machines, karachi=demand))
 
+    def test_an_empty_pool_brings_in_no_more_machines_than_its_tasks_need(self):
+        """Guards against all machines being moved to a service that has none."""
+        machines = [machine(f"s{i}", "standby") for i in range(9)]
+        found = plan(machines, billing=Demand(0, 1_000))
+        self.assertEqual(2, len(found))
+
     def test_machines_are_not_parked_until_demand_was_observed(self):
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         found = PoolPlanner().plan(machines, {"karachi": Demand()}, "standby", False)
