Demand counts memory, accelerators and required labels

What callers saw: a task that waits for memory, for accelerators or for a worker with a label waits for as long as nothing else changes, while machines that would run it are off.

Cause: the demand that moves machines counted CPU only. Tasks that fill counted as nothing, so their service was not urgent either, and of the machines in the pool none was told apart by its labels. A wave was not deferred for tasks that wait for memory. The other way round, tasks with a label that no machine has were counted like all others, and machines were moved that cannot run them.

Fix: the demand also holds memory, accelerators and the number of waiting tasks, and a part for each requirement (label, accelerators). A pool gets the largest number of machines that any of the resources needs, first those for the parts. A part for which there are no more machines asks for no others in their place. A machine is parked only if every part that it can run is still covered. The headroom stays a fraction of CPU.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -194,8 +194,7 @@
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
         standby, demands = self._demands()
-        machine_cpu = 0 if self.fleet is None else self.fleet.max_cpu
-        shortage = has_shortage(demands.values(), machine_cpu)
+        shortage = self.fleet is not None and has_shortage(demands.values(), self.fleet)
         for wave in waves:
             to_drain |= self._plan_wave(wave, by_name, shortage)
         to_drain |= self._plan_moves(machines, to_drain, waves, standby, demands)
@@ -335,6 +334,9 @@
                 in_wave=item.machine in in_wave
                 or item.machine in to_drain
                 or self._tracker.is_under_upkeep(item.machine),
+                mem_mb=item.mem_mb,
+                gpu=item.gpu,
+                labels=item.labels,
             )
             for item in machines
         ]
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -5,7 +5,8 @@
 from .demand_history import DemandHistory
 from .objective import critical_path_ms, objective_at_ms
 from .planner import Plan, Planner
-from .pool_planner import Demand, Move, PoolMachine, PoolPlanner, has_shortage
+from .pool_planner import Move, PoolMachine, PoolPlanner
+from .service_demand import Demand, Requirement, has_shortage
 from .step_waits import StepWait, StepWaits
 from .wait_reason import WaitReason
 from .wave_planner import WaveMachine, choose_machines
@@ -21,6 +22,7 @@
     "PoolMachine",
     "PoolPlanner",
     "Rejection",
+    "Requirement",
     "StepWait",
     "StepWaits",
     "WaitReason",
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -4,8 +4,9 @@
 
 from arbutuscleat.jobs import JobState, JobTable, TaskKey, TaskStatus
 from arbutuscleat.jobs.task import WorkerIncarnation
+from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
 
-from .pool_planner import Demand
+from .service_demand import Demand, Requirement
 from .worker_view import WorkerView
 
 
@@ -49,7 +50,8 @@
     now_ms : int
         Current Unix time in milliseconds.
     """
-    running = waiting = min_machines = 0
+    total = _Sum()
+    parts: dict[Requirement, _Sum] = {}
     for job in jobs:
         for occurrence in range(job.occurrence_count()):
             if job.record.repeat_count and job.due_at_ms(occurrence) > now_ms:
@@ -57,15 +59,61 @@
             for number, step in enumerate(job.steps):
                 if not job.is_ready(occurrence, number):
                     continue
-                cpu = 0 if step.fills else step.cpu
-                for task in job.tasks(occurrence, number):
-                    running += cpu * (task.status is TaskStatus.RUNNING)
-                    waiting += cpu * (task.status is TaskStatus.WAITING)
-                if step.spread_limit and not job.is_step_done(occurrence, number):
-                    min_machines = max(
-                        min_machines, -(-step.count // step.spread_limit)
-                    )
-    return Demand(running, waiting, min_machines)
+                if job.is_step_done(occurrence, number):
+                    continue
+                tasks = job.tasks(occurrence, number)
+                running = sum(task.status is TaskStatus.RUNNING for task in tasks)
+                waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
+                total.add(step, running, waiting)
+                if step.required_label or step.gpu:
+                    # Machines with more accelerators than one also run these tasks.
+                    gpu = min(1, step.gpu)
+                    requirement = Requirement(step.required_label or "", gpu)
+                    part = parts.setdefault(requirement, _Sum())
+                    part.add(step, running, waiting)
+                    part.add_spread(step)
+                else:
+                    total.add_spread(step)
+    return total.demand({key: part.demand({}) for key, part in parts.items()})
+
+
+class _Sum:
+    """Demand of the steps added so far."""
+
+    def __init__(self) -> None:
+        self._running = [0, 0, 0]
+        self._waiting = [0, 0, 0]
+        self._waiting_tasks = 0
+        self._min_machines = 0
+
+    def add(self, step: StepRecord, running: int, waiting: int) -> None:
+        """Add a step with some running and waiting tasks."""
+        # Tasks that fill use only the CPU that others leave unused.
+        sizes = (0 if step.fills else step.cpu, step.mem_mb, step.gpu)
+        for position, size in enumerate(sizes):
+            self._running[position] += running * size
+            self._waiting[position] += waiting * size
+        self._waiting_tasks += waiting
+
+    def add_spread(self, step: StepRecord) -> None:
+        """Add the number of machines that the spread limit of a step requires."""
+        if step.spread_limit:
+            count = -(-step.count // step.spread_limit)
+            self._min_machines = max(self._min_machines, count)
+
+    def demand(self, parts: Mapping[Requirement, Demand]) -> Demand:
+        """Return the demand, of which some parts have a requirement."""
+        return Demand(
+            running_cpu=self._running[0],
+            waiting_cpu=self._waiting[0],
+            min_machines=self._min_machines,
+            running_mem_mb=self._running[1],
+            waiting_mem_mb=self._waiting[1],
+            running_gpu=self._running[2],
+            waiting_gpu=self._waiting[2],
+            waiting_tasks=self._waiting_tasks,
+            by_requirement=parts,
+        )
 
 
 def movable_tasks(
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -5,11 +5,18 @@
 machines of services that have more than they need. Machines that have been idle for a
 while are parked: they move to the standby pool, where they are off. Running tasks are
 never ended for a move.
+
+The number of machines that a service needs is computed for all its tasks, and for those
+with the same requirement (a label, accelerators), which only some machines can run.
+Whichever of CPU, memory and accelerators is scarcest counts.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from .service_demand import ANY_MACHINE, Demand, Requirement
+
 IDLE_BEFORE_PARK_SECONDS = 1.5
 """Idle time after which a machine may be parked. It equals the duration of a move:
 parking machines that are idle for less time costs more than it saves."""
@@ -31,7 +38,7 @@
 """Headroom for work that arrives during a move, as a fraction of the running and
 waiting CPU demand."""
 
-HEADROOM_MACHINES = 1.0
+HEADROOM_MACHINES = 1
 """Headroom for the first jobs of a load peak, in machines."""
 
 
@@ -55,6 +62,12 @@
         Time since the machine became idle, in seconds; negative if it is busy.
     in_wave : bool
         Whether the machine is under upkeep or being drained for it.
+    mem_mb : int
+        Memory in MB; 0 if unknown.
+    gpu : int
+        Number of accelerators.
+    labels : tuple of str
+        The machine's labels.
     """
 
     machine: str
@@ -64,25 +77,13 @@
     is_up: bool
     idle_seconds: float
     in_wave: bool
+    mem_mb: int = 0
+    gpu: int = 0
+    labels: tuple[str, ...] = ()
 
-
-@dataclass(frozen=True, slots=True)
-class Demand:
-    """Demand of one service.
-
-    Parameters
-    ----------
-    running_cpu : int
-        CPU of the running tasks, in thousandths of a core.
-    waiting_cpu : int
-        CPU of the tasks that could start now, in thousandths of a core.
-    min_machines : int
-        Minimum number of machines of any size, as required by spread limits.
-    """
-
-    running_cpu: int = 0
-    waiting_cpu: int = 0
-    min_machines: int = 0
+    def meets(self, requirement: Requirement) -> bool:
+        """Return whether tasks with a requirement can run on the machine."""
+        return requirement.is_met_by(self.labels, self.gpu)
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,19 +102,6 @@
     service_name: str
 
 
-def has_shortage(demands: Iterable[Demand], machine_cpu: int) -> bool:
-    """Return whether any service has more waiting tasks than one machine can run.
-
-    Parameters
-    ----------
-    demands : iterable of Demand
-        The demand of each service.
-    machine_cpu : int
-        CPU capacity of one machine, in thousandths of a core.
-    """
-    return any(demand.waiting_cpu > machine_cpu for demand in demands)
-
-
 class PoolPlanner:
     """Plans moves of machines between pools; it is stateless."""
 
@@ -142,102 +130,157 @@
         list of Move
             The moves to order.
         """
-        moves: list[Move] = []
-        pools: dict[str, list[PoolMachine]] = {name: [] for name in demands}
-        for item in machines:
-            if item.service_name in pools:
-                pools[item.service_name].append(item)
-        needed = {
-            name: self._machines_needed(demand, pools[name] or machines)
-            for name, demand in demands.items()
-        }
-        # Machines that are drained for a wave provide no capacity.
-        have = {
-            name: sum(not item.in_wave for item in pool) for name, pool in pools.items()
+        pools = {
+            name: _Pool(name, demand, machines) for name, demand in demands.items()
         }
         standby_machines = [
             item
             for item in machines
             if item.service_name == standby and item.is_up and not item.in_wave
         ]
-        surplus = self._surplus_machines(pools, needed, have)
-        by_urgency = sorted(demands, key=lambda name: have[name] - needed[name])
-        for name in by_urgency:
-            kinds = {item.kind for item in pools[name]}
-            urgent = demands[name].waiting_cpu > 0
-            while have[name] < needed[name]:
-                found = _find_of_kind(standby_machines, kinds)
-                if found is None and urgent:
-                    found = _find_of_kind(
-                        [
-                            i
-                            for i in surplus
-                            if have[i.service_name] > needed[i.service_name]
-                        ],
-                        kinds,
-                    )
-                if found is None:
-                    break
-                if found in surplus:
-                    surplus.remove(found)
-                    have[found.service_name] -= 1
-                elif found in standby_machines:
-                    standby_machines.remove(found)
-                have[name] += 1
-                moves.append(Move(found.machine, name))
+        surplus = [item for pool in pools.values() for item in pool.idle_machines()]
+        surplus.sort(key=lambda item: -item.idle_seconds)
+        moves: list[Move] = []
+        for pool in sorted(pools.values(), key=_Pool.excess):
+            for requirement in pool.needed:
+                while pool.lacks(requirement):
+                    kinds = pool.kinds if requirement == ANY_MACHINE else set()
+                    found = _find(standby_machines, kinds, requirement)
+                    if found is None and pool.demand.waiting_tasks:
+                        spare = [
+                            item
+                            for item in surplus
+                            if item.service_name != pool.name
+                            and pools[item.service_name].can_spare(item)
+                        ]
+                        found = _find(spare, kinds, requirement)
+                    if found is None:
+                        pool.give_up(requirement)
+                        break
+                    if found in surplus:
+                        surplus.remove(found)
+                        pools[found.service_name].count(found, -1)
+                    else:
+                        standby_machines.remove(found)
+                    pool.count(found, 1)
+                    moves.append(Move(found.machine, pool.name))
         if standby and may_park:
             idle = [i for i in surplus if i.idle_seconds >= IDLE_BEFORE_PARK_SECONDS]
             at_most = max(MIN_PARKED_PER_PLAN, int(len(machines) * MAX_PARKED_FRACTION))
-            moves.extend(self._park(idle, needed, have, standby, at_most))
+            moves.extend(_park(idle, pools, standby, at_most))
         return moves
 
-    def _machines_needed(self, demand: Demand, machines: Sequence[PoolMachine]) -> int:
-        """Return how many machines of the largest of these sizes a service needs."""
-        size = max((item.cpu for item in machines), default=0) or 1
-        wanted = (demand.running_cpu + demand.waiting_cpu) * (1.0 + HEADROOM_FRACTION)
-        count = int(-(-wanted // size)) + HEADROOM_MACHINES
-        return max(int(count), demand.min_machines)
 
-    def _surplus_machines(
-        self,
-        pools: Mapping[str, Sequence[PoolMachine]],
-        needed: Mapping[str, int],
-        have: Mapping[str, int],
-    ) -> list[PoolMachine]:
-        found: list[PoolMachine] = []
-        for name, pool in pools.items():
-            if have[name] <= needed[name]:
-                continue
-            found.extend(
-                item
-                for item in pool
-                if item.is_up
-                and not item.in_wave
-                and item.idle_seconds >= IDLE_BEFORE_TRANSFER_SECONDS
+class _Pool:
+    """Machines that one service has and needs, by requirement.
+
+    The requirements of some tasks come first: their machines count for all tasks.
+    """
+
+    def __init__(self, name: str, demand: Demand, machines: Sequence[PoolMachine]):
+        self.name = name
+        self.demand = demand
+        self._machines = [item for item in machines if item.service_name == name]
+        self.kinds = {item.kind for item in self._machines}
+        self.needed: dict[Requirement, int] = {}
+        for requirement, part in demand.by_requirement.items():
+            found = [item for item in machines if item.meets(requirement)]
+            own = [item for item in found if item.service_name == name]
+            count = _machines_needed(part, own or found or machines)
+            self.needed[requirement] = max(count, part.min_machines)
+        count = _machines_needed(demand, self._machines or machines)
+        self._needed_for_all = count + HEADROOM_MACHINES
+        self.needed[ANY_MACHINE] = max(self._needed_for_all, demand.min_machines)
+        self._have = dict.fromkeys(self.needed, 0)
+        for item in self._machines:
+            # Machines that are drained for a wave provide no capacity.
+            if not item.in_wave:
+                self.count(item, 1)
+
+    def count(self, item: PoolMachine, number: int) -> None:
+        """Count a machine that joins the pool, or with -1 one that leaves it."""
+        for requirement in self._have:
+            if item.meets(requirement):
+                self._have[requirement] += number
+
+    def excess(self) -> int:
+        """Return how many more machines the service has than it needs."""
+        return min(self._have[item] - self.needed[item] for item in self.needed)
+
+    def lacks(self, requirement: Requirement) -> bool:
+        """Return whether the service needs more machines with a requirement."""
+        return self._have[requirement] < self.needed[requirement]
+
+    def give_up(self, requirement: Requirement) -> None:
+        """Need no more machines for some tasks, because there are no such machines.
+
+        Other machines would not run these tasks, so none are needed in their place.
+        """
+        missing = self.needed[requirement] - self._have[requirement]
+        self.needed[requirement] -= missing
+        if requirement != ANY_MACHINE:
+            self._needed_for_all -= missing
+            self.needed[ANY_MACHINE] = max(
+                self._needed_for_all, self.demand.min_machines
             )
-        found.sort(key=lambda item: -item.idle_seconds)
-        return found
 
-    def _park(
-        self,
-        surplus: Sequence[PoolMachine],
-        needed: Mapping[str, int],
-        have: dict[str, int],
-        standby: str,
-        at_most: int,
-    ) -> list[Move]:
-        moves: list[Move] = []
-        for item in surplus:
-            if len(moves) >= at_most:
-                break
-            if have[item.service_name] > needed[item.service_name]:
-                have[item.service_name] -= 1
-                moves.append(Move(item.machine, standby))
-        return moves
+    def can_spare(self, item: PoolMachine) -> bool:
+        """Return whether the service has enough machines without this one."""
+        return all(
+            self._have[requirement] > self.needed[requirement]
+            for requirement in self.needed
+            if item.meets(requirement)
+        )
+
+    def idle_machines(self) -> list[PoolMachine]:
+        """Return the idle machines that the service can spare, one by one."""
+        return [
+            item
+            for item in self._machines
+            if item.is_up
+            and not item.in_wave
+            and item.idle_seconds >= IDLE_BEFORE_TRANSFER_SECONDS
+            and self.can_spare(item)
+        ]
 
 
-def _find_of_kind(items: Sequence[PoolMachine], kinds: set[str]) -> PoolMachine | None:
+def _machines_needed(demand: Demand, machines: Sequence[PoolMachine]) -> int:
+    """Return how many machines some tasks need, of sizes like those of `machines`."""
+    return max(
+        _count(demand.cpu * (1.0 + HEADROOM_FRACTION), [item.cpu for item in machines]),
+        _count(demand.mem_mb, [item.mem_mb for item in machines]),
+        _count(demand.gpu, [item.gpu for item in machines]),
+    )
+
+
+def _count(amount: float, sizes: Iterable[int]) -> int:
+    """Return how many machines provide an amount; 0 if none provides any."""
+    size = max(sizes, default=0)
+    return math.ceil(amount / size) if size else 0
+
+
+def _park(
+    surplus: Iterable[PoolMachine],
+    pools: Mapping[str, _Pool],
+    standby: str,
+    at_most: int,
+) -> list[Move]:
+    moves: list[Move] = []
+    for item in surplus:
+        if len(moves) >= at_most:
+            break
+        pool = pools[item.service_name]
+        if pool.can_spare(item):
+            pool.count(item, -1)
+            moves.append(Move(item.machine, standby))
+    return moves
+
+
+def _find(
+    items: Iterable[PoolMachine], kinds: set[str], requirement: Requirement
+) -> PoolMachine | None:
+    """Return the first machine that meets a requirement, of these kinds if any."""
     for item in items:
-        if not kinds or item.kind in kinds:
+        if (not kinds or item.kind in kinds) and item.meets(requirement):
             return item
     return None
--- a/tests/scheduling/test_demand.py
+++ b/tests/scheduling/test_demand.py
@@ -1,7 +1,12 @@
 from testtools import TestCase
 
 from arbutuscleat.jobs import TaskKey
-from arbutuscleat.scheduling import WorkerView, movable_tasks, service_demands
+from arbutuscleat.scheduling import (
+    Requirement,
+    WorkerView,
+    movable_tasks,
+    service_demands,
+)
 from tests.fakes.jobs import JOB, JobTableHarness, job, run, step, worker
 
 INCARNATION = ("w0", 5)
@@ -73,6 +78,22 @@
         demand = service_demands(harness.table, ["karachi"], 1_000)["karachi"]
         self.assertEqual((1_000, 2_000), (demand.running_cpu, demand.waiting_cpu))
 
+    def test_memory_accelerators_and_tasks_that_fill_are_counted(self):
+        """Guards against pools that are full in memory and do not grow."""
+        harness = JobTableHarness()
+        harness.accept(job(steps=[step(3, fills=True, mem_mb=500, gpu=2)]))
+        demand = service_demands(harness.table, ["karachi"], 1_000)["karachi"]
+        self.assertEqual((0, 1_500, 6), (demand.cpu, demand.mem_mb, demand.gpu))
+
+    def test_tasks_with_a_label_are_counted_separately(self):
+        harness = JobTableHarness()
+        labelled = step(4, required_label="b", spread_limit=1)
+        harness.accept(job(steps=[step(2, spread_limit=1), labelled]))
+        demand = service_demands(harness.table, ["karachi"], 1_000)["karachi"]
+        part = demand.by_requirement[Requirement("b")]
+        self.assertEqual((6, 4), (demand.waiting_tasks, part.waiting_tasks))
+        self.assertEqual((2, 4), (demand.min_machines, part.min_machines))
+
     def test_a_spread_limit_requires_a_number_of_machines(self):
         harness = JobTableHarness()
         harness.accept(job(steps=[step(5, spread_limit=2)]))
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -1,12 +1,21 @@
 from testtools import TestCase
 
-from arbutuscleat.scheduling import Demand, PoolMachine, PoolPlanner, has_shortage
+from arbutuscleat.scheduling import (
+    Demand,
+    FleetCapacity,
+    PoolMachine,
+    PoolPlanner,
+    Requirement,
+    has_shortage,
+)
 from arbutuscleat.scheduling.pool_planner import (
     MAX_PARKED_FRACTION,
     MIN_PARKED_PER_PLAN,
 )
 
 SIZE = 64_000
+MEMORY = 131_072
+FLEET = FleetCapacity(cpu=SIZE, max_cpu=SIZE, max_mem_mb=MEMORY, max_gpu=0)
 
 
 def machine(name, service, idle=10.0, **fields):
@@ -22,13 +31,15 @@
 class PoolPlannerTest(TestCase):
     def test_waiting_tasks_bring_in_standby_machines(self):
         machines = [machine("m1", "billing", -1.0), machine("s1", "standby")]
-        found = plan(machines, billing=Demand(SIZE, SIZE))
+        found = plan(machines, billing=Demand(SIZE, SIZE, waiting_tasks=1))
         self.assertEqual({("s1", "billing")}, found)
 
     def test_waiting_tasks_bring_in_idle_machines_of_another_service(self):
         machines = [machine("m1", "billing", -1.0)]
         machines += [machine(f"k{i}", "karachi") for i in range(4)]
-        found = plan(machines, billing=Demand(SIZE, SIZE), karachi=Demand())
+        found = plan(
+            machines, billing=Demand(SIZE, SIZE, waiting_tasks=1), karachi=Demand()
+        )
         # 2.7 machines with headroom, rounded up, plus one for the next jobs; one is
         # already there. The other service keeps one.
         self.assertEqual(3, sum(service == "billing" for _, service in found))
@@ -36,14 +47,16 @@
     def test_a_shortage_exists_when_one_more_machine_would_be_filled(self):
         for waiting, expected in ((SIZE, False), (SIZE + 1, True)):
             demands = [Demand(), Demand(waiting_cpu=waiting)]
-            self.assertEqual(expected, has_shortage(demands, SIZE))
+            self.assertEqual(expected, has_shortage(demands, FLEET))
 
     def test_a_briefly_idle_machine_may_move_but_is_not_parked(self):
         """A new leader during a load peak has not seen any machine idle for long."""
         machines = [machine("m1", "billing", -1.0)]
         machines += [machine(f"k{i}", "karachi", idle=0.5) for i in range(4)]
         self.assertEqual(set(), plan(machines, billing=Demand(), karachi=Demand()))
-        found = plan(machines, billing=Demand(SIZE, SIZE), karachi=Demand())
+        found = plan(
+            machines, billing=Demand(SIZE, SIZE, waiting_tasks=1), karachi=Demand()
+        )
         self.assertEqual({"billing"}, {service for _, service in found})
 
     def test_a_service_keeps_headroom_for_its_next_jobs(self):
@@ -83,7 +96,9 @@
             machine("m1", "billing", -1.0),
             machine("s1", "standby", kind="b"),
         ]
-        self.assertEqual(set(), plan(machines, billing=Demand(SIZE, SIZE)))
+        self.assertEqual(
+            set(), plan(machines, billing=Demand(SIZE, SIZE, waiting_tasks=1))
+        )
 
     def test_the_minimum_number_of_machines_is_kept(self):
         machines = [machine(f"k{i}", "karachi") for i in range(6)]
@@ -95,12 +110,52 @@
         demand = Demand(running_cpu=SIZE // 2)
         self.assertEqual(set(), plan(machines, karachi=demand))
 
+    def test_a_pool_that_is_full_in_memory_brings_in_a_machine(self):
+        """Guards against tasks that wait for memory while machines are off."""
+        machines = [machine("m1", "billing", -1.0, mem_mb=MEMORY)]
+        machines += [machine(f"s{i}", "standby", mem_mb=MEMORY) for i in range(4)]
+        demand = Demand(running_mem_mb=MEMORY, waiting_mem_mb=100, waiting_tasks=1)
+        found = plan(machines, billing=demand)
+        self.assertEqual({("s0", "billing"), ("s1", "billing")}, found)
+        self.assertTrue(has_shortage([Demand(waiting_mem_mb=MEMORY + 1)], FLEET))
+
+    def test_a_task_with_a_label_brings_in_a_machine_with_it(self):
+        """Guards against tasks that wait for a label that only parked machines have."""
+        machines = [machine(f"m{i}", "billing", labels=("a",)) for i in range(4)]
+        machines += [machine("s0", "standby", labels=("a",))]
+        machines += [machine("s1", "standby", kind="b", labels=("b",))]
+        part = Demand(waiting_cpu=1_000, waiting_tasks=1)
+        demand = Demand(1_000, 0, by_requirement={Requirement("b"): part})
+        self.assertIn(("s1", "billing"), plan(machines, billing=demand))
+
+    def test_accelerators_bring_in_a_machine_that_has_them(self):
+        machines = [machine("m0", "billing", -1.0, gpu=0)]
+        machines += [machine("s0", "standby"), machine("s1", "standby", gpu=4)]
+        part = Demand(waiting_gpu=2, waiting_tasks=1)
+        demand = Demand(waiting_gpu=2, by_requirement={Requirement("", 1): part})
+        self.assertEqual({("s1", "billing")}, plan(machines, billing=demand))
+
+    def test_a_label_that_no_machine_has_brings_in_none(self):
+        """Guards against all machines being moved for tasks that none can run."""
+        machines = [machine("m0", "billing", -1.0)]
+        machines += [machine(f"s{i}", "standby") for i in range(9)]
+        part = Demand(waiting_cpu=5 * SIZE, min_machines=8, waiting_tasks=5)
+        demand = Demand(0, 5 * SIZE, by_requirement={Requirement("b"): part})
+        self.assertEqual(set(), plan(machines, billing=demand))
+
     def test_an_empty_pool_brings_in_no_more_machines_than_its_tasks_need(self):
         """Guards against all machines being moved to a service that has none."""
         machines = [machine(f"s{i}", "standby") for i in range(9)]
-        found = plan(machines, billing=Demand(0, 1_000))
+        found = plan(machines, billing=Demand(0, 1_000, waiting_tasks=1))
         self.assertEqual(2, len(found))
 
+    def test_the_last_machine_with_a_needed_label_is_not_parked(self):
+        machines = [machine(f"m{i}", "karachi", labels=("a",)) for i in range(3)]
+        machines += [machine("b", "karachi", idle=99.0, kind="b", labels=("b",))]
+        part = Demand(waiting_cpu=1_000, waiting_tasks=1)
+        demand = Demand(0, 1_000, by_requirement={Requirement("b"): part})
+        self.assertNotIn(("b", "standby"), plan(machines, karachi=demand))
+
     def test_machines_are_not_parked_until_demand_was_observed(self):
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         found = PoolPlanner().plan(machines, {"karachi": Demand()}, "standby", False)
