A machine without a usable worker is no capacity

What callers saw: a task of a step that spreads its tasks waits although machines are off.

Cause: between load peaks a pool is shrunk to the number of machines that the spread limit requires. Machines counted towards it whatever their worker could do: one that does not answer, is unknown or leaves, or fails all its runs. A task that was on it had nowhere to go, and no machine was asked for.

Evidence: the new tests.

Fix: the tracker records since when a machine has had no usable worker; our own drains do not count. After 3 s, longer than a move with the first answer of the new worker, the machine is no capacity until its worker is usable again, and a log line names it. The time begins anew when the machine changes its pool and after an upkeep, so that no machine is asked for in place of one that is on its way. A machine that moves away from a pool where it was no capacity leaves the pool as it was.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -157,6 +157,11 @@
         if session is not None:
             session.order_stop(key, number)
 
+    def worker_views(self) -> dict[str, WorkerView]:
+        """Return the workers by id, with their free capacity and condition."""
+        with self._table.lock:
+            return self._views()
+
     def demands(self, service_names: Iterable[str]) -> dict[str, Demand]:
         """Return the current demand of each service."""
         with self._table.lock:
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -188,12 +188,13 @@
 
     def _reconcile(self, machines: list[MachineState]) -> None:
         by_name = {item.machine: item for item in machines}
-        self._tracker.update(by_name)
+        standby, serving = self._services()
+        self._tracker.update(by_name, self._executor.worker_views(), standby)
         self.fleet = _fleet_capacity(machines)
         to_drain: set[str] = set()
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
-        standby, demands = self._demands()
+        demands = self._executor.demands(serving)
         shortage = self.fleet is not None and has_shortage(demands.values(), self.fleet)
         for wave in waves:
             to_drain |= self._plan_wave(wave, by_name, shortage)
@@ -305,14 +306,13 @@
 
     # ---- moves ----
 
-    def _demands(self) -> tuple[str, dict[str, Demand]]:
-        """Return the standby service, empty if none, and the others' demand."""
+    def _services(self) -> tuple[str, list[str]]:
+        """Return the standby service, empty if there is none, and the others."""
         with self._table.lock:
             config = self._table.config
             services = [] if config is None else list(config.services.values())
         standby = next((item.name for item in services if item.standby), "")
-        serving = [item.name for item in services if not item.standby]
-        return standby, self._executor.demands(serving)
+        return standby, [item.name for item in services if not item.standby]
 
     def _plan_moves(
         self,
@@ -337,6 +337,8 @@
                 mem_mb=item.mem_mb,
                 gpu=item.gpu,
                 labels=item.labels,
+                in_service=item.machine in self._moving
+                or self._tracker.is_in_service(item.machine),
             )
             for item in machines
         ]
--- a/arbutuscleat/execution/machine_tracker.py
+++ b/arbutuscleat/execution/machine_tracker.py
@@ -1,14 +1,17 @@
-"""Machine tracking: upkeep and idle times derived from successive machine lists.
+"""Machine tracking: upkeep, idle and outage times from successive machine lists.
 
 One list of the provider only shows the present state of the machines. How long a
-machine has been idle, and whether it has returned from its upkeep, can only be
-derived from several lists.
+machine has been idle or without a usable worker, and whether it has returned from its
+upkeep, can only be derived from several lists.
 """
 
 from collections.abc import Iterable, Mapping
 
+from absl import logging
+
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import JobTable
+from arbutuscleat.scheduling import WaitReason, WorkerView
 
 from .provider import MachineState
 
@@ -16,6 +19,10 @@
 """Added to the duration of an upkeep. A machine that is still listed as up after this
 time has returned, even if no list ever showed it as down."""
 
+OUT_OF_SERVICE_SECONDS = 3.0
+"""Time without a usable worker after which a machine provides no capacity. It is longer
+than a move and the first answer of the new worker, and than most network failures."""
+
 
 class MachineTracker:
     """Tracks which machines are under upkeep and how long machines are idle.
@@ -37,21 +44,48 @@
         self._under_upkeep: dict[str, float] = {}
         self._seen_down: set[str] = set()
         self._idle_since: dict[str, float] = {}
+        self._unusable_since: dict[str, tuple[str, float]] = {}
+        """Service of each machine without a usable worker, and since when."""
+
+        self._out_of_service: set[str] = set()
 
     def reset(self) -> None:
         """Discard all observations, after this process gained or lost leadership."""
         self._under_upkeep = {}
         self._seen_down = set()
         self._idle_since = {}
-
-    def update(self, by_name: Mapping[str, MachineState]) -> None:
-        """Update the state from a new list of the machines, keyed by name."""
+        self._unusable_since = {}
+        self._out_of_service = set()
+
+    def update(
+        self,
+        by_name: Mapping[str, MachineState],
+        views: Mapping[str, WorkerView],
+        standby: str,
+    ) -> None:
+        """Update the state from a new list of the machines.
+
+        Parameters
+        ----------
+        by_name : mapping of str to MachineState
+            The machines by name.
+        views : mapping of str to WorkerView
+            The workers by id.
+        standby : str
+            The service whose machines are off and have no worker; empty if none.
+        """
         now = self._clock.monotonic()
         for machine, state in by_name.items():
             if state.in_upkeep:  # A former leader may have ordered it.
                 self._under_upkeep.setdefault(machine, now)
         self._update_upkeep(by_name)
         self._update_idle(by_name.values())
+        serving = {
+            machine: state
+            for machine, state in by_name.items()
+            if not standby or state.service_name != standby
+        }
+        self._update_unusable(serving, views)
 
     def record_upkeep(self, machine: str) -> None:
         """Record that the upkeep of a machine has been ordered."""
@@ -66,6 +100,13 @@
         now = self._clock.monotonic()
         return now - self._idle_since.get(machine, now + 1.0)
 
+    def is_in_service(self, machine: str) -> bool:
+        """Return whether a machine has a usable worker, or had one a moment ago.
+
+        A machine that has just come into the pool of a service is in service, too.
+        """
+        return machine not in self._out_of_service
+
     def cpu_in_use(self, worker_id: str) -> int:
         """Return the CPU reserved on a worker in thousandths of a core; 0 if idle.
 
@@ -102,3 +143,40 @@
                 self._idle_since.pop(item.machine, None)
             else:
                 self._idle_since.setdefault(item.machine, now)
+
+    def _update_unusable(
+        self, by_name: Mapping[str, MachineState], views: Mapping[str, WorkerView]
+    ) -> None:
+        now = self._clock.monotonic()
+        for machine in list(self._unusable_since):
+            if machine not in by_name:
+                del self._unusable_since[machine]
+                self._out_of_service.discard(machine)
+        for machine, state in by_name.items():
+            if machine in self._under_upkeep or _has_usable_worker(state, views):
+                self._unusable_since.pop(machine, None)
+                self._out_of_service.discard(machine)
+                continue
+            service_name, since = self._unusable_since.get(machine, ("", now))
+            if service_name != state.service_name:
+                self._unusable_since[machine] = (state.service_name, now)
+                self._out_of_service.discard(machine)
+            elif (
+                now - since > OUT_OF_SERVICE_SECONDS
+                and machine not in self._out_of_service
+            ):
+                self._out_of_service.add(machine)
+                logging.info(
+                    "machine %s of service %s: no usable worker for %.1f s",
+                    machine,
+                    service_name,
+                    now - since,
+                )
+
+
+def _has_usable_worker(state: MachineState, views: Mapping[str, WorkerView]) -> bool:
+    """Return whether the worker of a machine accepts runs, but for our own drains."""
+    view = views.get(state.worker_id)
+    if not state.is_up or view is None or view.max_new_runs == 0:
+        return False
+    return view.usable or view.unusable_because is WaitReason.DRAINING
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -68,6 +68,9 @@
         Number of accelerators.
     labels : tuple of str
         The machine's labels.
+    in_service : bool
+        False if the machine has had no usable worker for some time, or its worker
+        fails its runs. Such a machine provides no capacity where it is.
     """
 
     machine: str
@@ -80,6 +83,12 @@
     mem_mb: int = 0
     gpu: int = 0
     labels: tuple[str, ...] = ()
+    in_service: bool = True
+
+    @property
+    def is_capacity(self) -> bool:
+        """Whether the machine provides capacity to the service that it is in."""
+        return self.in_service and not self.in_wave
 
     def meets(self, requirement: Requirement) -> bool:
         """Return whether tasks with a requirement can run on the machine."""
@@ -159,10 +168,10 @@
                         break
                     if found in surplus:
                         surplus.remove(found)
-                        pools[found.service_name].count(found, -1)
+                        pools[found.service_name].remove(found)
                     else:
                         standby_machines.remove(found)
-                    pool.count(found, 1)
+                    pool.add(found)
                     moves.append(Move(found.machine, pool.name))
         if standby and may_park:
             idle = [i for i in surplus if i.idle_seconds >= IDLE_BEFORE_PARK_SECONDS]
@@ -193,12 +202,19 @@
         self.needed[ANY_MACHINE] = max(self._needed_for_all, demand.min_machines)
         self._have = dict.fromkeys(self.needed, 0)
         for item in self._machines:
-            # Machines that are drained for a wave provide no capacity.
-            if not item.in_wave:
-                self.count(item, 1)
+            if item.is_capacity:
+                self.add(item)
+
+    def add(self, item: PoolMachine) -> None:
+        """Count a machine, which has a new worker after its move into the pool."""
+        self._count(item, 1)
+
+    def remove(self, item: PoolMachine) -> None:
+        """Count a machine no longer, because it moves away."""
+        if item.is_capacity:
+            self._count(item, -1)
 
-    def count(self, item: PoolMachine, number: int) -> None:
-        """Count a machine that joins the pool, or with -1 one that leaves it."""
+    def _count(self, item: PoolMachine, number: int) -> None:
         for requirement in self._have:
             if item.meets(requirement):
                 self._have[requirement] += number
@@ -271,7 +287,7 @@
             break
         pool = pools[item.service_name]
         if pool.can_spare(item):
-            pool.count(item, -1)
+            pool.remove(item)
             moves.append(Move(item.machine, standby))
     return moves
 
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -6,7 +6,6 @@
 
 from arbutuscleat.execution import ExecutionLimits, MachineOrderOutcome
 from arbutuscleat.execution.machine_controller import MachineController
-from arbutuscleat.scheduling import service_demands
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
     OrderMachines,
@@ -14,6 +13,7 @@
 )
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JobTableHarness, job, step
+from tests.fakes.machines import FakeExecutor, FakeReplica
 from tests.fakes.provider import FakeProvider
 
 LIMITS = ExecutionLimits()
@@ -36,47 +36,6 @@
         return super().move(machine, service_name, fence, may_send)
 
 
-class FakeReplica:
-    """A replica whose leadership is set by the test."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.is_leader = False
-        self.current_term = 1
-        self.since = 0.0
-
-    def lead(self):
-        self.is_leader = True
-        self.current_term += 1
-        self.since = self.clock.monotonic()
-
-    def leads(self):
-        return self.is_leader
-
-    def term(self):
-        return self.current_term
-
-    def led_since(self):
-        return self.since
-
-
-class FakeExecutor:
-    """Plans nothing; applies proposals directly to the table."""
-
-    def __init__(self, harness):
-        self.harness = harness
-        self.plan_count = 0
-
-    def set_draining(self, worker_ids):
-        self.plan_count += 2
-
-    def demands(self, names):
-        return service_demands(self.harness.table, names, 1_000)
-
-    def propose(self, command):
-        return self.harness.propose(command)
-
-
 class MachineControllerTest(TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -156,6 +156,14 @@
         demand = Demand(0, 1_000, by_requirement={Requirement("b"): part})
         self.assertNotIn(("b", "standby"), plan(machines, karachi=demand))
 
+    def test_a_machine_without_a_usable_worker_is_replaced(self):
+        """Guards against spread tasks that wait because one of the workers is gone."""
+        machines = [machine(f"k{i}", "karachi", -1.0) for i in range(2)]
+        machines += [machine("k2", "karachi", in_service=False)]
+        machines += [machine("s0", "standby"), machine("s1", "standby")]
+        demand = Demand(min_machines=3, waiting_tasks=1)
+        self.assertEqual({("s0", "karachi")}, plan(machines, karachi=demand))
+
     def test_machines_are_not_parked_until_demand_was_observed(self):
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         found = PoolPlanner().plan(machines, {"karachi": Demand()}, "standby", False)
