--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -143,6 +143,38 @@
         self.assertEqual(1, len(server.requests))
         self.assertIn(b"/v1/hold", server.requests[0])
 
+    def test_a_refused_request_leaves_nothing_on_an_idle_connection(self):
+        server, calls = self.serve([ANSWER, ANSWER])
+        self.call(calls)
+        calls.call("POST", "/refused", {}, TIMEOUT, may_send=lambda: False)
+        self.assertEqual(200, self.call(calls).status)
+        self.assertEqual(2, len(server.requests))
+        self.assertNotIn(b"/refused", b"".join(server.requests))
+
+    def test_an_invalid_request_leaves_nothing_on_an_idle_connection(self):
+        server, calls = self.serve([ANSWER], [ANSWER])
+        self.call(calls)
+        result = calls.call("POST", "/", {}, TIMEOUT, {"X-Name": "x\r\nY: z"})
+        self.assertEqual((0, False), (result.status, result.sent))
+        self.assertEqual(200, self.call(calls).status)
+        self.assertTrue(server.requests[-1].startswith(b"POST /v1/hold "))
+
+    def test_a_connection_with_data_after_an_answer_is_not_used_again(self):
+        server, calls = self.serve([ANSWER + ANSWER], [CHUNKED_ANSWER])
+        self.assertEqual({"ok": 1}, self.call(calls).tree)
+        server.closed.wait(TIMEOUT)
+        self.assertEqual({"ok": 2}, self.call(calls).tree)
+
+    def test_a_chunked_answer_that_is_cut_off_is_none(self):
+        _, calls = self.serve([CHUNKED_ANSWER[:-7]], [ANSWER])
+        result = self.call(calls)
+        self.assertEqual((0, {}, True), (result.status, result.tree, result.sent))
+        self.assertEqual(200, self.call(calls).status)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        _, calls = self.serve([b'HTTP/1.1 200 OK\r\n\r\n{"ok": 3}'], [ANSWER])
+        self.assertEqual([{"ok": 3}, {"ok": 1}], [self.call(calls).tree for _ in "12"])
+
     def test_a_request_with_a_line_break_in_its_path_or_headers_is_not_sent(self):
         """Guards against a name of another process that adds a header or a request."""
         server, calls = self.serve([ANSWER])
