A new leader observes the holders of machines once it leads

Callers could see ONE, two holders that take turns within a lease: a new leader orders a machine at once that its predecessor has just ordered.

Cause: the controller read the holders in the table, then asked the replica whether it leads. That question waits for the replica's lock, and the entries of the former term are applied while that lock is held. If they were applied in between, the iteration went on with the holders of before; a machine whose holder it did not know could be held at once. Found by reading; no run has shown it.

The replica is asked first now. A replica that leads has applied an entry of its own term, hence all entries of former holders, so what is read afterwards is complete.

Before the change test_a_holder_whose_entry_is_applied_during_the_takeover_keeps_its_lease failed: m0 was ordered in the first iteration.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -132,9 +132,11 @@
 
     def reconcile_once(self) -> None:
         """Run one iteration: list the machines and send the orders that are due."""
+        # Asked first: a replica that leads has applied all entries of former holders.
+        leads = self._replica.leads()
         with self._table.lock:
             self._leases.observe(self._table.machine_holders)
-        if not self._replica.leads():
+        if not leads:
             self._reset()
             return
         if self._replica.term() != self._term:
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -118,6 +118,20 @@
                 self.provider.set(machine, is_up=True, in_upkeep=False)
         self.assertTrue(self.clock.monotonic() - began > LIMITS.machine_lease)
 
+    def test_a_holder_whose_entry_is_applied_during_the_takeover_keeps_its_lease(self):
+        """Guards against two holders that take turns when the leader changes."""
+        self.add_wave()
+
+        def apply_then_lead():
+            if not self.replica.is_leader:
+                self.order_as_former_leader("m0", finished=False)
+                self.replica.lead()
+            return True
+
+        self.replica.leads = apply_then_lead
+        self.reconcile()
+        self.assertNotIn("m0", self.provider.upkeeps)
+
     def test_other_machines_are_ordered_immediately(self):
         self.add_wave()
         self.order_as_former_leader(MACHINES[0], finished=False)
