--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -1,7 +1,11 @@
+"""Tests of the lock order of a replica, and of a leader that was suspended."""
+
 import threading
 
 from testtools import TestCase
 
+from arbutuscleat.consensus import FOUNDER_INCARNATION
+from arbutuscleat.wire.gen.ttypes import AppendAnswer
 from tests.consensus.harness import ReplicaHarness
 
 FINISH_SECONDS = 10.0
@@ -24,3 +28,34 @@
             thread.start()
             thread.join(FINISH_SECONDS)
             self.assertEqual([harness.state.led_since], found)
+
+
+class SuspensionTest(TestCase):
+    """Guards against orders of a leader that was suspended for a change of leader.
+
+    Its threads may run in any order when it resumes, so it must not lead although no
+    timer has run yet, and whatever answer from before the suspension is handled first.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.harness = ReplicaHarness().lead()
+        self.harness.acknowledge("b")
+        self.assertTrue(self.harness.replica.leads())
+        self.suspension = self.harness.cfg.election_seconds + 0.01
+
+    def test_a_leader_that_was_suspended_does_not_lead_before_any_timer_has_run(self):
+        self.harness.clock.advance(self.suspension)
+        self.assertFalse(self.harness.replica.leads())
+
+    def test_an_answer_to_a_request_from_before_the_suspension_renews_nothing(self):
+        clock = self.harness.clock
+        clock.advance(self.harness.cfg.heartbeat_seconds)
+        request = self.harness.replica.next_request("b")
+        sent_at = clock.monotonic()
+        clock.advance(self.suspension)
+        answer = AppendAnswer(
+            1, request.term, True, request.previous_index, FOUNDER_INCARNATION
+        )
+        self.harness.replica.handle_answer("b", request, answer, sent_at)
+        self.assertFalse(self.harness.replica.leads())
