--- a/tests/platform/test_run.py
+++ b/tests/platform/test_run.py
@@ -1,14 +1,17 @@
-"""Errors of the command line of `platform/run.py`."""
+"""Errors of the command line of `platform/run.py`, and signals while it starts."""
 
 import os
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 from testtools import TestCase
 
 ROOT = Path(__file__).resolve().parents[2]
+WAIT_SECONDS = 60.0
 
 
 class RunTest(TestCase):
@@ -42,3 +45,33 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         return folder.name
+
+
+class SignalsWhileStartingTest(TestCase):
+    def test_a_starting_process_ignores_sighup_and_ends_with_0_on_sigterm(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        # The process waits for the content of its settings, since they are a pipe.
+        path = Path(folder.name) / "node.toml"
+        os.mkfifo(path)
+        process = subprocess.Popen(
+            [sys.executable, str(ROOT / "platform/run.py"), "entry"],
+            env={**os.environ, "ARBUTUSCLEAT_BOOT": str(path)},
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        writer = self.open_for_writing(path)
+        self.addCleanup(os.close, writer)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(WAIT_SECONDS))
+
+    def open_for_writing(self, path):
+        """Open a pipe once the process reads from it."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while True:
+            try:
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:
+                self.assertTrue(time.monotonic() < deadline, "nobody reads the pipe")
+                time.sleep(0.01)
