A stop does not wait for clients that send nothing

What callers saw: an entry node that was stopped as planned ended 8.6 s after SIGTERM, later than the 6 s after which the platform kills it.

Cause: the HTTP server waits up to 5 s for its threads, and a thread that reads from a connection without a whole request returns only when the client sends more. One idle connection is enough; 3 s of draining come before that.

Why the fix works: half a second after the stop begins, connections whose request has not been read in full are shut down for reading, so their threads return. Requests that have been read in full are answered as before.

--- a/arbutuscleat/web/server.py
+++ b/arbutuscleat/web/server.py
@@ -27,6 +27,10 @@
 DISCARD_TIMEOUT_SECONDS = 0.5
 MAX_DISCARDED_BYTES = 1024 * 1024
 DISCARD_CHUNK_BYTES = 65_536
+UNREAD_REQUEST_SECONDS = 0.5
+"""How long a stop waits for the rest of a request that has not been read in full."""
+
+UNREAD_CHECK_SECONDS = 0.1
 MIN_IDLE_THREADS = 4
 """Threads that must be idle for a thread to wait on its connection."""
 
@@ -64,6 +68,24 @@
     """
 
     RequestHandlerClass = _ProblemRequest
+    request: HTTPRequest | None = None
+    """The request that the application answers."""
+
+    def stop_reading(self):
+        """Let reads end, unless the request has been read in full.
+
+        Otherwise a client that opens a connection and sends nothing would delay the
+        end of the process until the connection times out.
+        """
+        is_read = (
+            self.request is not None
+            and getattr(self.request.rfile, "remaining", 0) == 0
+        )
+        if not is_read:
+            try:
+                self.socket.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass  # The client has closed the connection.
 
     def communicate(self):
         keep_open = super().communicate()
@@ -84,6 +106,13 @@
 class _Gateway(Gateway_10):
     """Gives the application a check whether the client has disconnected."""
 
+    def respond(self):
+        self.req.conn.request = self.req
+        try:
+            super().respond()
+        finally:
+            self.req.conn.request = None
+
     def get_environ(self):
         environ = super().get_environ()
         sock = self.req.conn.socket
@@ -149,9 +178,29 @@
 
     def stop(self) -> None:
         """Stop accepting, wait for requests in progress, and close all connections."""
+        stopped = threading.Event()
+        reader_stopper = threading.Thread(
+            target=self._stop_reading,
+            args=(list(self._server.requests._threads), stopped),
+            name="http-stop",
+            daemon=True,
+        )
+        reader_stopper.start()
         self._server.stop()
+        stopped.set()
+        reader_stopper.join()
         self._thread.join(STOP_TIMEOUT_SECONDS)
 
+    def _stop_reading(self, workers: list, stopped: threading.Event) -> None:
+        """End the reading of requests while the server waits for its threads."""
+        pause = UNREAD_REQUEST_SECONDS
+        while not stopped.wait(pause):
+            pause = UNREAD_CHECK_SECONDS
+            for worker in workers:
+                conn = worker.conn
+                if conn is not None:
+                    conn.stop_reading()
+
     def _serve(self) -> None:
         self._server.serve()
 
