Test of the HTTP client: the recording socket keeps its timeout

Cause: the recording socket takes over the descriptor of an open connection, which does not block because it has a timeout, but not the timeout. A read before the answer had arrived failed with EAGAIN, so the call ended without an answer.

The check is the same.

--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -67,7 +67,9 @@
     """A socket that records what is written to it."""
 
     def __init__(self, conn, writes):
+        timeout = conn.gettimeout()
         super().__init__(fileno=conn.detach())
+        self.settimeout(timeout)
         self.writes = writes
 
     def sendall(self, data, *flags):
