Test of a suspended leader: its executor reports the workers

"A machine without a usable worker is no capacity" asks the executor for them; the test's own executor did not have the method. Both checks are the same.

--- a/tests/platform/test_suspended_leader.py
+++ b/tests/platform/test_suspended_leader.py
@@ -106,6 +106,9 @@
         self.plan_count = 0
         self.held_at = None
 
+    def worker_views(self):
+        return {}
+
     def set_draining(self, worker_ids):
         self.plan_count += 2
 
