--- a/tests/fakes/simulated_clock.py
+++ b/tests/fakes/simulated_clock.py
@@ -53,10 +53,13 @@
     ----------
     elapsed : float
         Current monotonic time in seconds.
+    offset_ms : int
+        By how much the wall clock is ahead.
     """
 
     def __init__(self):
         self.elapsed = 1000.0
+        self.offset_ms = 0
         self.is_stopping = False
         self.error = None
         self.main_turn = _closed_gate()
@@ -69,7 +72,7 @@
         return self.elapsed
 
     def now_ms(self):
-        return int(START.timestamp() * 1000 + self.elapsed * 1000)
+        return int(START.timestamp() * 1000 + self.elapsed * 1000) + self.offset_ms
 
     def now(self):
         raise NotImplementedError("simulations use milliseconds")
