Every drain for a move has an end

What callers saw: tasks wait while workers with room for them are idle.

Cause: a worker is drained from the plan of a move until its machine leaves, and the move was dropped only when it was refused, arrived or a run had started. So the worker stayed drained, for as long as it lasted, while no order was confirmed; while an order was refused, since the same move was planned again at once; while the machines could not be listed or iterations failed, since nothing was decided then; for a machine that went down before its order; and the new worker of a machine that arrived until the next iteration.

Evidence: the new tests.

Fix: MachineMoves owns the moves. One that is not executed after 4 s is given up, with a log line, and its machine is left alone for 2 s (10 s after an invalid order), so that its worker gets runs. A machine without a worker is not drained, so its move waits for as long as orders are rate limited. All drains end 2 s after the last complete iteration. Moves that have ended are dropped before the drains are set.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -39,6 +39,7 @@
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .machine_leases import MachineLeases
+from .machine_moves import MachineMoves
 from .machine_tracker import MachineTracker
 from .provider import MachineOrderOutcome, MachineState, Provider
 from .worker_drainer import WorkerDrainer
@@ -46,6 +47,10 @@
 POLL_SECONDS = 0.25
 """Interval between two iterations of the reconcile loop."""
 
+STALE_DRAIN_SECONDS = 2.0
+"""Time without a list of the machines after which all drains end. A single call to the
+provider may take 1 s."""
+
 ORDER_THREADS = 8
 """Concurrent calls to the provider. At some 15 ms each they are faster than the rate
 of orders that providers accept, a few hundred a second."""
@@ -98,10 +103,8 @@
         self._term = -1
         self._drainer = WorkerDrainer(table, executor, self._tracker)
         self._demand_history = DemandHistory()
-        self._moving: dict[str, str] = {}
-        """Target service of each machine that is being drained for a move."""
-        self._planned_at: dict[str, float] = {}
-        """Monotonic time at which each of these moves was planned."""
+        self._moves = MachineMoves(clock, self._tracker)
+        self._reconciled_at = clock.monotonic()
         self.fleet: FleetCapacity | None = None
         """Capacity of all machines; None before the first list."""
 
@@ -129,6 +132,7 @@
             raise
         except Exception:
             logging.exception("an iteration of the machine controller failed")
+            self._end_stale_drains()
 
     def reconcile_once(self) -> None:
         """Run one iteration: list the machines and send the orders that are due."""
@@ -145,9 +149,29 @@
             self._restore_upkeep()
         with self._load.timed("list of machines"):
             machines = self._provider.machines()
-        if machines is not None:
-            with self._load.timed("machine iteration"):
-                self._reconcile(machines)
+        if machines is None:
+            self._end_stale_drains()
+            return
+        with self._load.timed("machine iteration"):
+            self._reconcile(machines)
+        self._reconciled_at = self._clock.monotonic()
+
+    def _end_stale_drains(self) -> None:
+        """End all drains if no iteration has succeeded for some time.
+
+        Nothing is ordered meanwhile, so the drained workers would be idle for nothing.
+        """
+        seconds = self._clock.monotonic() - self._reconciled_at
+        if seconds < STALE_DRAIN_SECONDS:
+            return
+        if self._drainer.is_active():
+            logging.warning(
+                "no complete iteration of the machine controller for %.1f s, "
+                "ending all drains",
+                seconds,
+            )
+        self._moves.reset()
+        self._drainer.reset()
 
     def _may_order(self, machine: str) -> bool:
         """Return whether an order for a machine may be sent at this moment.
@@ -178,7 +202,7 @@
         self._leases.reset()
         self._tracker.reset()
         self._drainer.reset()
-        self._moving = {}
+        self._moves.reset()
         self._demand_history.reset()
 
     def _restore_upkeep(self) -> None:
@@ -192,6 +216,7 @@
         by_name = {item.machine: item for item in machines}
         standby, serving = self._services()
         self._tracker.update(by_name, self._executor.worker_views(), standby)
+        self._moves.update(by_name)
         self.fleet = _fleet_capacity(machines)
         to_drain: set[str] = set()
         with self._table.lock:
@@ -325,13 +350,14 @@
         demands: dict[str, Demand],
     ) -> set[str]:
         in_wave = {machine for wave in waves for machine in wave.under_way()}
+        moves = [self._moves.get(item.machine) for item in machines]
         pool = [
             PoolMachine(
                 machine=item.machine,
-                service_name=self._moving.get(item.machine, item.service_name),
+                service_name=item.service_name if move is None else move.service_name,
                 kind=item.kind,
                 cpu=item.cpu,
-                is_up=item.is_up and item.machine not in self._moving,
+                is_up=item.is_up and self._moves.may_plan(item.machine),
                 idle_seconds=self._tracker.idle_seconds(item.machine),
                 in_wave=item.machine in in_wave
                 or item.machine in to_drain
@@ -339,16 +365,16 @@
                 mem_mb=item.mem_mb,
                 gpu=item.gpu,
                 labels=item.labels,
-                in_service=item.machine in self._moving
+                in_service=move is not None
                 or self._tracker.is_in_service(item.machine),
             )
-            for item in machines
+            for item, move in zip(machines, moves, strict=True)
         ]
-        for move in self._pool_planner.plan(pool, demands, standby, self._may_park()):
-            self._moving[move.machine] = move.service_name
-            self._planned_at[move.machine] = self._clock.monotonic()
-            self._log_move(move, demands)
-        return set(self._moving)
+        planned = self._pool_planner.plan(pool, demands, standby, self._may_park())
+        for item in planned:
+            self._moves.plan(item.machine, item.service_name)
+            self._log_move(item, demands)
+        return self._moves.machines()
 
     def _may_park(self) -> bool:
         """Return whether demand was observed long enough to park idle machines."""
@@ -372,32 +398,27 @@
         )
 
     def _order_moves(self, by_name: dict[str, MachineState]) -> None:
-        ready = []
-        for machine, service_name in list(self._moving.items()):
-            state = by_name.get(machine)
-            if state is None or state.service_name == service_name:
-                del self._moving[machine]
-            elif not state.is_up:
-                continue
-            elif self._tracker.cpu_in_use(state.worker_id):
-                del self._moving[machine]  # A run has started there meanwhile.
-            elif self._drainer.is_drained(state.worker_id):
-                ready.append(machine)
+        ready = [
+            machine
+            for machine in self._moves.machines()
+            if by_name[machine].is_up
+            and self._drainer.is_drained(by_name[machine].worker_id)
+        ]
 
-        def order(machine: str) -> MachineOrderOutcome:
-            service_name = self._moving[machine]
+        def order(machine: str) -> MachineOrderOutcome | None:
+            move = self._moves.get(machine)
+            if move is None:
+                return None
             outcome = self._provider.move(
-                machine, service_name, self._term, lambda: self._may_order(machine)
+                machine, move.service_name, self._term, lambda: self._may_order(machine)
             )
             if outcome is MachineOrderOutcome.DONE:
-                planned_at = self._planned_at[machine]
-                self._load.observe("move", self._clock.monotonic() - planned_at)
+                self._load.observe("move", self._clock.monotonic() - move.planned_at)
                 self._drainer.remove_worker(by_name[machine].worker_id)
             return outcome
 
         for machine, outcome in self._send_orders(order, self._acquire(ready)):
-            if outcome in (MachineOrderOutcome.REFUSED, MachineOrderOutcome.BUSY):
-                del self._moving[machine]
+            self._moves.record_outcome(machine, outcome)
 
 
 def _fleet_capacity(machines: list[MachineState]) -> FleetCapacity | None:
--- /dev/null
+++ b/arbutuscleat/execution/machine_moves.py
@@ -0,0 +1,131 @@
+"""Machine moves: which machines are drained for a move, and when a move is given up.
+
+A worker is drained from the plan of a move until its machine leaves. While no order can
+be sent or none is confirmed, it would stay drained although tasks wait for it, so each
+move has a time limit. The machine is then left alone for a while, so that its worker is
+really used, and may be planned anew.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from absl import logging
+
+from arbutuscleat.core import Clock
+
+from .machine_tracker import MachineTracker
+from .provider import MachineOrderOutcome, MachineState
+
+MOVE_TIMEOUT_SECONDS = 4.0
+"""Age at which a move is given up unless its machine has left. It spans a few orders
+that are not answered. Orders that are rate limited are repeated for as long as it takes
+if the machine has no worker, because then nothing is drained."""
+
+PAUSE_SECONDS = 2.0
+"""How long no move of a machine is planned after one was given up or not possible."""
+
+REFUSED_PAUSE_SECONDS = 10.0
+"""The same after an invalid order: only a change of the machines would help."""
+
+
+@dataclass(slots=True)
+class MachineMove:
+    """A move that is planned or under way.
+
+    Parameters
+    ----------
+    service_name : str
+        The target service.
+    planned_at : float
+        Monotonic time at which the move was planned, in seconds.
+    is_under_way : bool
+        Whether an order for it may have been executed.
+    """
+
+    service_name: str
+    planned_at: float
+    is_under_way: bool = False
+
+
+class MachineMoves:
+    """Tracks the moves of machines until they arrive or are given up.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    tracker : MachineTracker
+        Reports whether machines are idle.
+    """
+
+    def __init__(self, clock: Clock, tracker: MachineTracker):
+        self._clock = clock
+        self._tracker = tracker
+        self._moves: dict[str, MachineMove] = {}
+        self._paused_until: dict[str, float] = {}
+
+    def reset(self) -> None:
+        """Discard all moves and pauses."""
+        self._moves = {}
+        self._paused_until = {}
+
+    def get(self, machine: str) -> MachineMove | None:
+        """Return the move of a machine, or None if there is none."""
+        return self._moves.get(machine)
+
+    def machines(self) -> set[str]:
+        """Return the machines that are to be drained for a move, or are moving."""
+        return set(self._moves)
+
+    def may_plan(self, machine: str) -> bool:
+        """Return whether a move of a machine may be planned now."""
+        paused_until = self._paused_until.get(machine, 0.0)
+        return machine not in self._moves and self._clock.monotonic() >= paused_until
+
+    def plan(self, machine: str, service_name: str) -> None:
+        """Record a planned move."""
+        self._moves[machine] = MachineMove(service_name, self._clock.monotonic())
+
+    def update(self, by_name: Mapping[str, MachineState]) -> None:
+        """Discard the moves that have ended, or that have to be given up.
+
+        Parameters
+        ----------
+        by_name : mapping of str to MachineState
+            All machines by name, from a new list.
+        """
+        now = self._clock.monotonic()
+        for machine, move in list(self._moves.items()):
+            state = by_name.get(machine)
+            if state is None or state.service_name == move.service_name:
+                del self._moves[machine]
+            elif not state.is_up:
+                if not move.is_under_way:
+                    del self._moves[machine]  # It went down before the order.
+            elif now - move.planned_at >= MOVE_TIMEOUT_SECONDS and (
+                move.is_under_way or state.worker_id
+            ):
+                self._give_up(machine, "not executed", PAUSE_SECONDS)
+            elif self._tracker.cpu_in_use(state.worker_id):
+                del self._moves[machine]  # A run has started there meanwhile.
+
+    def record_outcome(self, machine: str, outcome: MachineOrderOutcome | None) -> None:
+        """Record the outcome of an order, or None if it was not sent."""
+        if outcome is MachineOrderOutcome.REFUSED:
+            self._give_up(machine, "refused", REFUSED_PAUSE_SECONDS)
+        elif outcome is MachineOrderOutcome.BUSY:
+            self._give_up(machine, "the machine is busy", PAUSE_SECONDS)
+        elif outcome in (MachineOrderOutcome.DONE, MachineOrderOutcome.UNKNOWN):
+            self._moves[machine].is_under_way = True
+
+    def _give_up(self, machine: str, reason: str, pause_seconds: float) -> None:
+        now = self._clock.monotonic()
+        move = self._moves.pop(machine)
+        self._paused_until[machine] = now + pause_seconds
+        logging.info(
+            "move of machine %s to service %s given up after %.1f s: %s",
+            machine,
+            move.service_name,
+            now - move.planned_at,
+            reason,
+        )
--- a/arbutuscleat/execution/worker_drainer.py
+++ b/arbutuscleat/execution/worker_drainer.py
@@ -46,6 +46,10 @@
             self._executor.set_draining(set())
         self._draining = {}
 
+    def is_active(self) -> bool:
+        """Return whether any worker is draining."""
+        return bool(self._draining)
+
     def is_draining(self, worker_id: str) -> bool:
         """Return whether a worker is draining."""
         return worker_id in self._draining
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -2,9 +2,13 @@
 
 from testtools import TestCase
 
-from arbutuscleat.execution import ExecutionLimits, MachineController
+from arbutuscleat.execution import (
+    ExecutionLimits,
+    MachineController,
+    MachineOrderOutcome,
+)
 from tests.fakes import ManualClock
-from tests.fakes.jobs import JobTableHarness, job, run, step, worker
+from tests.fakes.jobs import OTHER_JOB, JobTableHarness, job, run, step, worker
 from tests.fakes.machines import FakeExecutor, FakeReplica
 from tests.fakes.provider import FakeProvider
 
@@ -71,3 +75,69 @@
         self.add_worker("k3", born_ms=9)
         self.reconcile(6.0)
         self.assertEqual([], self.provider.moves)
+
+    # ---- drains for moves ----
+
+    def park(self, seconds):
+        """Let the service become idle, so that its machines are parked."""
+        self.harness.accept(job(OTHER_JOB))
+        self.harness.start(run(OTHER_JOB, worker_id="w-k0"))
+        self.reconcile(seconds)
+
+    def test_a_drain_ends_when_machines_cannot_be_listed(self):
+        """Guards against idle workers that stay drained without a provider."""
+        self.provider.outcome = MachineOrderOutcome.LATER
+        self.park(4.0)
+        self.provider.machines = lambda: None
+        self.reconcile(3.0)
+        self.assertEqual(set(), self.executor.draining)
+
+    def test_a_drain_ends_when_iterations_fail(self):
+        self.provider.outcome = MachineOrderOutcome.LATER
+        self.park(4.0)
+        self.provider.machines = lambda: 1 / 0
+        with self.assertLogs("absl", "ERROR"):
+            for _ in range(12):
+                self.controller.run_once()
+                self.clock.advance(POLL_SECONDS)
+        self.assertEqual(set(), self.executor.draining)
+
+    def test_a_move_that_is_never_confirmed_is_given_up(self):
+        """Guards against a worker that stays drained for an unanswered order."""
+        self.provider.outcome = MachineOrderOutcome.UNKNOWN
+        self.park(4.0)
+        drained = []
+        for _ in range(28):
+            self.reconcile(POLL_SECONDS)
+            drained.append("w-k1" in self.executor.draining)
+        self.assertIn(True, drained)
+        self.assertIn(False, drained)
+
+    def test_an_order_that_is_refused_is_not_repeated_at_once(self):
+        """Guards against a worker that stays drained for an invalid order."""
+        self.provider.outcome = MachineOrderOutcome.REFUSED
+        self.park(8.0)
+        self.assertEqual(len(set(self.provider.moves)), len(self.provider.moves))
+        self.assertEqual(set(), self.executor.draining)
+
+    def test_a_machine_that_goes_down_before_the_order_is_not_moved(self):
+        """Guards against a new worker that is drained for the move of the old one."""
+        self.provider.outcome = MachineOrderOutcome.LATER
+        self.park(4.0)
+        for name in POOL:
+            self.provider.set(name, is_up=False)
+        self.reconcile(0.5)
+        self.assertEqual(set(), self.executor.draining)
+
+    def test_the_worker_of_a_machine_that_arrives_is_not_drained(self):
+        """Guards against a delay at the end of each move in a load peak."""
+        self.run_spread_job(count=0)
+        self.provider.set("k3", service_name="portal", worker_id="")
+        for name in STANDBY:
+            self.provider.set(name, is_up=False)
+        self.reconcile(POLL_SECONDS)
+        self.assertEqual([("k3", "karachi")], self.provider.moves)
+        self.provider.set("k3", service_name="karachi")
+        self.add_worker("k3", born_ms=9)
+        self.reconcile(POLL_SECONDS)
+        self.assertEqual(set(), self.executor.draining)
--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -34,6 +34,7 @@
         self.harness = harness
         self.plan_count = 0
         self.unusable = set()
+        self.draining = set()
 
     def worker_views(self):
         workers = self.harness.table.workers
@@ -44,6 +45,7 @@
 
     def set_draining(self, worker_ids):
         self.plan_count += 2
+        self.draining = worker_ids
 
     def demands(self, names):
         return service_demands(self.harness.table, names, 1_000)
