Nothing is drained for a move that may not be ordered yet

What callers saw: after a change of leader, idle workers get no runs for some seconds.

Cause: the lease of a machine's former holder was looked at when the order was due, not when the move was planned. A new leader therefore drained a machine for up to the rest of the lease (3 s, or 3.5 s for a recent entry).

Fix: only a machine whose holder this leader may become counts as movable, as in waves.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -350,6 +350,7 @@
         demands: dict[str, Demand],
     ) -> set[str]:
         in_wave = {machine for wave in waves for machine in wave.under_way()}
+        since = self._replica.led_since()
         moves = [self._moves.get(item.machine) for item in machines]
         pool = [
             PoolMachine(
@@ -357,7 +358,9 @@
                 service_name=item.service_name if move is None else move.service_name,
                 kind=item.kind,
                 cpu=item.cpu,
-                is_up=item.is_up and self._moves.may_plan(item.machine),
+                is_up=item.is_up
+                and self._moves.may_plan(item.machine)
+                and self._leases.may_hold(item.machine, since),
                 idle_seconds=self._tracker.idle_seconds(item.machine),
                 in_wave=item.machine in in_wave
                 or item.machine in to_drain
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -7,6 +7,7 @@
     MachineController,
     MachineOrderOutcome,
 )
+from arbutuscleat.wire.gen_jobs.ttypes import OrderMachines
 from tests.fakes import ManualClock
 from tests.fakes.jobs import OTHER_JOB, JobTableHarness, job, run, step, worker
 from tests.fakes.machines import FakeExecutor, FakeReplica
@@ -102,6 +103,17 @@
                 self.clock.advance(POLL_SECONDS)
         self.assertEqual(set(), self.executor.draining)
 
+    def test_a_machine_that_may_not_be_ordered_yet_is_not_drained(self):
+        """Guards against idle workers drained for the lease of a former leader."""
+        held = OrderMachines(machines=POOL, holder="a")
+        self.harness.apply(order_machines=held)
+        self.replica.lead()
+        self.controller.reconcile_once()
+        self.park(2.75)
+        self.assertEqual(set(), self.executor.draining)
+        self.reconcile(2.0)
+        self.assertNotEqual([], self.provider.moves)
+
     def test_a_move_that_is_never_confirmed_is_given_up(self):
         """Guards against a worker that stays drained for an unanswered order."""
         self.provider.outcome = MachineOrderOutcome.UNKNOWN
