A machine that is needed again is not moved away

What callers saw: a task waits next to idle workers, which are about to be moved.

Cause: once planned, a move out of a pool was carried out whatever the pool needed by then. Its worker stayed drained until the order, for as long as orders were rate limited or the provider was unhealthy; then the machine was gone, and another one was moved in.

Fix: a move that has not been ordered yet can be cancelled. Machines that have not left the pool are its first source of capacity, before those that are off; the planner names the machine's present service as the target, and the controller ends the drain.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -368,6 +368,7 @@
                 mem_mb=item.mem_mb,
                 gpu=item.gpu,
                 labels=item.labels,
+                leaving=item.service_name if self._may_stay(item) else "",
                 in_service=move is not None
                 or self._tracker.is_in_service(item.machine),
             )
@@ -375,10 +376,21 @@
         ]
         planned = self._pool_planner.plan(pool, demands, standby, self._may_park())
         for item in planned:
-            self._moves.plan(item.machine, item.service_name)
-            self._log_move(item, demands)
+            if self._moves.is_cancellable(item.machine):
+                self._moves.cancel(item.machine)
+            else:
+                self._moves.plan(item.machine, item.service_name)
+                self._log_move(item, demands)
         return self._moves.machines()
 
+    def _may_stay(self, state: MachineState) -> bool:
+        """Return whether a planned move can be cancelled to use a machine's worker."""
+        return (
+            state.is_up
+            and self._moves.is_cancellable(state.machine)
+            and self._tracker.is_in_service(state.machine)
+        )
+
     def _may_park(self) -> bool:
         """Return whether demand was observed long enough to park idle machines."""
         now = self._clock.monotonic()
--- a/arbutuscleat/execution/machine_moves.py
+++ b/arbutuscleat/execution/machine_moves.py
@@ -82,6 +82,20 @@
         paused_until = self._paused_until.get(machine, 0.0)
         return machine not in self._moves and self._clock.monotonic() >= paused_until
 
+    def is_cancellable(self, machine: str) -> bool:
+        """Return whether the move of a machine has not been ordered yet."""
+        move = self._moves.get(machine)
+        return move is not None and not move.is_under_way
+
+    def cancel(self, machine: str) -> None:
+        """Discard a move that has not been ordered."""
+        move = self._moves.pop(machine)
+        logging.info(
+            "move of machine %s to service %s cancelled: it is needed where it is",
+            machine,
+            move.service_name,
+        )
+
     def plan(self, machine: str, service_name: str) -> None:
         """Record a planned move."""
         self._moves[machine] = MachineMove(service_name, self._clock.monotonic())
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -1,10 +1,10 @@
 """Pool planner: how many machines each service needs, and which machines move.
 
 The planner is designed for demand that shifts from one queue to another. A service
-with waiting tasks first receives machines from the standby pool, and then idle
-machines of services that have more than they need. Machines that have been idle for a
-while are parked: they move to the standby pool, where they are off. Running tasks are
-never ended for a move.
+with waiting tasks first keeps the machines that have not left it yet, then receives
+machines from the standby pool, and then idle machines of services that have more than
+they need. Machines that have been idle for a while are parked: they move to the standby
+pool, where they are off. Running tasks are never ended for a move.
 
 The number of machines that a service needs is computed for all its tasks, and for those
 with the same requirement (a label, accelerators), which only some machines can run.
@@ -68,6 +68,9 @@
         Number of accelerators.
     labels : tuple of str
         The machine's labels.
+    leaving : str
+        Service that the machine is still in, if it is drained for a move to
+        `service_name` that can be cancelled; else empty.
     in_service : bool
         False if the machine has had no usable worker for some time, or its worker
         fails its runs. Such a machine provides no capacity where it is.
@@ -83,6 +86,7 @@
     mem_mb: int = 0
     gpu: int = 0
     labels: tuple[str, ...] = ()
+    leaving: str = ""
     in_service: bool = True
 
     @property
@@ -137,44 +141,29 @@
         Returns
         -------
         list of Move
-            The moves to order.
+            The moves to order. The target of a move that is to be cancelled is the
+            service that the machine is still in.
         """
         pools = {
             name: _Pool(name, demand, machines) for name, demand in demands.items()
         }
-        standby_machines = [
-            item
-            for item in machines
-            if item.service_name == standby and item.is_up and not item.in_wave
-        ]
-        surplus = [item for pool in pools.values() for item in pool.idle_machines()]
-        surplus.sort(key=lambda item: -item.idle_seconds)
+        sources = _Sources(machines, pools, standby)
         moves: list[Move] = []
         for pool in sorted(pools.values(), key=_Pool.excess):
             for requirement in pool.needed:
                 while pool.lacks(requirement):
-                    kinds = pool.kinds if requirement == ANY_MACHINE else set()
-                    found = _find(standby_machines, kinds, requirement)
-                    if found is None and pool.demand.waiting_tasks:
-                        spare = [
-                            item
-                            for item in surplus
-                            if item.service_name != pool.name
-                            and pools[item.service_name].can_spare(item)
-                        ]
-                        found = _find(spare, kinds, requirement)
+                    found = sources.take(pool, requirement)
                     if found is None:
                         pool.give_up(requirement)
                         break
-                    if found in surplus:
-                        surplus.remove(found)
-                        pools[found.service_name].remove(found)
-                    else:
-                        standby_machines.remove(found)
                     pool.add(found)
                     moves.append(Move(found.machine, pool.name))
         if standby and may_park:
-            idle = [i for i in surplus if i.idle_seconds >= IDLE_BEFORE_PARK_SECONDS]
+            idle = [
+                item
+                for item in sources.surplus
+                if item.idle_seconds >= IDLE_BEFORE_PARK_SECONDS
+            ]
             at_most = max(MIN_PARKED_PER_PLAN, int(len(machines) * MAX_PARKED_FRACTION))
             moves.extend(_park(idle, pools, standby, at_most))
         return moves
@@ -260,6 +249,61 @@
         ]
 
 
+class _Sources:
+    """Machines that may be moved into a pool, in the order of preference.
+
+    A machine that has not left the pool yet costs nothing. One that is off is used
+    before an idle one of another service, which only tasks that wait receive.
+    """
+
+    def __init__(
+        self, machines: Sequence[PoolMachine], pools: Mapping[str, _Pool], standby: str
+    ):
+        self._pools = pools
+        self._leaving = [item for item in machines if item.leaving and not item.in_wave]
+        self._standby = [
+            item
+            for item in machines
+            if item.service_name == standby and item.is_up and not item.in_wave
+        ]
+        self.surplus = [
+            item for pool in pools.values() for item in pool.idle_machines()
+        ]
+        self.surplus.sort(key=lambda item: -item.idle_seconds)
+
+    def take(self, pool: _Pool, requirement: Requirement) -> PoolMachine | None:
+        """Take a machine that meets a requirement for a pool; None if there is none."""
+        kinds = pool.kinds if requirement == ANY_MACHINE else set()
+        own = [item for item in self._leaving if item.leaving == pool.name]
+        found = _find(own, set(), requirement)
+        if found is not None:
+            self._leaving.remove(found)
+            self._leave(found)
+            return found
+        found = _find(self._standby, kinds, requirement)
+        if found is not None:
+            self._standby.remove(found)
+            return found
+        if not pool.demand.waiting_tasks:
+            return None
+        spare = [
+            item
+            for item in self.surplus
+            if item.service_name != pool.name
+            and self._pools[item.service_name].can_spare(item)
+        ]
+        found = _find(spare, kinds, requirement)
+        if found is not None:
+            self.surplus.remove(found)
+            self._leave(found)
+        return found
+
+    def _leave(self, item: PoolMachine) -> None:
+        former = self._pools.get(item.service_name)
+        if former is not None:
+            former.remove(item)
+
+
 def _machines_needed(demand: Demand, machines: Sequence[PoolMachine]) -> int:
     """Return how many machines some tasks need, of sizes like those of `machines`."""
     return max(
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -85,6 +85,19 @@
         self.harness.start(run(OTHER_JOB, worker_id="w-k0"))
         self.reconcile(seconds)
 
+    def test_a_machine_that_is_needed_again_is_not_moved(self):
+        """Guards against tasks that wait for machines drained for a planned move."""
+        self.provider.outcome = MachineOrderOutcome.LATER
+        self.park(4.0)
+        self.assertNotEqual(set(), self.executor.draining)
+        self.run_spread_job(count=0)
+        self.reconcile(0.5)
+        self.assertEqual(set(), self.executor.draining)
+        self.provider.outcome = MachineOrderOutcome.DONE
+        self.provider.moves = []
+        self.reconcile(5.0)
+        self.assertEqual([], self.provider.moves)
+
     def test_a_drain_ends_when_machines_cannot_be_listed(self):
         """Guards against idle workers that stay drained without a provider."""
         self.provider.outcome = MachineOrderOutcome.LATER
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -164,6 +164,15 @@
         demand = Demand(min_machines=3, waiting_tasks=1)
         self.assertEqual({("s0", "karachi")}, plan(machines, karachi=demand))
 
+    def test_a_machine_that_has_not_left_yet_is_called_back(self):
+        """Guards against an idle worker drained for a move while tasks wait."""
+        machines = [machine("k0", "karachi", -1.0)]
+        machines += [machine("k1", "standby", is_up=False, leaving="karachi")]
+        machines += [machine("s0", "standby"), machine("s1", "standby")]
+        demand = Demand(SIZE, SIZE, waiting_tasks=1)
+        expected = {("k1", "karachi"), ("s0", "karachi"), ("s1", "karachi")}
+        self.assertEqual(expected, plan(machines, karachi=demand))
+
     def test_machines_are_not_parked_until_demand_was_observed(self):
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         found = PoolPlanner().plan(machines, {"karachi": Demand()}, "standby", False)
