Waiting tasks that fit on no machine of their service get another one

What callers saw: a task that is to last waits in a pool whose free CPU and memory would be enough in sum, while machines are off.

Cause: demand was compared with the pool in sums. That a task has nowhere to go does not show there: each worker may be at the spread limit of its step, too small for the task, about to leave, or full of long-running tasks up to a piece that is too small.

Evidence: the new tests. With the search for such tasks switched off, a task of 200,000 MB in a pool of machines with 131,072 MB got none of the larger machines that were off, and a leaving worker of a spread step was not replaced within 0.5 s.

Fix: in each iteration of the machine controller the waiting long-running tasks are placed on the workers that their service has, or that its machines on the way will have, as the planner would once finite runs have ended. Those that fit nowhere get machines that can hold them: first one that has not left the pool yet, then one that is off, then a spare one of another service. Finite tasks get one if no worker could ever hold them. A worker that has just become unusable counts, since it is likely to be back sooner. And no machine leaves a pool while long-running tasks wait that it will accept: they may need just that one.

test_pool_planner.py: the planner returns its moves with the tasks left unmet.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -8,7 +8,7 @@
 
 import threading
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from absl import logging
 from returns.result import Success
@@ -162,10 +162,15 @@
         with self._table.lock:
             return self._views()
 
-    def demands(self, service_names: Iterable[str]) -> dict[str, Demand]:
-        """Return the current demand of each service."""
+    def demands(
+        self,
+        service_names: Iterable[str],
+        workers: Mapping[str, Sequence[WorkerView]],
+    ) -> dict[str, Demand]:
+        """Return the current demand of each service, which has these workers."""
         with self._table.lock:
-            return service_demands(self._table, service_names, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            return service_demands(self._table, service_names, now_ms, workers)
 
     def movable_tasks(self, worker_id: str) -> list[tuple[TaskKey, int]]:
         """Return the long-running tasks that may be moved off a worker now.
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -25,9 +25,12 @@
     Move,
     PoolMachine,
     PoolPlanner,
+    WaitReason,
     WaveMachine,
+    WorkerView,
     choose_machines,
     has_shortage,
+    idle_worker,
 )
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
@@ -51,6 +54,9 @@
 """Time without a list of the machines after which all drains end. A single call to the
 provider may take 1 s."""
 
+TEMPORARY_REASONS = (WaitReason.UNRESPONSIVE, WaitReason.PAUSED)
+"""Why a worker may get no runs, unless its machine or its tasks are to leave."""
+
 ORDER_THREADS = 8
 """Concurrent calls to the provider. At some 15 ms each they are faster than the rate
 of orders that providers accept, a few hundred a second."""
@@ -215,13 +221,14 @@
     def _reconcile(self, machines: list[MachineState]) -> None:
         by_name = {item.machine: item for item in machines}
         standby, serving = self._services()
-        self._tracker.update(by_name, self._executor.worker_views(), standby)
+        views = self._executor.worker_views()
+        self._tracker.update(by_name, views, standby)
         self._moves.update(by_name)
         self.fleet = _fleet_capacity(machines)
         to_drain: set[str] = set()
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
-        demands = self._executor.demands(serving)
+        demands = self._executor.demands(serving, self._workers(machines, views))
         shortage = self.fleet is not None and has_shortage(demands.values(), self.fleet)
         for wave in waves:
             to_drain |= self._plan_wave(wave, by_name, shortage)
@@ -341,6 +348,35 @@
         standby = next((item.name for item in services if item.standby), "")
         return standby, [item.name for item in services if not item.standby]
 
+    def _workers(
+        self, machines: list[MachineState], views: dict[str, WorkerView]
+    ) -> dict[str, list[WorkerView]]:
+        """Return the workers that each service has, or is about to get.
+
+        A worker that is drained is left out, because it gets no more runs. One that has
+        just become unusable counts: it is likely to be usable again before another
+        machine would be there.
+        """
+        workers: dict[str, list[WorkerView]] = {}
+        for item in machines:
+            move = self._moves.get(item.machine)
+            view = views.get(item.worker_id)
+            if move is None and (
+                not self._tracker.is_in_service(item.machine)
+                or self._tracker.is_under_upkeep(item.machine)
+            ):
+                continue
+            service = item.service_name if move is None else move.service_name
+            if move is not None or view is None:
+                capacity = (item.cpu, item.mem_mb, item.gpu)
+                view = idle_worker(item.machine, service, capacity, item.labels)
+            elif not view.usable and view.unusable_because in TEMPORARY_REASONS:
+                view.usable = True
+            view.max_new_runs = None
+            if view.usable:
+                workers.setdefault(service, []).append(view)
+        return workers
+
     def _plan_moves(
         self,
         machines: list[MachineState],
@@ -375,7 +411,7 @@
             for item, move in zip(machines, moves, strict=True)
         ]
         planned = self._pool_planner.plan(pool, demands, standby, self._may_park())
-        for item in planned:
+        for item in planned.moves:
             if self._moves.is_cancellable(item.machine):
                 self._moves.cancel(item.machine)
             else:
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -5,9 +5,10 @@
 from .demand_history import DemandHistory
 from .objective import critical_path_ms, objective_at_ms
 from .planner import Plan, Planner
-from .pool_planner import Move, PoolMachine, PoolPlanner
+from .pool_planner import Move, PoolMachine, PoolPlan, PoolPlanner, idle_worker
 from .service_demand import Demand, Requirement, has_shortage
 from .step_waits import StepWait, StepWaits
+from .unplaced_tasks import UnplacedTasks
 from .wait_reason import WaitReason
 from .wave_planner import WaveMachine, choose_machines
 from .worker_view import WorkerView
@@ -20,11 +21,13 @@
     "Plan",
     "Planner",
     "PoolMachine",
+    "PoolPlan",
     "PoolPlanner",
     "Rejection",
     "Requirement",
     "StepWait",
     "StepWaits",
+    "UnplacedTasks",
     "WaitReason",
     "WaveMachine",
     "WorkerView",
@@ -34,6 +37,7 @@
     "choose_machines",
     "critical_path_ms",
     "has_shortage",
+    "idle_worker",
     "job_demand",
     "movable_tasks",
     "objective_at_ms",
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -1,17 +1,22 @@
 """Demand of services, and selection of long-running tasks that may be moved."""
 
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
+from dataclasses import replace
 
 from arbutuscleat.jobs import JobState, JobTable, TaskKey, TaskStatus
 from arbutuscleat.jobs.task import WorkerIncarnation
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
 
 from .service_demand import Demand, Requirement
+from .unplaced_tasks import Placement
 from .worker_view import WorkerView
 
 
 def service_demands(
-    table: JobTable, service_names: Iterable[str], now_ms: int
+    table: JobTable,
+    service_names: Iterable[str],
+    now_ms: int,
+    workers: Mapping[str, Sequence[WorkerView]] | None = None,
 ) -> dict[str, Demand]:
     """Return the current demand of each service.
 
@@ -23,6 +28,9 @@
         The services.
     now_ms : int
         Current Unix time in milliseconds.
+    workers : mapping of str to sequence of WorkerView, optional
+        The workers that each service has or is about to get. Capacity for waiting
+        tasks is reserved in them. If not given, no task counts as unplaced.
 
     Returns
     -------
@@ -34,10 +42,18 @@
         found = jobs.get(table.service_of(job))
         if found is not None:
             found.append(job)
-    return {name: job_demand(found, now_ms) for name, found in jobs.items()}
-
-
-def job_demand(jobs: Iterable[JobState], now_ms: int) -> Demand:
+    demands = {}
+    for name, found in jobs.items():
+        views = None if workers is None else workers.get(name, ())
+        demands[name] = job_demand(found, now_ms, views)
+    return demands
+
+
+def job_demand(
+    jobs: Iterable[JobState],
+    now_ms: int,
+    workers: Sequence[WorkerView] | None = None,
+) -> Demand:
     """Return the demand of running tasks and of tasks that could start now.
 
     Tasks of steps that wait for other steps are not counted, because those steps free
@@ -49,7 +65,10 @@
         The active jobs.
     now_ms : int
         Current Unix time in milliseconds.
+    workers : sequence of WorkerView, optional
+        The workers that run the jobs; without them, no task counts as unplaced.
     """
+    placement = None if workers is None else Placement(workers)
     total = _Sum()
     parts: dict[Requirement, _Sum] = {}
     for job in jobs:
@@ -74,7 +93,16 @@
                     part.add_spread(step)
                 else:
                     total.add_spread(step)
-    return total.demand({key: part.demand({}) for key, part in parts.items()})
+                if waiting and placement is not None:
+                    placement.add(step, (job.job_id, occurrence, number), waiting)
+    demand = total.demand({key: part.demand({}) for key, part in parts.items()})
+    if placement is None:
+        return demand
+    return replace(
+        demand,
+        unplaced=tuple(placement.unplaced),
+        has_placed_tasks=placement.placed_long_running > 0,
+    )
 
 
 class _Sum:
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -8,14 +8,20 @@
 
 The number of machines that a service needs is computed for all its tasks, and for those
 with the same requirement (a label, accelerators), which only some machines can run.
-Whichever of CPU, memory and accelerators is scarcest counts.
+Whichever of CPU, memory and accelerators is scarcest counts. Tasks that fit on none of
+its machines, however few they are, get a machine that can hold them. While long-running
+tasks wait for room that a service has, it gives no machine away.
 """
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from arbutuscleat.wire.gen_jobs.ttypes import WorkerRecord
 
 from .service_demand import ANY_MACHINE, Demand, Requirement
+from .unplaced_tasks import UnplacedTasks
+from .worker_view import WorkerView
 
 IDLE_BEFORE_PARK_SECONDS = 1.5
 """Idle time after which a machine may be parked. It equals the duration of a move:
@@ -94,11 +100,53 @@
         """Whether the machine provides capacity to the service that it is in."""
         return self.in_service and not self.in_wave
 
+    def view(self) -> WorkerView:
+        """Return the worker that the machine will have after a move."""
+        return idle_worker(
+            self.machine,
+            self.service_name,
+            (self.cpu, self.mem_mb, self.gpu),
+            self.labels,
+        )
+
     def meets(self, requirement: Requirement) -> bool:
         """Return whether tasks with a requirement can run on the machine."""
         return requirement.is_met_by(self.labels, self.gpu)
 
 
+def idle_worker(
+    machine: str,
+    service_name: str,
+    capacity: tuple[int, int, int],
+    labels: tuple[str, ...],
+) -> WorkerView:
+    """Return the worker that a machine will have.
+
+    Parameters
+    ----------
+    machine : str
+        Name of the machine.
+    service_name : str
+        The service that it belongs to.
+    capacity : tuple of int, int and int
+        CPU in thousandths of a core, memory in MB, and accelerators.
+    labels : tuple of str
+        The machine's labels.
+    """
+    cpu, mem_mb, gpu = capacity
+    record = WorkerRecord(
+        worker_id=machine,
+        born_ms=0,
+        service_name=service_name,
+        cpu=cpu,
+        mem_mb=mem_mb,
+        gpu=gpu,
+        labels=list(labels),
+        machine=machine,
+    )
+    return WorkerView(record, True, 0)
+
+
 @dataclass(frozen=True, slots=True)
 class Move:
     """Move of a machine into the pool of a service.
@@ -115,6 +163,24 @@
     service_name: str
 
 
+@dataclass(frozen=True, slots=True)
+class PoolPlan:
+    """Moves to make now, and tasks for which there is no machine to move.
+
+    Parameters
+    ----------
+    moves : list of Move
+        The moves to order. The target of a move that is to be cancelled is the service
+        that the machine is still in.
+    unmet : list of tuple of str and UnplacedTasks
+        Tasks that fit on none of the service's machines nor on one that could be moved
+        to it, by name of the service.
+    """
+
+    moves: list[Move]
+    unmet: list[tuple[str, UnplacedTasks]]
+
+
 class PoolPlanner:
     """Plans moves of machines between pools; it is stateless."""
 
@@ -124,7 +190,7 @@
         demands: Mapping[str, Demand],
         standby: str,
         may_park: bool = True,
-    ) -> list[Move]:
+    ) -> PoolPlan:
         """Return the moves to make now.
 
         Parameters
@@ -140,24 +206,29 @@
 
         Returns
         -------
-        list of Move
-            The moves to order. The target of a move that is to be cancelled is the
-            service that the machine is still in.
+        PoolPlan
+            The moves to order, and what they leave unmet.
         """
         pools = {
             name: _Pool(name, demand, machines) for name, demand in demands.items()
         }
         sources = _Sources(machines, pools, standby)
         moves: list[Move] = []
-        for pool in sorted(pools.values(), key=_Pool.excess):
+        unmet: list[tuple[str, UnplacedTasks]] = []
+        by_urgency = sorted(pools.values(), key=_Pool.excess)
+        for pool in by_urgency:
+            found, left = _place(pool, sources)
+            moves.extend(found)
+            unmet.extend((pool.name, tasks) for tasks in left)
+        for pool in by_urgency:
             for requirement in pool.needed:
                 while pool.lacks(requirement):
-                    found = sources.take(pool, requirement)
-                    if found is None:
+                    item = sources.take_for(pool, requirement)
+                    if item is None:
                         pool.give_up(requirement)
                         break
-                    pool.add(found)
-                    moves.append(Move(found.machine, pool.name))
+                    pool.add(item)
+                    moves.append(Move(item.machine, pool.name))
         if standby and may_park:
             idle = [
                 item
@@ -166,7 +237,7 @@
             ]
             at_most = max(MIN_PARKED_PER_PLAN, int(len(machines) * MAX_PARKED_FRACTION))
             moves.extend(_park(idle, pools, standby, at_most))
-        return moves
+        return PoolPlan(moves, unmet)
 
 
 class _Pool:
@@ -239,6 +310,8 @@
 
     def idle_machines(self) -> list[PoolMachine]:
         """Return the idle machines that the service can spare, one by one."""
+        if self.demand.has_placed_tasks:
+            return []
         return [
             item
             for item in self._machines
@@ -271,16 +344,37 @@
         ]
         self.surplus.sort(key=lambda item: -item.idle_seconds)
 
-    def take(self, pool: _Pool, requirement: Requirement) -> PoolMachine | None:
-        """Take a machine that meets a requirement for a pool; None if there is none."""
-        kinds = pool.kinds if requirement == ANY_MACHINE else set()
+    def take_for(self, pool: _Pool, requirement: Requirement) -> PoolMachine | None:
+        """Take a machine that meets a requirement for a pool; None if there is none.
+
+        A service may get machines of another kind than it has for a requirement only.
+        """
+        return self.take(
+            pool, lambda item: item.meets(requirement), requirement != ANY_MACHINE
+        )
+
+    def take(
+        self, pool: _Pool, accepts: Callable[[PoolMachine], bool], any_kind: bool
+    ) -> PoolMachine | None:
+        """Take a machine that is accepted for a pool; None if there is none.
+
+        Parameters
+        ----------
+        pool : _Pool
+            The pool that receives the machine.
+        accepts : callable
+            Returns whether a machine is suitable.
+        any_kind : bool
+            Whether a machine of a kind that the pool does not have may be taken, if
+            there is none of its kinds.
+        """
         own = [item for item in self._leaving if item.leaving == pool.name]
-        found = _find(own, set(), requirement)
+        found = _find(own, pool.kinds, accepts, any_kind)
         if found is not None:
             self._leaving.remove(found)
             self._leave(found)
             return found
-        found = _find(self._standby, kinds, requirement)
+        found = _find(self._standby, pool.kinds, accepts, any_kind)
         if found is not None:
             self._standby.remove(found)
             return found
@@ -292,7 +386,7 @@
             if item.service_name != pool.name
             and self._pools[item.service_name].can_spare(item)
         ]
-        found = _find(spare, kinds, requirement)
+        found = _find(spare, pool.kinds, accepts, any_kind)
         if found is not None:
             self.surplus.remove(found)
             self._leave(found)
@@ -337,10 +431,50 @@
 
 
 def _find(
-    items: Iterable[PoolMachine], kinds: set[str], requirement: Requirement
+    items: Sequence[PoolMachine],
+    kinds: set[str],
+    accepts: Callable[[PoolMachine], bool],
+    any_kind: bool,
 ) -> PoolMachine | None:
-    """Return the first machine that meets a requirement, of these kinds if any."""
+    """Return the first suitable machine, if possible of one of the kinds."""
     for item in items:
-        if (not kinds or item.kind in kinds) and item.meets(requirement):
+        if (not kinds or item.kind in kinds) and accepts(item):
             return item
+    if any_kind:
+        return next((item for item in items if accepts(item)), None)
     return None
+
+
+def _place(pool: _Pool, sources: _Sources) -> tuple[list[Move], list[UnplacedTasks]]:
+    """Return moves for the unplaced tasks of a pool, and the tasks still unplaced."""
+    moves: list[Move] = []
+    unmet: list[UnplacedTasks] = []
+    views: list[WorkerView] = []
+
+    for tasks in pool.demand.unplaced:
+        count = tasks.count
+        for view in views:
+            count -= _fill(view, tasks, count)
+
+        def accepts(item: PoolMachine, tasks: UnplacedTasks = tasks) -> bool:
+            return item.view().accepts(tasks.step, tasks.group)
+
+        while count > 0:
+            item = sources.take(pool, accepts, any_kind=True)
+            if item is None:
+                unmet.append(replace(tasks, count=count))
+                break
+            pool.add(item)
+            moves.append(Move(item.machine, pool.name))
+            views.append(item.view())
+            count -= _fill(views[-1], tasks, count)
+    return moves, unmet
+
+
+def _fill(view: WorkerView, tasks: UnplacedTasks, count: int) -> int:
+    """Reserve capacity for up to `count` tasks; return for how many there was room."""
+    for number in range(count):
+        if not view.accepts(tasks.step, tasks.group):
+            return number
+        view.reserve(tasks.step, tasks.group)
+    return count
--- a/arbutuscleat/scheduling/service_demand.py
+++ b/arbutuscleat/scheduling/service_demand.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from .admission import FleetCapacity
+from .unplaced_tasks import UnplacedTasks
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,10 @@
         Number of tasks that could start now.
     by_requirement : mapping of Requirement to Demand
         The parts of the demand that only some machines can meet.
+    unplaced : tuple of UnplacedTasks
+        Waiting tasks that none of the machines that the service has will run.
+    has_placed_tasks : bool
+        Whether a long-running task waits that one of these machines will run.
     """
 
     running_cpu: int = 0
@@ -66,6 +71,8 @@
     waiting_gpu: int = 0
     waiting_tasks: int = 0
     by_requirement: Mapping[Requirement, "Demand"] = field(default_factory=dict)
+    unplaced: tuple[UnplacedTasks, ...] = ()
+    has_placed_tasks: bool = False
 
     @property
     def cpu(self) -> int:
--- /dev/null
+++ b/arbutuscleat/scheduling/unplaced_tasks.py
@@ -0,0 +1,90 @@
+"""Unplaced tasks: waiting tasks that no worker of their service will ever accept.
+
+Sums of CPU and memory do not show that a task has nowhere to go: each worker may be at
+the spread limit of its step, too small, or full of long-running tasks in a way that
+leaves no piece of capacity large enough. Only another machine helps such a task.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
+
+from .worker_view import WorkerView
+
+MAX_TASKS = 256
+"""Waiting tasks per service that are compared with the workers. It bounds how long the
+table is locked."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnplacedTasks:
+    """Waiting tasks of one step that need another machine.
+
+    Parameters
+    ----------
+    group : tuple of str, int and int
+        The job, occurrence and step.
+    step : StepRecord
+        The step.
+    count : int
+        Number of tasks; 1 for finite tasks, which can use a machine one by one.
+    """
+
+    group: tuple[str, int, int]
+    step: StepRecord
+    count: int
+
+
+class Placement:
+    """Places waiting tasks on the workers of a service, to find those that fit nowhere.
+
+    Parameters
+    ----------
+    workers : sequence of WorkerView
+        The workers, including those that machines on their way will have. Capacity is
+        reserved in them.
+    """
+
+    def __init__(self, workers: Sequence[WorkerView]):
+        self._workers = workers
+        self._tasks_left = MAX_TASKS
+        self.unplaced: list[UnplacedTasks] = []
+        self.placed_long_running = 0
+        """Number of waiting long-running tasks that some worker will accept."""
+
+    def add(self, step: StepRecord, group: tuple[str, int, int], count: int) -> None:
+        """Place the waiting tasks of a step.
+
+        Parameters
+        ----------
+        step : StepRecord
+            The step.
+        group : tuple of str, int and int
+            The job, occurrence and step.
+        count : int
+            Number of waiting tasks.
+        """
+        if not step.long_running:
+            if not any(view.could_hold(step) for view in self._workers):
+                self.unplaced.append(UnplacedTasks(group, step, 1))
+            return
+        for left in range(count, 0, -1):
+            if not self._tasks_left:
+                return
+            self._tasks_left -= 1
+            view = self._find(step, group)
+            if view is None:
+                self.unplaced.append(UnplacedTasks(group, step, left))
+                return
+            view.reserve(step, group)
+            self.placed_long_running += 1
+
+    def _find(self, step: StepRecord, group: tuple[str, int, int]) -> WorkerView | None:
+        for view in self._workers:
+            if view.accepts(step, group):
+                return view
+        for view in self._workers:
+            if view.will_accept(step, group):
+                return view
+        return None
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -77,6 +77,25 @@
         self.reconcile(6.0)
         self.assertEqual([], self.provider.moves)
 
+    def test_a_task_that_only_a_larger_machine_can_hold_gets_one(self):
+        """Guards against a task that waits although a machine that is off fits it."""
+        self.provider.set("s1", mem_mb=262_144)
+        self.harness.accept(job(steps=[step(mem_mb=200_000, long_running=True)]))
+        self.reconcile(1.0)
+        self.assertEqual({("s1", "karachi")}, set(self.provider.moves))
+
+    def test_a_worker_that_leaves_is_replaced_for_a_task_that_waits(self):
+        self.run_spread_job(count=3)
+        self.add_worker("k3", draining=True, sequence=2)
+        self.reconcile(0.5)
+        self.assertEqual({("s0", "karachi")}, set(self.provider.moves))
+
+    def test_a_task_that_will_fit_brings_in_no_machine(self):
+        """Guards against a machine moved for each long-running task that fails."""
+        self.run_spread_job(count=3)
+        self.reconcile(4.0)
+        self.assertEqual([], self.provider.moves)
+
     # ---- drains for moves ----
 
     def park(self, seconds):
--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -1,6 +1,6 @@
 """A replica and an executor for the machine controller, without threads."""
 
-from arbutuscleat.scheduling import WorkerView, service_demands
+from arbutuscleat.scheduling import WaitReason, WorkerView, service_demands
 
 
 class FakeReplica:
@@ -37,18 +37,25 @@
         self.draining = set()
 
     def worker_views(self):
-        workers = self.harness.table.workers
-        return {
-            name: WorkerView(record, name not in self.unusable, 0)
-            for name, record in workers.items()
-        }
+        table = self.harness.table
+        views = {}
+        for name, record in table.workers.items():
+            usable = name not in self.unusable | self.draining and not record.draining
+            views[name] = view = WorkerView(record, usable, 0)
+            if record.draining:
+                view.unusable_because = WaitReason.LEAVING
+            elif name in self.draining:
+                view.unusable_because = WaitReason.DRAINING
+            for key in table.runs.get(view.incarnation, ()):
+                view.reserve(table.jobs[key.job_id].steps[key.step], key[:3])
+        return views
 
     def set_draining(self, worker_ids):
         self.plan_count += 2
         self.draining = worker_ids
 
-    def demands(self, names):
-        return service_demands(self.harness.table, names, 1_000)
+    def demands(self, names, workers):
+        return service_demands(self.harness.table, names, 1_000, workers)
 
     def propose(self, command):
         return self.harness.propose(command)
--- a/tests/fakes/provider.py
+++ b/tests/fakes/provider.py
@@ -21,7 +21,9 @@
 
     def __init__(self, names, service_name="karachi"):
         self.states = {
-            name: MachineState(name, service_name, True, "", ("a", "r1"), 64_000)
+            name: MachineState(
+                name, service_name, True, "", ("a", "r1"), 64_000, 131_072
+            )
             for name in names
         }
         self.upkeeps = []
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -6,13 +6,16 @@
     PoolMachine,
     PoolPlanner,
     Requirement,
+    UnplacedTasks,
     has_shortage,
 )
 from arbutuscleat.scheduling.pool_planner import (
     MAX_PARKED_FRACTION,
     MIN_PARKED_PER_PLAN,
 )
+from tests.fakes.jobs import JOB, step
 
+GROUP = (JOB, 0, 0)
 SIZE = 64_000
 MEMORY = 131_072
 FLEET = FleetCapacity(cpu=SIZE, max_cpu=SIZE, max_mem_mb=MEMORY, max_gpu=0)
@@ -24,7 +27,7 @@
 
 
 def plan(machines, **demands):
-    found = PoolPlanner().plan(machines, demands, "standby")
+    found = PoolPlanner().plan(machines, demands, "standby").moves
     return {(move.machine, move.service_name) for move in found}
 
 
@@ -173,10 +176,33 @@
         expected = {("k1", "karachi"), ("s0", "karachi"), ("s1", "karachi")}
         self.assertEqual(expected, plan(machines, karachi=demand))
 
+    def test_unplaced_tasks_bring_in_as_many_machines_as_they_fill(self):
+        """Guards against a long-running task that waits for ever next to room."""
+        machines = [machine(f"k{i}", "karachi", -1.0) for i in range(4)]
+        machines += [machine(f"s{i}", "standby", mem_mb=MEMORY) for i in range(4)]
+        asked = step(5, long_running=True, spread_limit=2)
+        demand = Demand(waiting_tasks=3, unplaced=(UnplacedTasks(GROUP, asked, 3),))
+        expected = {("s0", "karachi"), ("s1", "karachi")}
+        self.assertEqual(expected, plan(machines, karachi=demand))
+
+    def test_unplaced_tasks_that_no_machine_can_hold_are_unmet(self):
+        machines = [machine("s0", "standby", mem_mb=MEMORY)]
+        asked = step(long_running=True, mem_mb=MEMORY + 1)
+        tasks = UnplacedTasks(GROUP, asked, 1)
+        demand = Demand(waiting_tasks=1, unplaced=(tasks,))
+        found = PoolPlanner().plan(machines, {"karachi": demand}, "standby")
+        self.assertEqual([("karachi", tasks)], found.unmet)
+
+    def test_no_machine_is_parked_while_a_long_running_task_waits_for_room(self):
+        """Guards against a worker that is drained just before a task starts on it."""
+        machines = [machine(f"k{i}", "karachi") for i in range(4)]
+        found = plan(machines, karachi=Demand(has_placed_tasks=True))
+        self.assertEqual(set(), found)
+
     def test_machines_are_not_parked_until_demand_was_observed(self):
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
         found = PoolPlanner().plan(machines, {"karachi": Demand()}, "standby", False)
-        self.assertEqual([], found)
+        self.assertEqual([], found.moves)
 
     def test_a_machine_drained_for_a_wave_is_replaced(self):
         machines = [machine("k0", "karachi", -1.0, in_wave=True)]
