A failed task's wait for another worker is measured on the leader's own clock

A task that failed on the only worker that accepts it waits up to 2 s for another one. The 2 s were measured from the time of the end in the log, which another leader may have read from its own time of day, and by the absolute difference. With a leader's clock behind, the same plan left a task waiting from 1.9 s before to 1.9 s after that time: 3.9 s, nearly the time after which a long-running task counts as lost. A step of the time of day of 2 s or more skipped the wait, and an attempt was used up on the worker that had just failed the task.

The planner now notes when it first sees the task waiting, on its monotonic clock. A new leader counts anew, so the wait is bounded by 2 s for each leader. The task's state holds the number of the latest failed run in place of the time of its end. So a task whose latest run was stopped or lost, after an earlier failure, no longer waits: it has no reason to avoid that worker.

The test of the bound now keeps one planner and advances its clock; it is as strict (not placed at 1.9 s, placed at 2.0 s).

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -228,7 +228,9 @@
             with self._load.timed("plan"):
                 self._reconcile_sessions()
                 views = self._views()
-                plan = self._planner.plan(self._table, views, self._clock.now_ms())
+                plan = self._planner.plan(
+                    self._table, views, self._clock.now_ms(), self._clock.monotonic()
+                )
             self._check_waits(views)
             self.plan_count += 1
             stops = self._take_due_stops()
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -259,7 +259,7 @@
             run = end.run
             key = TaskKey.of(run)
             outcome = RunOutcome(end.outcome)
-            self._end_one(key, run.number, outcome, end.checkpoint, command.at_ms)
+            self._end_one(key, run.number, outcome, end.checkpoint)
             job = self.jobs.get(run.job_id)
             if job is not None and not job.is_over():
                 self._close_if_ended(job, key, command.at_ms)
@@ -270,7 +270,6 @@
         number: int,
         outcome: RunOutcome,
         checkpoint: str = "",
-        at_ms: int = 0,
     ) -> None:
         job = self.jobs.get(key.job_id)
         task = None if job is None else job.task(key)
@@ -288,7 +287,7 @@
         task.status = TaskStatus.WAITING
         if outcome is RunOutcome.FAILED:
             task.failures += 1
-            task.failed_at_ms = at_ms
+            task.failed_number = number
         if checkpoint:
             task.checkpoint = checkpoint
             if step.gang:
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -70,9 +70,9 @@
         The highest run number assigned so far; 0 before the first run.
     failures : int
         Number of runs that ended with `RunOutcome.FAILED`.
-    failed_at_ms : int
-        Unix millisecond at which the latest of these ends was recorded; 0 if there is
-        none, or if it is older than the snapshot that this replica was restored from.
+    failed_number : int
+        Number of the latest of these runs; 0 if there is none, or if it ended before
+        the snapshot that this replica was restored from.
     incarnation : WorkerIncarnation
         The worker incarnation that the latest run was assigned to.
     checkpoint : str
@@ -84,7 +84,7 @@
         "status",
         "number",
         "failures",
-        "failed_at_ms",
+        "failed_number",
         "incarnation",
         "checkpoint",
     )
@@ -94,10 +94,14 @@
         self.status = TaskStatus.WAITING
         self.number = 0
         self.failures = 0
-        self.failed_at_ms = 0
+        self.failed_number = 0
         self.incarnation = NO_WORKER
         self.checkpoint = ""
 
     def failed_on(self, worker_id: str) -> bool:
         """Return whether the task has failed and its latest run was on this worker."""
         return self.failures > 0 and self.incarnation[0] == worker_id
+
+    def has_failed_latest_run(self) -> bool:
+        """Return whether the latest run is known to have failed."""
+        return 0 < self.failed_number == self.number
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -14,6 +14,7 @@
 from arbutuscleat.jobs import JobState, JobTable, Queue, TaskState, TaskStatus
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, StepRecord
 
+from .failed_tasks import FailedTasks
 from .objective import critical_path_ms, objective_at_ms
 from .worker_view import WorkerView
 
@@ -21,7 +22,7 @@
 """Approximate limit of runs per plan, which bounds how long the table is locked. The
 plan ends with the job that reaches it."""
 
-OTHER_WORKER_WAIT_MS = 2_000
+OTHER_WORKER_WAIT_SECONDS = 2.0
 """Longest wait of a task that has failed on the only worker that accepts it now, for
 another one. It spans a short task and the interval after which a worker that fails
 everything gets no new runs."""
@@ -54,10 +55,20 @@
 
 
 class Planner:
-    """Makes plans from the job table and the free capacity of the workers."""
+    """Makes plans from the job table and the free capacity of the workers.
+
+    A planner remembers since when failed tasks wait; not thread-safe.
+    """
+
+    def __init__(self) -> None:
+        self._failed_tasks = FailedTasks()
 
     def plan(
-        self, table: JobTable, views: Mapping[str, WorkerView], now_ms: int
+        self,
+        table: JobTable,
+        views: Mapping[str, WorkerView],
+        now_ms: int,
+        now: float,
     ) -> Plan:
         """Return the runs to start now.
 
@@ -69,12 +80,15 @@
             All workers by id. Capacity for the planned runs is reserved in them.
         now_ms : int
             Current Unix time in milliseconds.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
         Plan
             The runs to start, and when the next occurrence is due.
         """
+        self._failed_tasks.prune(table, now)
         by_service: dict[str, list[WorkerView]] = {}
         for view in views.values():
             if view.usable:
@@ -85,7 +99,7 @@
         runs: list[RunRecord] = []
         for candidate in candidates:
             workers = by_service[table.service_of(candidate.job)]
-            runs.extend(self._start_job(candidate, workers, now_ms))
+            runs.extend(self._start_job(candidate, workers, now))
             if len(runs) >= MAX_STARTS:
                 break
         return Plan(runs, next_due_ms)
@@ -135,7 +149,7 @@
         return (1, late, priority, latest_start)
 
     def _start_job(
-        self, candidate: _Candidate, workers: Sequence[WorkerView], now_ms: int
+        self, candidate: _Candidate, workers: Sequence[WorkerView], now: float
     ) -> list[RunRecord]:
         job, occurrence = candidate.job, candidate.occurrence
         runs: list[RunRecord] = []
@@ -150,9 +164,9 @@
                 continue
             if step.gang:
                 if len(waiting) == len(tasks):
-                    runs.extend(self._place_gang(step, waiting, workers, now_ms))
+                    runs.extend(self._place_gang(step, waiting, workers, now))
             else:
-                runs.extend(self._place_each(step, waiting, workers, now_ms))
+                runs.extend(self._place_each(step, waiting, workers, now))
         return runs
 
     def _place_each(
@@ -160,11 +174,11 @@
         step: StepRecord,
         waiting: Iterable[TaskState],
         workers: Sequence[WorkerView],
-        now_ms: int,
+        now: float,
     ) -> list[RunRecord]:
         runs = []
         for task in waiting:
-            view = self._best_worker(step, task, workers, now_ms)
+            view = self._best_worker(step, task, workers, now)
             if view is not None:
                 view.reserve(step, task.key[:3])
                 runs.append(task.key.run_record(task.number + 1, view.incarnation))
@@ -201,7 +215,7 @@
         step: StepRecord,
         waiting: Sequence[TaskState],
         workers: Sequence[WorkerView],
-        now_ms: int,
+        now: float,
     ) -> list[RunRecord]:
         """Place all tasks of a gang or none, on one rack if possible when requested."""
         number = 1 + max(task.number for task in waiting)
@@ -214,7 +228,7 @@
         for group in groups:
             taken: list[tuple[TaskState, WorkerView]] = []
             for task in waiting:
-                view = self._best_worker(step, task, group, now_ms)
+                view = self._best_worker(step, task, group, now)
                 if view is None:
                     break
                 view.reserve(step, task.key[:3])
@@ -233,7 +247,7 @@
         step: StepRecord,
         task: TaskState,
         workers: Sequence[WorkerView],
-        now_ms: int,
+        now: float,
     ) -> WorkerView | None:
         """Return the worker for a task, or None if it has to wait."""
         best = None
@@ -253,7 +267,7 @@
                 best, best_rank = view, rank
         if best_rank is not None and best_rank[0]:
             others = [view for view in workers if view is not best]
-            if self._waits_for_another(step, task, others, now_ms):
+            if self._waits_for_another(step, task, others, now):
                 return None
         return best
 
@@ -262,7 +276,7 @@
         step: StepRecord,
         task: TaskState,
         others: Iterable[WorkerView],
-        now_ms: int,
+        now: float,
     ) -> bool:
         """Return whether a task that has failed should wait for another worker.
 
@@ -270,8 +284,10 @@
         time. A long-running task has any number of attempts, so it only waits if one
         of the others will accept it.
         """
-        # The clock of this leader may be behind that of the one that recorded the end.
-        if abs(now_ms - task.failed_at_ms) >= OTHER_WORKER_WAIT_MS:
+        if not task.has_failed_latest_run():
+            return False
+        waited = self._failed_tasks.seconds_waited(task, now)
+        if waited >= OTHER_WORKER_WAIT_SECONDS:
             return False
         if step.long_running:
             return any(view.will_accept(step, task.key[:3]) for view in others)
--- a/tests/execution/test_random_runs.py
+++ b/tests/execution/test_random_runs.py
@@ -197,7 +197,7 @@
             for worker_id, session in self.sessions.items()
             if worker_id in self.harness.table.workers
         }
-        runs = Planner().plan(self.harness.table, views, 10**9).runs
+        runs = Planner().plan(self.harness.table, views, 10**9, 0.0).runs
         accepted_runs = self.harness.apply(starts=RunStarts(runs=runs)) if runs else []
         for run, accepted in zip(runs, accepted_runs, strict=True):
             # Sometimes a leader is lost between the log entry and the order.
--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -15,6 +15,8 @@
         self.harness = JobTableHarness()
         self.workers = {}
         self.grades = {}
+        self.planner = Planner()
+        self.now = 0.0
 
     def add_worker(self, worker_id="w1", grade=0, **fields):
         record = worker(worker_id, **fields)
@@ -31,7 +33,7 @@
             for key in self.harness.table.runs.get(view.incarnation, ()):
                 steps = self.harness.table.jobs[key.job_id].steps
                 view.reserve(steps[key.step], key[:3])
-        return Planner().plan(self.harness.table, views, now_ms)
+        return self.planner.plan(self.harness.table, views, now_ms, self.now)
 
     def placed(self, now_ms=NOW_MS):
         return [(r.job_id, r.step, r.worker_id) for r in self.plan(now_ms).runs]
@@ -203,8 +205,33 @@
         self.add_worker("w2", cpu=1_000)
         self.occupy("w2")
         self.fail_on_w1()
-        self.assertEqual([], self.placed(ENDED_AT_MS + 1_900))
-        self.assertEqual([(JOB, 0, "w1")], self.placed(ENDED_AT_MS + 2_000))
+        self.assertEqual([], self.placed())
+        self.now = 1.9
+        self.assertEqual([], self.placed())
+        self.now = 2.0
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
+
+    def test_the_wait_for_a_full_worker_ignores_steps_of_the_time_of_day(self):
+        """Guards against waits of twice the bound, and against none, after a step."""
+        self.add_worker("w1", cpu=1_000)
+        self.add_worker("w2", cpu=1_000)
+        self.occupy("w2")
+        self.fail_on_w1()
+        self.assertEqual([], self.placed(ENDED_AT_MS - 1_900))
+        self.now = 1.0
+        self.assertEqual([], self.placed(ENDED_AT_MS + 2_400))
+        self.now = 2.0
+        self.assertEqual([(JOB, 0, "w1")], self.placed(ENDED_AT_MS - 1_000))
+
+    def test_a_run_that_was_stopped_does_not_wait_for_another_worker(self):
+        """Guards against waits after a run that ended for no fault of its worker."""
+        self.add_worker("w1", cpu=1_000)
+        self.add_worker("w2", cpu=1_000)
+        self.occupy("w2")
+        self.fail_on_w1()
+        self.harness.start(run(number=2))
+        self.harness.end(run(number=2), RunOutcome.STOPPED)
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
 
     def test_small_tasks_do_not_starve_a_long_running_task(self):
         """Guards against capacity that is given away piece by piece."""
