A long-running task that keeps failing restarts with growing delays

A task that fails by its own fault does the same for as long as its job lasts.

The planner counts the short runs (under 5 s) of such a task in a row. The first restart is immediate, the next ones wait for 0.1 s, 0.2 s and so on, at most 1.5 s, counted from the failure and on any worker. The wait for another worker (2 s) is counted from the same moment, so the two together keep the task from running for 2 s at most. A run that lasts 5 s ends the row.

Before the fix both tests of it found a start in each plan, 100 in a second.

--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -181,6 +181,7 @@
             view = self._best_worker(step, task, workers, now)
             if view is not None:
                 view.reserve(step, task.key[:3])
+                self._failed_tasks.record_start(task.key, now)
                 runs.append(task.key.run_record(task.number + 1, view.incarnation))
                 continue
             is_reserved = step.long_running and self._reserve_next(step, task, workers)
@@ -234,6 +235,8 @@
                 view.reserve(step, task.key[:3])
                 taken.append((task, view))
             if len(taken) == len(waiting):
+                for task, _ in taken:
+                    self._failed_tasks.record_start(task.key, now)
                 return [
                     task.key.run_record(number, view.incarnation)
                     for task, view in taken
@@ -250,6 +253,12 @@
         now: float,
     ) -> WorkerView | None:
         """Return the worker for a task, or None if it has to wait."""
+        if (
+            step.long_running
+            and task.has_failed_latest_run()
+            and not self._failed_tasks.may_restart(task, now)
+        ):
+            return None
         best = None
         best_rank: tuple[bool, int, bool, int] | None = None
         group = task.key[:3]
--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -223,6 +223,50 @@
         self.now = 2.0
         self.assertEqual([(JOB, 0, "w1")], self.placed(ENDED_AT_MS - 1_000))
 
+    def starts_while_failing(self, seconds):
+        """Return the times of the starts of long-running tasks that fail at once."""
+        found = []
+        until = self.now + seconds
+        while self.now < until:
+            runs = self.plan().runs
+            if runs:
+                found.append(self.now)
+                self.harness.start(*runs)
+                for record in runs:
+                    self.harness.end(record, RunOutcome.FAILED)
+            self.now += 0.01
+        return found
+
+    def test_a_long_running_task_that_always_fails_does_not_restart_in_each_plan(self):
+        """Guards against a log entry in every few milliseconds for a single task."""
+        self.check_restarts_while_failing("w1")
+
+    def test_a_long_running_task_that_fails_everywhere_does_not_either(self):
+        """Guards against restarts in each plan, on one worker after the other."""
+        self.check_restarts_while_failing("w1", "w2")
+
+    def check_restarts_while_failing(self, *worker_ids):
+        for worker_id in worker_ids:
+            self.add_worker(worker_id)
+        self.harness.accept(job(steps=[step(long_running=True)]))
+        starts = self.starts_while_failing(20.0)
+        waits = [b - a for a, b in zip(starts, starts[1:], strict=False)]
+        self.assertTrue(waits[0] < 0.02, starts)
+        self.assertTrue(len(starts) < 20, starts)
+        self.assertTrue(1.0 < max(waits) < 2.0, starts)
+
+    def test_a_long_running_task_whose_run_lasted_restarts_at_once(self):
+        """Guards against delays that stay after the fault has ended."""
+        self.add_worker("w1")
+        self.harness.accept(job(steps=[step(long_running=True)]))
+        self.starts_while_failing(5.0)
+        self.now += 2.0
+        records = self.plan().runs
+        self.harness.start(*records)
+        self.now += 5.5
+        self.harness.end(records[0], RunOutcome.FAILED)
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
+
     def test_a_run_that_was_stopped_does_not_wait_for_another_worker(self):
         """Guards against waits after a run that ended for no fault of its worker."""
         self.add_worker("w1", cpu=1_000)
