Reserved capacity: on one worker at a time, after all long-running tasks that fit

A long-running task that fits nowhere reserved capacity when the plan came to it, by taking its whole need from a view, as if a run existed there. Callers got less than the workers had room for:

- With two workers of 4 cores, 1 in use on each, a step of two tasks with 4 cores each reserved both workers, and a long-running task of 1 core that came after it was not placed, nor was any finite task, however short.
- The reasons of waits showed `spread limit` for a task that waited for CPU: its own reservation had counted for the limit.
With a half-open circuit breaker it used up the trial run, and the task showed `circuit breaker`.

Now a plan first places all long-running tasks that fit, then reserves capacity for the first one that does not, one in each service, where it is expected to be free first. A reservation is separate from the capacity of the view (`Reservation`), counts as no run, and holds for finite tasks only. These start beside it if they are expected to end before the capacity is free, or need no more than what will be left (EASY backfilling). The planner records when its runs start to know their expected ends; an overdue run is expected to end now, so wrong estimates admit nothing more. Nothing is reserved on workers that are not usable or will never have room. A finite task that waits beside a reservation has the reason `reserved`.

Before the fix six of the new tests failed, each on one of the faults above. The test of small tasks that starve a long-running one is unchanged; it and a new one with runs that take longer than estimated fail without reservations.

--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -2,20 +2,22 @@
 
 The planner is designed for loads in which one queue at a time needs more capacity than
 its workers have. Long-running tasks come first, because they have a value for as long
-as they run; one that fits nowhere reserves capacity on the worker where it is likely to
-fit first. Jobs that can still meet their objective come next, by the priority of
-their queue and then by the latest time at which they have to start. Jobs that are
-already late use the remaining capacity.
+as they run. If some fit nowhere, capacity is reserved for the first of them; finite
+tasks that do not delay it may use it meanwhile. Jobs that can still meet their
+objective come next, by the priority of their queue and then by the latest time at which
+they have to start. Jobs that are already late use the remaining capacity.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from arbutuscleat.jobs import JobState, JobTable, Queue, TaskState, TaskStatus
+from arbutuscleat.jobs import JobState, JobTable, Queue, TaskKey, TaskState, TaskStatus
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, StepRecord
 
+from .backfill import ExpectedEnd, reserve_capacity
 from .failed_tasks import FailedTasks
 from .objective import critical_path_ms, objective_at_ms
+from .run_times import RunTimes
 from .worker_view import WorkerView
 
 MAX_STARTS = 64
@@ -54,14 +56,19 @@
     occurrence: int = field(compare=False)
 
 
+_Blocked = tuple[StepRecord, TaskState]
+"""A task that no worker accepts now, and its step."""
+
+
 class Planner:
     """Makes plans from the job table and the free capacity of the workers.
 
-    A planner remembers since when failed tasks wait; not thread-safe.
+    A planner remembers since when failed tasks wait and runs run; not thread-safe.
     """
 
     def __init__(self) -> None:
         self._failed_tasks = FailedTasks()
+        self._run_times = RunTimes()
 
     def plan(
         self,
@@ -89,6 +96,7 @@
             The runs to start, and when the next occurrence is due.
         """
         self._failed_tasks.prune(table, now)
+        self._run_times.prune(table, now)
         by_service: dict[str, list[WorkerView]] = {}
         for view in views.values():
             if view.usable:
@@ -96,13 +104,39 @@
                 by_service.setdefault(service, []).append(view)
         candidates, next_due_ms = self._candidates(table, by_service, now_ms)
         candidates.sort()
+        runs = self._start_jobs(table, candidates, by_service, now)
+        for run in runs:
+            self._run_times.record_start(TaskKey.of(run), run.number, now)
+        return Plan(runs, next_due_ms)
+
+    def _start_jobs(
+        self,
+        table: JobTable,
+        candidates: Sequence[_Candidate],
+        by_service: Mapping[str, Sequence[WorkerView]],
+        now: float,
+    ) -> list[RunRecord]:
         runs: list[RunRecord] = []
+        blocked: dict[str, list[_Blocked]] = {}
+        for candidate in candidates:
+            if not candidate.job.has_long_running_step():
+                break
+            service = table.service_of(candidate.job)
+            found, left = self._start_job(candidate, by_service[service], True, now)
+            runs.extend(found)
+            blocked.setdefault(service, []).extend(left)
+            if len(runs) >= MAX_STARTS:
+                return runs
+        for service, tasks in blocked.items():
+            if tasks:
+                self._reserve_first(tasks, by_service[service], table, now)
         for candidate in candidates:
             workers = by_service[table.service_of(candidate.job)]
-            runs.extend(self._start_job(candidate, workers, now))
+            found, _ = self._start_job(candidate, workers, False, now)
+            runs.extend(found)
             if len(runs) >= MAX_STARTS:
                 break
-        return Plan(runs, next_due_ms)
+        return runs
 
     def _candidates(
         self,
@@ -149,25 +183,43 @@
         return (1, late, priority, latest_start)
 
     def _start_job(
-        self, candidate: _Candidate, workers: Sequence[WorkerView], now: float
-    ) -> list[RunRecord]:
+        self,
+        candidate: _Candidate,
+        workers: Sequence[WorkerView],
+        long_running: bool,
+        now: float,
+    ) -> tuple[list[RunRecord], list[_Blocked]]:
+        """Return runs for the waiting tasks of a job, and tasks that fit nowhere.
+
+        Either the long-running tasks or the finite ones are considered.
+        """
         job, occurrence = candidate.job, candidate.occurrence
         runs: list[RunRecord] = []
+        blocked: list[_Blocked] = []
         for number, step in enumerate(job.steps):
+            if bool(step.long_running) is not long_running:
+                continue
             if job.is_step_done(occurrence, number):
                 continue
             if not job.is_ready(occurrence, number):
                 continue
             tasks = job.tasks(occurrence, number)
-            waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
+            waiting = [
+                task
+                for task in tasks
+                if task.status is TaskStatus.WAITING
+                and not self._is_restart_delayed(step, task, now)
+            ]
             if not waiting:
                 continue
             if step.gang:
                 if len(waiting) == len(tasks):
                     runs.extend(self._place_gang(step, waiting, workers, now))
             else:
-                runs.extend(self._place_each(step, waiting, workers, now))
-        return runs
+                found, left = self._place_each(step, waiting, workers, now)
+                runs.extend(found)
+                blocked.extend(left)
+        return runs, blocked
 
     def _place_each(
         self,
@@ -175,8 +227,9 @@
         waiting: Iterable[TaskState],
         workers: Sequence[WorkerView],
         now: float,
-    ) -> list[RunRecord]:
+    ) -> tuple[list[RunRecord], list[_Blocked]]:
         runs = []
+        blocked = []
         for task in waiting:
             view = self._best_worker(step, task, workers, now)
             if view is not None:
@@ -184,32 +237,51 @@
                 self._failed_tasks.record_start(task.key, now)
                 runs.append(task.key.run_record(task.number + 1, view.incarnation))
                 continue
-            is_reserved = step.long_running and self._reserve_next(step, task, workers)
-            if not is_reserved and not task.failures:
+            blocked.append((step, task))
+            if not task.failures:
                 break  # The same requirements: the step's other tasks fit nowhere.
-        return runs
+        return runs, blocked
 
-    def _reserve_next(
-        self, step: StepRecord, task: TaskState, workers: Sequence[WorkerView]
+    def _is_restart_delayed(
+        self, step: StepRecord, task: TaskState, now: float
     ) -> bool:
-        """Reserve capacity for a long-running task where it is likely to fit first.
+        return (
+            bool(step.long_running)
+            and task.has_failed_latest_run()
+            and not self._failed_tasks.may_restart(task, now)
+        )
+
+    def _reserve_first(
+        self,
+        blocked: Iterable[_Blocked],
+        workers: Sequence[WorkerView],
+        table: JobTable,
+        now: float,
+    ) -> None:
+        """Reserve capacity for the first of these tasks that will ever fit.
 
-        Otherwise tasks that need less would receive each piece of capacity that
-        becomes free. Return False if no worker will ever accept the task.
+        One at a time keeps little from the finite tasks, and each task has its turn.
         """
-        group = task.key[:3]
-        candidates = [view for view in workers if view.will_accept(step, group)]
-        if not candidates:
-            return False
-        best = min(
-            candidates,
-            key=lambda view: (
-                task.failed_on(view.record.worker_id),
-                view.shortfall(step),
-            ),
-        )
-        best.reserve(step, group)
-        return True
+        ends = {v.record.worker_id: self._expected_ends(v, table, now) for v in workers}
+        for step, task in blocked:
+            views = [v for v in workers if not task.failed_on(v.record.worker_id)]
+            for choice in (views, workers):
+                if reserve_capacity(step, task.key[:3], 1, choice, ends):
+                    return
+
+    def _expected_ends(
+        self, view: WorkerView, table: JobTable, now: float
+    ) -> list[ExpectedEnd]:
+        found = []
+        for key, task in table.runs.get(view.incarnation, {}).items():
+            job = table.jobs.get(key.job_id)
+            if job is None or job.steps[key.step].long_running:
+                continue
+            step = job.steps[key.step]
+            elapsed = self._run_times.elapsed(key, task.number, now)
+            in_ms = max(0, step.estimated_ms - round(1000 * elapsed))
+            found.append(ExpectedEnd(in_ms, step))
+        return found
 
     def _place_gang(
         self,
@@ -253,12 +325,6 @@
         now: float,
     ) -> WorkerView | None:
         """Return the worker for a task, or None if it has to wait."""
-        if (
-            step.long_running
-            and task.has_failed_latest_run()
-            and not self._failed_tasks.may_restart(task, now)
-        ):
-            return None
         best = None
         best_rank: tuple[bool, int, bool, int] | None = None
         group = task.key[:3]
--- a/arbutuscleat/scheduling/wait_reason.py
+++ b/arbutuscleat/scheduling/wait_reason.py
@@ -32,16 +32,19 @@
     MEMORY = 9
     CPU = 10
 
-    GANG = 11
+    RESERVED = 11
+    """The worker has room for the task, but keeps it for one that waits for more."""
+
+    GANG = 12
     """The worker accepts the task, but not all tasks of its gang find one."""
 
-    FAILED_RUN = 12
+    FAILED_RUN = 13
     """The worker accepts the task, whose latest run failed there."""
 
-    NOT_PLANNED = 13
+    NOT_PLANNED = 14
     """The worker accepts the task, which no plan has reached yet."""
 
-    NOT_LISTED = 14
+    NOT_LISTED = 15
     """A run of the task is in the log, but its worker does not list it."""
 
     def __str__(self) -> str:
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -5,6 +5,7 @@
 from arbutuscleat.jobs.task import WorkerIncarnation
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord, WorkerRecord
 
+from .reservation import Reservation
 from .wait_reason import WaitReason
 
 
@@ -39,6 +40,8 @@
         Number of further runs that may be scheduled; None for any number.
     admits_long_running : bool
         Whether `max_new_runs` does not apply to long-running tasks.
+    reservation : Reservation or None
+        Capacity that is kept for tasks that wait for it.
     unusable_because : WaitReason
         Why new runs may not be scheduled on a worker that is not usable.
     """
@@ -57,6 +60,7 @@
         "counts",
         "max_new_runs",
         "admits_long_running",
+        "reservation",
         "unusable_because",
     )
 
@@ -74,6 +78,7 @@
         self.counts: dict[tuple[str, int, int], int] = {}
         self.max_new_runs: int | None = None
         self.admits_long_running = False
+        self.reservation: Reservation | None = None
         self.unusable_because = WaitReason.UNRESPONSIVE
 
     @property
@@ -109,6 +114,8 @@
             return WaitReason.MEMORY
         if not step.fills and step.cpu > self.cpu:
             return WaitReason.CPU
+        if self.reservation is not None and not self.reservation.permits(step, group):
+            return WaitReason.RESERVED
         return None
 
     def could_hold(self, step: StepRecord) -> bool:
@@ -136,18 +143,39 @@
             self.record.gpu - self.long_running_gpu,
         )
 
-    def shortfall(self, step: StepRecord) -> float:
-        """Return what is missing for a task of `step`, as a fraction of the worker.
+    def fitting(
+        self,
+        step: StepRecord,
+        group: tuple[str, int, int],
+        cpu: int,
+        mem_mb: int,
+        gpu: int,
+    ) -> int:
+        """Return how many more tasks of `step` the given capacity is enough for.
 
-        The largest fraction of CPU, memory and accelerators counts; it is negative if
-        the task fits.
+        Parameters
+        ----------
+        step : StepRecord
+            The step.
+        group : tuple of str, int and int
+            The task's job, occurrence and step.
+        cpu, mem_mb, gpu : int
+            Free CPU in thousandths of a core, memory in MB and accelerators.
         """
-        needs = [
-            (0 if step.fills else step.cpu, self.cpu, self.record.cpu),
-            (step.mem_mb, self.mem_mb, self.record.mem_mb),
-            (step.gpu, self.gpu, self.record.gpu),
-        ]
-        return max((need - free) / max(1, size) for need, free, size in needs)
+        if not self.usable or not self._holds(step, cpu, mem_mb, gpu):
+            return 0
+        limits = [step.count]
+        if not step.fills and step.cpu:
+            limits.append(cpu // step.cpu)
+        if step.mem_mb:
+            limits.append(mem_mb // step.mem_mb)
+        if step.gpu:
+            limits.append(gpu // step.gpu)
+        if step.spread_limit:
+            limits.append(step.spread_limit - self.counts.get(group, 0))
+        if self.max_new_runs is not None:
+            limits.append(self.max_new_runs)
+        return max(0, min(limits))
 
     def _holds(self, step: StepRecord, cpu: int, mem_mb: int, gpu: int) -> bool:
         return (
@@ -165,7 +193,7 @@
         return bool(step.long_running) and self.admits_long_running
 
     def reserve(self, step: StepRecord, group: tuple[str, int, int]) -> None:
-        """Reserve capacity for one more task of `step`.
+        """Take the capacity for one more task of `step`, which runs or will start.
 
         Parameters
         ----------
@@ -193,6 +221,8 @@
             self.long_running_gpu += tasks * step.gpu
         if self.max_new_runs is not None:
             self.max_new_runs -= tasks
+        if self.reservation is not None:
+            self.reservation.take(step, tasks)
 
 
 def rack_of(labels: Iterable[str]) -> str:
--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -287,3 +287,83 @@
         self.assertEqual(1, len(self.placed()))
         self.harness.end(run(BUSY_JOB), RunOutcome.DONE)
         self.assertIn((JOB, 0, "w1"), self.placed())
+
+    def wait_for_two_workers(self, estimated_ms=1000):
+        """Let two tasks wait for whole workers, on each of which 1 of 4 cores is used.
+
+        The runs on the workers are new and of the given estimated duration.
+        """
+        self.add_worker("w1", cpu=4_000)
+        self.add_worker("w2", cpu=4_000)
+        self.occupy("w1", "w2", estimated_ms=estimated_ms)
+        large = step(2, cpu=4_000, long_running=True, spread_limit=1)
+        self.harness.accept(job(steps=[large]))
+
+    def test_a_long_running_task_that_fits_does_not_wait_for_a_larger_one(self):
+        """Guards against reservations that keep out other long-running tasks."""
+        self.wait_for_two_workers()
+        self.harness.accept(job(OTHER_JOB, steps=[step(6, long_running=True)]))
+        self.assertEqual(6, len(self.placed()))
+
+    def test_capacity_is_reserved_on_one_worker_at_a_time(self):
+        """Guards against a service that is kept free for one step with large tasks."""
+        self.wait_for_two_workers()
+        self.harness.accept(job(OTHER_JOB, steps=[step(6)]))
+        self.assertEqual([(OTHER_JOB, 0, "w2")] * 3, self.placed())
+
+    def test_only_what_is_missing_is_reserved(self):
+        """Guards against finite tasks that wait beside capacity nobody needs."""
+        self.add_worker("w1", cpu=4_000)
+        self.occupy("w1", cpu=2_500)
+        self.harness.accept(job(steps=[step(cpu=3_000, long_running=True)]))
+        self.harness.accept(job(OTHER_JOB, steps=[step(3, cpu=500)]))
+        self.assertEqual(2, len(self.placed()))
+
+    def test_a_finite_task_that_ends_in_time_uses_reserved_capacity(self):
+        """Guards against small tasks that wait although they would delay nothing."""
+        self.wait_for_two_workers(estimated_ms=5_000)
+        short = step(3, estimated_ms=4_000, required_label="a")
+        self.harness.accept(job(OTHER_JOB, steps=[short]))
+        self.workers["w2"].labels = ["b", "r1"]
+        self.assertEqual(3, len(self.placed()))
+        self.now = 2.0
+        self.assertEqual([], self.placed())
+
+    def test_capacity_is_reserved_where_it_is_free_first(self):
+        """Guards against a wait for the runs that last longest."""
+        self.add_worker("w1", cpu=2_000)
+        self.add_worker("w2", cpu=2_000)
+        steps = [step(estimated_ms=9_000), step(estimated_ms=3_000)]
+        self.harness.accept(job(BUSY_JOB, steps=steps))
+        self.harness.start(run(BUSY_JOB), run(BUSY_JOB, step=1, worker_id="w2"))
+        self.harness.accept(job(steps=[step(cpu=2_000, long_running=True)]))
+        self.harness.accept(job(OTHER_JOB, steps=[step(2, estimated_ms=6_000)]))
+        self.assertEqual([(OTHER_JOB, 0, "w1")], self.placed())
+
+    def test_no_capacity_is_reserved_where_it_never_comes(self):
+        """Guards against capacity that is kept for nothing."""
+        self.add_worker("w1", cpu=4_000)
+        self.occupy("w1", long_running=True)
+        self.harness.accept(job(steps=[step(cpu=4_000, long_running=True)]))
+        self.harness.accept(job(OTHER_JOB, steps=[step(3)]))
+        self.assertEqual(3, len(self.placed()))
+
+    def test_runs_that_exceed_their_estimate_do_not_starve_a_long_running_task(self):
+        """Guards against capacity that is given away for as long as estimates err."""
+        self.add_worker("w1", cpu=2_000)
+        self.occupy("w1", estimated_ms=3_000)
+        self.harness.accept(job(steps=[step(cpu=2_000, long_running=True)]))
+        small = step(1_000, estimated_ms=500)
+        self.harness.accept(job(OTHER_JOB, steps=[small]))
+        ends = {(BUSY_JOB, 0): 6.0}
+        while (JOB, 0, "w1") not in self.placed():
+            self.assertTrue(self.now < 6.2, "not placed")
+            for record in self.plan().runs:
+                self.harness.start(record)
+                ends[record.job_id, record.index] = self.now + 2.0
+            self.now += 0.05
+            for (job_id, index), at in list(ends.items()):
+                if at <= self.now:
+                    del ends[job_id, index]
+                    record = run(job_id, index=index)
+                    self.harness.end(record, RunOutcome.DONE)
--- a/tests/scheduling/test_step_waits.py
+++ b/tests/scheduling/test_step_waits.py
@@ -5,9 +5,10 @@
 from testtools import TestCase
 
 from arbutuscleat.jobs import RunOutcome, TaskKey
-from arbutuscleat.scheduling import StepWaits, WaitReason, WorkerView
+from arbutuscleat.scheduling import Planner, StepWaits, WaitReason, WorkerView
 from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, step, worker
 
+THIRD_JOB = "00000000000000c3"
 GROUP = (JOB, 0, 0)
 
 
@@ -73,6 +74,23 @@
         found = self.check(unlisted=[TaskKey(JOB, 0, 0, 0)])
         self.assertIs(WaitReason.NOT_LISTED, found[0].reason)
 
+    def test_a_reservation_is_no_reason_for_the_task_that_it_is_made_for(self):
+        """Guards against tasks that seem to wait for themselves."""
+        view = self.add_worker(cpu=2_000)
+        self.harness.accept(job(OTHER_JOB))
+        self.harness.start(run(OTHER_JOB))
+        view.reserve(step(), (OTHER_JOB, 0, 0))
+        view.max_new_runs = 1
+        large = step(cpu=2_000, long_running=True, spread_limit=1)
+        self.harness.accept(job(steps=[large]))
+        self.harness.accept(job(THIRD_JOB))
+        self.assertEqual(
+            [], Planner().plan(self.harness.table, self.views, 1_000, 0.0).runs
+        )
+        reasons = {wait.group[0]: wait.reasons for wait in self.check()}
+        self.assertEqual(Counter([WaitReason.CPU]), reasons[JOB])
+        self.assertEqual(Counter([WaitReason.RESERVED]), reasons[THIRD_JOB])
+
     def test_a_wait_lasts_until_no_task_of_the_step_waits(self):
         self.harness.accept(job(steps=[step(2)]))
         self.harness.accept(job(OTHER_JOB, steps=[step(long_running=True)]))
