Waits: a run counts as not listed once it has been missing for 2.5 s

A worker's list is as old as its latest hold, which may be open for 1.5 s and 0.4 s longer until its call times out, so a run that starts after a hold was sent is missing for up to 1.9 s.

The waits now remember since when each run is missing, and report it after 2.5 s, with its age from the first check that saw it missing. A run with another number begins anew.

--- a/arbutuscleat/scheduling/step_waits.py
+++ b/arbutuscleat/scheduling/step_waits.py
@@ -24,6 +24,11 @@
 LOG_AFTER_SECONDS = 2.0
 """Duration after which a wait is logged. Most waits in a load peak are shorter."""
 
+UNLISTED_SECONDS = 2.5
+"""Duration for which a run may be missing in its worker's list. The list is as old as
+the latest hold, so a new run is missing for as long as a worker may keep a hold open,
+and until its call times out if the answer is lost."""
+
 MAX_EXPLAINED = 32
 """Number of steps per check whose limits are compared with each worker. It bounds how
 long the table is locked."""
@@ -74,11 +79,13 @@
 
     def __init__(self) -> None:
         self._waits: dict[Group, StepWait] = {}
+        self._unlisted: dict[TaskKey, tuple[int, float]] = {}
         self._checked_at = float("-inf")
 
     def reset(self) -> None:
         """Discard all observations, after this process gained or lost leadership."""
         self._waits = {}
+        self._unlisted = {}
 
     def waits(self) -> list[StepWait]:
         """Return the waits of the latest check: long-running steps first, by age."""
@@ -108,7 +115,8 @@
         views : mapping of str to WorkerView
             All workers by id, with the capacity left after the latest plan.
         unlisted : iterable of TaskKey
-            Tasks with a run that its worker does not list.
+            Tasks with a run that its worker does not list. They count once their run
+            has been missing for `UNLISTED_SECONDS`.
         now : float
             Monotonic time in seconds.
         now_ms : int
@@ -116,13 +124,14 @@
         """
         self._checked_at = now
         waiting = dict(_waiting_tasks(table, now_ms))
-        for key in unlisted:
-            task = _find_task(table, key)
-            if task is not None:
-                waiting.setdefault(key[:3], []).append(task)
+        since = dict.fromkeys(waiting, now)
+        for task, missing_since in self._missing_runs(table, unlisted, now):
+            group = task.key[:3]
+            waiting.setdefault(group, []).append(task)
+            since[group] = min(since.get(group, now), missing_since)
         self._waits = {
             group: self._waits.get(group)
-            or StepWait(group, bool(_step(table, group).long_running), now)
+            or StepWait(group, bool(_step(table, group).long_running), since[group])
             for group in waiting
         }
         by_service: dict[str, list[WorkerView]] = {}
@@ -139,6 +148,22 @@
                 )
         self._log(now)
 
+    def _missing_runs(
+        self, table: JobTable, unlisted: Iterable[TaskKey], now: float
+    ) -> Iterator[tuple[TaskState, float]]:
+        """Yield the tasks whose run has been missing for long, and since when."""
+        former, self._unlisted = self._unlisted, {}
+        for key in unlisted:
+            task = _find_task(table, key)
+            if task is None:
+                continue
+            number, since = former.get(key, (0, now))
+            if number != task.number:
+                since = now
+            self._unlisted[key] = (task.number, since)
+            if now - since >= UNLISTED_SECONDS:
+                yield task, since
+
     def _log(self, now: float) -> None:
         due = [
             wait
