A signal that another thread receives stops the process too

What callers saw: a control node that was stopped as planned went on as if nothing had happened, until it was killed 7 s later.

Cause: only the main thread runs the handlers of signals, and it waited for one without a timeout. The kernel may deliver a signal to any thread, and one that arrives just before the main thread begins to wait does not interrupt it; then the handler does not run.

Why the fix works: the main thread wakes up twice a second, and then runs the handlers of all signals received. The daemons of the older path wait the same way.

--- a/arbutuscleat/daemons/running.py
+++ b/arbutuscleat/daemons/running.py
@@ -13,6 +13,7 @@
 from arbutuscleat.nodes.running import (
     EXIT_OK,
     exit_on_invariant_error,
+    wait_for_signal,
 )
 from arbutuscleat.settings import ProcessSettings, load_settings
 from arbutuscleat.telemetry import configure_logs
@@ -74,7 +75,7 @@
         signal.signal(number, lambda *_: stop.set())
     threading.excepthook = exit_on_invariant_error
     daemon.start()
-    stop.wait()
+    wait_for_signal(stop)
     logging.info("stopping")
     daemon.stop()
     logging.info("stopped")
--- a/arbutuscleat/nodes/running.py
+++ b/arbutuscleat/nodes/running.py
@@ -14,6 +14,10 @@
 EXIT_FAILED = 1
 EXIT_INVARIANT = 70
 
+SIGNAL_CHECK_SECONDS = 0.5
+"""Maximum delay of a signal that the kernel delivers to a thread other than the main
+thread, which alone runs the handlers."""
+
 
 class Node(Protocol):
     """A process that can be started and stopped."""
@@ -46,7 +50,7 @@
     threading.excepthook = exit_on_invariant_error
     node.start()
     while "stop" not in requested:
-        wakeup.wait()
+        wait_for_signal(wakeup)
         wakeup.clear()
         if "reload" in requested:
             requested.discard("reload")
@@ -64,6 +68,15 @@
     return EXIT_OK
 
 
+def wait_for_signal(event: threading.Event) -> None:
+    """Wait in the main thread for an event that a signal handler sets.
+
+    A wait without a timeout would not end if another thread received the signal.
+    """
+    while not event.wait(SIGNAL_CHECK_SECONDS):
+        pass
+
+
 def exit_on_invariant_error(failure: threading.ExceptHookArgs) -> None:
     """Log an exception that ended a thread; exit the process on `InvariantError`.
 
