Stand-in of the platform: settings of one node, capacities and notes for tests

The settings file and the process of a node on loopback move from the demo to platform/berthline/local_node.py, where the tests can use them as well.

--- a/arbutuscleat/emulator/provider_model.py
+++ b/arbutuscleat/emulator/provider_model.py
@@ -34,6 +34,9 @@
         with self._lock:
             return list(self._machines.values())
 
+    def note_order(self, machine: str, holder: str, fence: int) -> None:
+        """Do nothing; called with the sender of each order, before it is executed."""
+
     def upkeep(
         self, machine: str, wave: int, fence: int, may_send: MaySend = lambda: True
     ) -> MachineOrderOutcome:
--- a/arbutuscleat/emulator/worker_model.py
+++ b/arbutuscleat/emulator/worker_model.py
@@ -108,6 +108,9 @@
                 return HoldAnswer(OrderOutcome.FENCED)
             if order.expires_ms is not None:
                 self._expires_ms = max(self._expires_ms, order.expires_ms)
+            self._note_acknowledged(
+                [e for e in self._ends if e.position <= order.acknowledged]
+            )
             self._ends = [e for e in self._ends if e.position > order.acknowledged]
             return HoldAnswer(
                 outcome=OrderOutcome.DONE,
@@ -123,6 +126,21 @@
     def close(self) -> None:
         """Do nothing: no connection is open."""
 
+    # ---- for subclasses, called with the lock held ----
+
+    def _has_room(self, order: StartOrder) -> bool:
+        """Return whether another run fits."""
+        return len(self._runs) < self._room
+
+    def _note_start(self, order: StartOrder) -> None:
+        """Do nothing; called when a run has started."""
+
+    def _note_end(self, end: FinishedRun) -> None:
+        """Do nothing; called when a run has ended."""
+
+    def _note_acknowledged(self, ends: list[FinishedRun]) -> None:
+        """Do nothing; called with the ends that a hold has acknowledged."""
+
     # ---- details ----
 
     def _start(self, order: StartOrder) -> OrderOutcome:
@@ -138,11 +156,12 @@
         self._expires_ms = max(self._expires_ms, order.expires_ms)
         if present is not None:
             return OrderOutcome.OUTDATED
-        if len(self._runs) >= self._room:
+        if not self._has_room(order):
             return OrderOutcome.NO_ROOM
         seconds, outcome = self._work(order)
         self._runs[order.key] = _Run(order, self._clock.monotonic(), seconds, outcome)
         self.started.append((order.key, order.number))
+        self._note_start(order)
         return OrderOutcome.DONE
 
     def _admits(self, fence: int) -> bool:
@@ -165,9 +184,9 @@
         del self._runs[order.key]
         self._closed[order.key] = max(self._closed.get(order.key, 0), order.number)
         self._position += 1
-        self._ends.append(
-            FinishedRun(self._position, order.key, order.number, outcome, "")
-        )
+        end = FinishedRun(self._position, order.key, order.number, outcome, "")
+        self._ends.append(end)
+        self._note_end(end)
 
     def _now_ms(self) -> int:
         return 1 + int(1000 * (self._clock.monotonic() - self._start_time))
--- a/examples/berthline.py
+++ b/examples/berthline.py
@@ -6,7 +6,6 @@
 """
 
 import json
-import os
 import socket
 import subprocess
 import sys
@@ -19,6 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
 
+from berthline.local_node import LocalNode  # noqa: E402
 from berthline.stand_in import StandInProvider, StandInWorker  # noqa: E402
 
 from arbutuscleat.emulator.provider_model import ProviderModel  # noqa: E402
@@ -135,18 +135,23 @@
 
     def start_process(self, host: str, role: str) -> None:
         """Start one node."""
-        folder = self._folder / host
-        folder.mkdir(parents=True, exist_ok=True)
-        settings = folder / "node.toml"
-        first_start = not (folder / "data").exists()
-        settings.write_text(self._settings(host, role, first_start, folder))
-        with (folder / "log").open("ab") as log:
-            self.processes[host] = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "run.py"), role],
-                env={**os.environ, "ARBUTUSCLEAT_BOOT": str(settings)},
-                stdout=log,
-                stderr=log,
-            )
+        listens = {"control-plane": f"{host}:{self._front_port}"}
+        if role == "entry":
+            listens = {
+                "frontend": f"{host}:{self._front_port}",
+                "readiness": f"{host}:{self._readiness_port}",
+            }
+        node = LocalNode(
+            role=role,
+            host=host,
+            folder=self._folder / host,
+            peer_port=self._peer_port,
+            listens=listens,
+            seeds=[f"{seed}:{self._front_port}" for seed in CONTROL_HOSTS],
+            provider=str(self._provider_front.address),
+        )
+        node.write_settings(first_start=not node.data_folder.exists())
+        self.processes[host] = node.start()
 
     def put_config(self, content: Any) -> int:
         """Set the configuration through a control node, and return the status."""
@@ -223,29 +228,6 @@
         worker.start()
         return worker.worker_id
 
-    def _settings(self, host: str, role: str, first_start: bool, folder: Path) -> str:
-        listens = {"control-plane": f"{host}:{self._front_port}"}
-        if role == "entry":
-            listens = {
-                "frontend": f"{host}:{self._front_port}",
-                "readiness": f"{host}:{self._readiness_port}",
-            }
-        seeds = [f"{seed}:{self._front_port}" for seed in CONTROL_HOSTS]
-        lines = [
-            f'node-name = "{role}-{host}"',
-            f'ip = "{host}"',
-            'zone = "west"',
-            f"internal-ports = [{self._peer_port}, {self._peer_port}]",
-            f"seeds = {json.dumps(seeds)}",
-            f"bootstrap = {json.dumps(first_start)}",
-            f'data-dir = "{folder / "data"}"' if role == "control" else "",
-            "[listen-addrs]",
-            *[f'{name} = "{address}"' for name, address in listens.items()],
-            "[cloud]",
-            f'address = "{self._provider_front.address}"',
-        ]
-        return "\n".join(lines) + "\n"
-
 
 def main() -> None:
     """Submit a job, run a maintenance wave, and stop the processes."""
