--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check bench capacity breaks thrift
+.PHONY: demo test check bench capacity breaks soak thrift
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -43,3 +43,9 @@
 
 breaks: $(VENV)/.ready
 	$(BIN)/python -m tests.breaks
+
+SEED ?= 1
+
+soak: $(VENV)/.ready
+	$(BIN)/python -m tests.soak --regressions
+	$(BIN)/python -m tests.soak --seed $(SEED) --seeds 50
--- /dev/null
+++ b/tests/soak/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of what callers, workers, provider and operators see."""
