--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -173,7 +173,7 @@
             limits.append(gpu // step.gpu)
         if step.spread_limit:
             limits.append(step.spread_limit - self.counts.get(group, 0))
-        if self.max_new_runs is not None:
+        if self.max_new_runs is not None and not self._is_exempt(step):
             limits.append(self.max_new_runs)
         return max(0, min(limits))
 
@@ -190,6 +190,10 @@
         """Return whether the circuit breaker permits one more run of `step`."""
         if self.max_new_runs is None or self.max_new_runs > 0:
             return True
+        return self._is_exempt(step)
+
+    def _is_exempt(self, step: StepRecord) -> bool:
+        """Return whether `max_new_runs` does not apply to `step`."""
         return bool(step.long_running) and self.admits_long_running
 
     def reserve(self, step: StepRecord, group: tuple[str, int, int]) -> None:
