--- a/tests/platform/test_suspended_leader.py
+++ b/tests/platform/test_suspended_leader.py
@@ -19,6 +19,7 @@
 from arbutuscleat.wire.gen_jobs.ttypes import WaveRecord
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JobTableHarness
+from tests.fakes.machines import FakeExecutor
 
 LIMITS = ExecutionLimits()
 MACHINE = "m-1"
@@ -97,29 +98,19 @@
         return 0.0
 
 
-class Executor:
-    """Has drained every worker; applies proposals to the table."""
+class Executor(FakeExecutor):
+    """Has drained every worker; records when a holder of machines is proposed."""
 
     def __init__(self, harness, steps):
-        self.harness = harness
+        super().__init__(harness)
         self.steps = steps
-        self.plan_count = 0
         self.held_at = None
 
-    def worker_views(self):
-        return {}
-
-    def set_draining(self, worker_ids):
-        self.plan_count += 2
-
-    def demands(self, names):
-        return {}
-
     def propose(self, command):
         if command.order_machines is not None:
             self.held_at = self.steps.elapsed
         self.steps.step("commit")
-        accepted = self.harness.propose(command)
+        accepted = super().propose(command)
         self.steps.step("committed")
         return accepted
 
