A session with a failed thread is replaced

Callers could see the tasks of one worker stop, or wait, until the leader changed: after an unexpected exception, for example on an answer that cannot be read, the thread that holds the worker or sends its orders was gone. The exception was logged; the session stayed as it was, with a worker that counted as usable and runs that counted as active.

A session now counts as closed once one of its threads has ended, so the next plan opens a new one, which finds the runs in the log.

Before: test_a_session_with_a_failed_thread_is_replaced failed with the same session.

--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -123,6 +123,10 @@
         self._orders.put(None)
         self._retries.put(None)
 
+    def is_closed(self) -> bool:
+        """Return whether no more orders are sent."""
+        return self._closed.is_set()
+
     # ---- orders ----
 
     def order_start(self, run: RunRecord) -> None:
@@ -161,18 +165,22 @@
     # ---- sending ----
 
     def _run_orders(self) -> None:
-        while not self._closed.is_set():
-            order = self._orders.get()
-            if order is None or self._closed.is_set():
-                return
-            self._send_first(order)
+        self._run(self._orders, self._send_first)
 
     def _run_retries(self) -> None:
-        while not self._closed.is_set():
-            order = self._retries.get()
-            if order is None or self._closed.is_set():
-                return
-            self._retry(order)
+        self._run(self._retries, self._retry)
+
+    def _run(
+        self, orders: "queue.SimpleQueue[_Order | None]", send: Callable[[_Order], None]
+    ) -> None:
+        try:
+            while not self._closed.is_set():
+                order = orders.get()
+                if order is None or self._closed.is_set():
+                    return
+                send(order)
+        finally:
+            self._closed.set()  # After an exception the session is replaced.
 
     def send_queued(self) -> None:
         """Send all queued orders, retries last: one iteration of both threads."""
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -163,7 +163,8 @@
         """Return whether this open session calls the worker as it is registered."""
         address = (record.host, record.port)
         same = (record.born_ms, address) == (self.incarnation[1], self._address)
-        return same and not self._closed.is_set()
+        is_open = not self._closed.is_set() and not self._sender.is_closed()
+        return same and is_open
 
     def is_usable(self) -> bool:
         """Return whether new runs may be scheduled on the worker."""
@@ -208,20 +209,26 @@
     # ---- holding ----
 
     def _run(self) -> None:
-        while not self._closed.is_set():
-            if not self._may_order():
-                self._clock.sleep(self._closed, RETRY_SECONDS)
-            elif self._has_runs() or not self._status.has_answered():
-                self.hold_once()
-            elif self._status.needs_hold():
-                self.hold_once()
-                if self._status.needs_hold():
-                    self._clock.sleep(self._closed, IDLE_POLL_SECONDS)
-            elif self._status.is_idle_hold_due():
-                self.hold_once()
-            else:
-                with self._wake:
-                    self._clock.wait(self._wake, IDLE_POLL_SECONDS)
+        try:
+            while not self._closed.is_set():
+                self._hold_if_due()
+        finally:
+            self._closed.set()  # After an exception the session is replaced.
+
+    def _hold_if_due(self) -> None:
+        if not self._may_order():
+            self._clock.sleep(self._closed, RETRY_SECONDS)
+        elif self._has_runs() or not self._status.has_answered():
+            self.hold_once()
+        elif self._status.needs_hold():
+            self.hold_once()
+            if self._status.needs_hold():
+                self._clock.sleep(self._closed, IDLE_POLL_SECONDS)
+        elif self._status.is_idle_hold_due():
+            self.hold_once()
+        else:
+            with self._wake:
+                self._clock.wait(self._wake, IDLE_POLL_SECONDS)
 
     def _has_runs(self) -> bool:
         with self._table.lock:
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -175,3 +175,23 @@
             run_once(self.executor)
         self.assertEqual({}, self.model.running())
         self.assertFalse(self.executor.sessions["w1"].is_usable())
+
+    def test_a_session_with_a_failed_thread_is_replaced(self):
+        """Guards against a worker that nobody calls after an unexpected exception."""
+        threads = (
+            lambda session: session._run(),
+            lambda session: session._sender._run_orders(),
+            lambda session: session._sender._run_retries(),
+        )
+        for run_thread in threads:
+            session = self.executor.sessions["w1"]
+            self.model.hold = None
+            session._sender._orders.put("no order")
+            session._sender._retries.put("no order")
+            session._status._answered_at = 0.0
+            self.assertRaises((AttributeError, TypeError), run_thread, session)
+            del self.model.hold
+            self.executor.run_once()
+            self.assertIsNot(session, self.executor.sessions["w1"])
+            run_once(self.executor)
+            self.assertTrue(self.executor.sessions["w1"].is_usable())
