A stop for a move counts for 15 s if its task still runs

Callers could see machines draining without end: no task of a step could be moved.

Cause: a task that has been stopped for a move counts as unavailable until a later run of it is ready, which protects the step's limit of unavailable tasks while the stop is under way. If the stop is never sent, because the session ends or its worker becomes unresponsive just then, and the drain is given up, the run goes on and never counts as ready again. The other tasks of its step could not be moved as long as its job lasted.

A run that is still listed 15 s after its stop was ordered now counts as ready again. An order without an answer may be executed 12 s later.

Before: test_a_stop_that_was_never_sent_blocks_other_moves_for_a_limited_time failed with no movable task after 15 s.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -55,6 +55,10 @@
 READY_PERCENT = 100
 """Progress reported by a long-running task that has finished starting up."""
 
+STOP_EFFECT_SECONDS = 15.0
+"""Time after which a run that is still listed was not stopped: the order was not sent.
+An order that is not answered may be executed 12 s later."""
+
 SESSIONS_PER_TERM = 1_000_000
 """Number of fencing tokens available in each term; a process opens far fewer sessions
 in its lifetime."""
@@ -120,7 +124,9 @@
         """When the leases granted by closed sessions have expired at the latest."""
 
         self._draining: set[str] = set()
-        self._moved: dict[TaskKey, int] = {}
+        self._moved: dict[TaskKey, tuple[int, float]] = {}
+        """Runs stopped for a move, by task, and when their stops were ordered."""
+
         self.plan_count = 0
         self.step_waits = StepWaits()
         self.sessions: dict[str, WorkerSession] = {}
@@ -152,8 +158,8 @@
         with self._table.lock:
             session = self.sessions.get(worker_id)
             active = self._table.active
-            self._moved = {k: n for k, n in self._moved.items() if k.job_id in active}
-            self._moved[key] = number
+            self._moved = {k: v for k, v in self._moved.items() if k.job_id in active}
+            self._moved[key] = (number, self._clock.monotonic())
         if session is not None:
             session.order_stop(key, number)
 
@@ -191,13 +197,19 @@
                 if other.is_responsive()
                 for task in other.running
                 if task.percent >= READY_PERCENT
-                and task.number > self._moved.get(task.key, 0)
+                and not self._is_stop_expected(task.key, task.number)
             }
             views = self._views()
             for view in views.values():
                 view.admits_long_running = False  # No move to a failing worker.
             return movable_tasks(self._table, session.incarnation, ready_runs, views)
 
+    def _is_stop_expected(self, key: TaskKey, number: int) -> bool:
+        """Return whether a listed run was stopped for a move shortly before."""
+        stopped, at = self._moved.get(key, (0, 0.0))
+        waited = self._clock.monotonic() - at
+        return number <= stopped and waited < STOP_EFFECT_SECONDS
+
     def propose(self, command: JobCommand) -> bool:
         """Propose a command to the log; return False if its commit is unconfirmed."""
         result = self._replica.propose(encode(command), PROPOSE_TIMEOUT_SECONDS)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -2,6 +2,7 @@
 
 from arbutuscleat.emulator.worker_model import WorkerModel
 from arbutuscleat.execution import ExecutionLimits, HoldAnswer, OrderOutcome
+from arbutuscleat.execution.executor import STOP_EFFECT_SECONDS
 from arbutuscleat.execution.failure_breaker import MAX_FAILED_JOBS, OPEN_SECONDS
 from arbutuscleat.jobs import RunOutcome
 from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker
@@ -39,6 +40,24 @@
         moved = self.executor.movable_tasks(place[0])
         self.assertEqual([JOB], [key.job_id for key, _ in moved])
 
+    def test_a_stop_that_was_never_sent_blocks_other_moves_for_a_limited_time(self):
+        """Guards against a task that counts as unavailable although it runs."""
+        for worker_id in ("w1", "w2", "w3"):
+            self.harness.apply(worker=worker(worker_id, cpu=1_000))
+        self.harness.accept(job(steps=[step(2, long_running=True, may_miss=1)]))
+        for _ in range(3):
+            run_once(self.executor)
+        first, second = sorted(key[0] for key in self.harness.table.runs)
+        ((key, number),) = self.executor.movable_tasks(first)
+        self.executor.sessions[first].order_stop = lambda key, number: None
+        self.executor.order_stop(first, key, number)
+        since = self.clock.monotonic()
+        while self.clock.monotonic() - since < STOP_EFFECT_SECONDS:
+            self.assertEqual([], self.executor.movable_tasks(second))
+            self.clock.advance(0.5)
+            run_once(self.executor)
+        self.assertEqual(1, len(self.executor.movable_tasks(second)))
+
     def test_tasks_are_not_moved_to_a_worker_that_fails_its_runs(self):
         """Guards against a move to a worker that takes tasks only as a last resort."""
         for worker_id in ("w1", "w2", "w3"):
