A short pause of a worker does not end a longer one

A worker on which a task has stalled gets no new runs for 3 s; one that rejects a start for want of room, for 0.3 s. A rejection during the longer pause ended it early, and new tasks went to a worker whose tasks do not progress. The later of the two ends counts now, so the wait of a task for such a worker still ends 3 s after the last stalled task was seen.

Before: test_a_short_pause_does_not_end_a_longer_one failed: the worker was usable 2.9 s after a pause of 3 s.

--- a/arbutuscleat/execution/worker_status.py
+++ b/arbutuscleat/execution/worker_status.py
@@ -84,9 +84,10 @@
             self._orders_unanswered += 1
 
     def pause(self, seconds: float) -> None:
-        """Schedule no new runs on the worker for some seconds."""
+        """Schedule no new runs on the worker for at least some seconds."""
+        until = self._clock.monotonic() + seconds
         with self._lock:
-            self._unusable_until = self._clock.monotonic() + seconds
+            self._unusable_until = max(self._unusable_until, until)
 
     def has_answered(self) -> bool:
         """Return whether a hold of this session has been answered."""
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -281,6 +281,15 @@
         self.clock.advance(0.5)
         self.assertTrue(self.session.is_usable())
 
+    def test_a_short_pause_does_not_end_a_longer_one(self):
+        """Guards against new runs on a worker on which a task has just stalled."""
+        self.session._status.pause(3.0)
+        self.session._status.pause(0.3)
+        self.clock.advance(2.9)
+        self.assertFalse(self.session.is_usable())
+        self.clock.advance(0.2)
+        self.assertTrue(self.session.is_usable())
+
     def test_an_unanswered_start_does_not_delay_the_other_tasks_of_its_worker(self):
         """All tasks of an unreachable worker are rescheduled when its lease expires."""
         self.harness.accept(job(OTHER_JOB))
