Every drain of an idle worker for a wave has an end

What callers saw: idle workers get no runs during a wave, while orders for its machines are refused, rate limited or not accepted by an unhealthy provider.

Cause: a machine of a wave stays chosen until its upkeep has begun. An order that is refused was repeated in each iteration, and its worker stayed drained, without an end; the same holds, for up to the cap of the wave, while orders are put off. A machine that was draining stayed drained even when it may not be ordered.

Evidence: the new tests.

Fix: a drained machine whose upkeep has not begun after 4 s has a pause of 2 s, with a log line; after an invalid order the pause is 10 s and begins at once. A pause holds for moves, too. The wave takes other machines meanwhile.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -43,6 +43,12 @@
 from .limits import ExecutionLimits
 from .machine_leases import MachineLeases
 from .machine_moves import MachineMoves
+from .machine_pauses import (
+    ORDER_TIMEOUT_SECONDS,
+    PAUSE_SECONDS,
+    REFUSED_PAUSE_SECONDS,
+    MachinePauses,
+)
 from .machine_tracker import MachineTracker
 from .provider import MachineOrderOutcome, MachineState, Provider
 from .worker_drainer import WorkerDrainer
@@ -109,7 +115,11 @@
         self._term = -1
         self._drainer = WorkerDrainer(table, executor, self._tracker)
         self._demand_history = DemandHistory()
-        self._moves = MachineMoves(clock, self._tracker)
+        self._pauses = MachinePauses(clock)
+        self._moves = MachineMoves(clock, self._tracker, self._pauses)
+        self._ready_since: dict[str, float] = {}
+        """Monotonic time since which each drained machine could have its upkeep."""
+
         self._reconciled_at = clock.monotonic()
         self.fleet: FleetCapacity | None = None
         """Capacity of all machines; None before the first list."""
@@ -177,6 +187,7 @@
                 seconds,
             )
         self._moves.reset()
+        self._ready_since = {}
         self._drainer.reset()
 
     def _may_order(self, machine: str) -> bool:
@@ -209,6 +220,8 @@
         self._tracker.reset()
         self._drainer.reset()
         self._moves.reset()
+        self._pauses.reset()
+        self._ready_since = {}
         self._demand_history.reset()
 
     def _restore_upkeep(self) -> None:
@@ -261,7 +274,9 @@
             remaining.append(
                 WaveMachine(
                     machine=machine,
-                    is_up=state.is_up and self._leases.may_hold(machine, since),
+                    is_up=state.is_up
+                    and self._leases.may_hold(machine, since)
+                    and not self._pauses.is_paused(machine),
                     is_empty=load == 0,
                     is_draining=self._drainer.is_draining(state.worker_id),
                     load=load,
@@ -286,8 +301,10 @@
             if state is None or not state.is_up:
                 continue
             if self._drainer.is_drained(state.worker_id):
-                ready.append(machine)
+                if self._is_ready_in_time(machine):
+                    ready.append(machine)
             else:
+                self._ready_since.pop(machine, None)
                 self._move_long_running(state.worker_id)
         unavailable = sum(
             self._tracker.is_under_upkeep(other) for other in wave.machines
@@ -308,6 +325,31 @@
         for machine, outcome in self._send_orders(order, held):
             if outcome in (MachineOrderOutcome.DONE, MachineOrderOutcome.UNKNOWN):
                 self._tracker.record_upkeep(machine)
+            if outcome is MachineOrderOutcome.DONE:
+                self._ready_since.pop(machine, None)
+            elif outcome is MachineOrderOutcome.REFUSED:
+                self._pause(machine, "its upkeep is refused", REFUSED_PAUSE_SECONDS)
+
+    def _is_ready_in_time(self, machine: str) -> bool:
+        """Return whether a drained machine has not been waiting for its order too long.
+
+        Otherwise it has a pause, in which its worker gets runs.
+        """
+        now = self._clock.monotonic()
+        if now - self._ready_since.setdefault(machine, now) < ORDER_TIMEOUT_SECONDS:
+            return True
+        self._pause(machine, "its upkeep is not ordered in time", PAUSE_SECONDS)
+        return False
+
+    def _pause(self, machine: str, reason: str, seconds: float) -> None:
+        logging.info(
+            "drain of machine %s for a wave ends for %.1f s: %s",
+            machine,
+            seconds,
+            reason,
+        )
+        self._ready_since.pop(machine, None)
+        self._pauses.begin(machine, seconds)
 
     def _send_orders(
         self,
--- a/arbutuscleat/execution/machine_moves.py
+++ b/arbutuscleat/execution/machine_moves.py
@@ -2,8 +2,7 @@
 
 A worker is drained from the plan of a move until its machine leaves. While no order can
 be sent or none is confirmed, it would stay drained although tasks wait for it, so each
-move has a time limit. The machine is then left alone for a while, so that its worker is
-really used, and may be planned anew.
+move has a time limit. The machine then has a pause before it may be planned anew.
 """
 
 from collections.abc import Mapping
@@ -13,20 +12,15 @@
 
 from arbutuscleat.core import Clock
 
+from .machine_pauses import (
+    ORDER_TIMEOUT_SECONDS,
+    PAUSE_SECONDS,
+    REFUSED_PAUSE_SECONDS,
+    MachinePauses,
+)
 from .machine_tracker import MachineTracker
 from .provider import MachineOrderOutcome, MachineState
 
-MOVE_TIMEOUT_SECONDS = 4.0
-"""Age at which a move is given up unless its machine has left. It spans a few orders
-that are not answered. Orders that are rate limited are repeated for as long as it takes
-if the machine has no worker, because then nothing is drained."""
-
-PAUSE_SECONDS = 2.0
-"""How long no move of a machine is planned after one was given up or not possible."""
-
-REFUSED_PAUSE_SECONDS = 10.0
-"""The same after an invalid order: only a change of the machines would help."""
-
 
 @dataclass(slots=True)
 class MachineMove:
@@ -56,18 +50,19 @@
         Source of time.
     tracker : MachineTracker
         Reports whether machines are idle.
+    pauses : MachinePauses
+        Machines of which no move is planned.
     """
 
-    def __init__(self, clock: Clock, tracker: MachineTracker):
+    def __init__(self, clock: Clock, tracker: MachineTracker, pauses: MachinePauses):
         self._clock = clock
         self._tracker = tracker
         self._moves: dict[str, MachineMove] = {}
-        self._paused_until: dict[str, float] = {}
+        self._pauses = pauses
 
     def reset(self) -> None:
-        """Discard all moves and pauses."""
+        """Discard all moves."""
         self._moves = {}
-        self._paused_until = {}
 
     def get(self, machine: str) -> MachineMove | None:
         """Return the move of a machine, or None if there is none."""
@@ -79,8 +74,7 @@
 
     def may_plan(self, machine: str) -> bool:
         """Return whether a move of a machine may be planned now."""
-        paused_until = self._paused_until.get(machine, 0.0)
-        return machine not in self._moves and self._clock.monotonic() >= paused_until
+        return machine not in self._moves and not self._pauses.is_paused(machine)
 
     def is_cancellable(self, machine: str) -> bool:
         """Return whether the move of a machine has not been ordered yet."""
@@ -116,7 +110,8 @@
             elif not state.is_up:
                 if not move.is_under_way:
                     del self._moves[machine]  # It went down before the order.
-            elif now - move.planned_at >= MOVE_TIMEOUT_SECONDS and (
+            elif now - move.planned_at >= ORDER_TIMEOUT_SECONDS and (
+                # A machine without a worker may wait: nothing is drained.
                 move.is_under_way or state.worker_id
             ):
                 self._give_up(machine, "not executed", PAUSE_SECONDS)
@@ -135,7 +130,7 @@
     def _give_up(self, machine: str, reason: str, pause_seconds: float) -> None:
         now = self._clock.monotonic()
         move = self._moves.pop(machine)
-        self._paused_until[machine] = now + pause_seconds
+        self._pauses.begin(machine, pause_seconds)
         logging.info(
             "move of machine %s to service %s given up after %.1f s: %s",
             machine,
--- a/arbutuscleat/scheduling/wave_planner.py
+++ b/arbutuscleat/scheduling/wave_planner.py
@@ -83,7 +83,7 @@
     rounds = math.ceil(len(remaining) / max(1, cap))
     min_seconds = rounds * IDLE_MACHINE_SECONDS * IDLE_TIME_FACTOR
     if room <= 0 or (has_shortage and seconds_left > min_seconds):
-        return [item.machine for item in remaining if item.is_draining]
+        return [i.machine for i in remaining if i.is_draining and i.is_up]
     usable = [item for item in remaining if item.is_up]
     pace = len(remaining) * BUSY_MACHINE_SECONDS * PACE_FACTOR / max(seconds_left, 1.0)
     at_once = min(room, max(1, math.ceil(pace) - unavailable))
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -12,7 +12,7 @@
     WaveRecord,
 )
 from tests.fakes import ManualClock
-from tests.fakes.jobs import JobTableHarness, job, step
+from tests.fakes.jobs import JobTableHarness, job, step, worker
 from tests.fakes.machines import FakeExecutor, FakeReplica
 from tests.fakes.provider import FakeProvider
 
@@ -43,13 +43,14 @@
         self.harness = JobTableHarness()
         self.provider = FakeProvider(MACHINES)
         self.replica = FakeReplica(self.clock)
+        self.executor = FakeExecutor(self.harness)
         self.controller = self.make_controller(self.provider)
 
     def make_controller(self, provider):
         return MachineController(
             self.replica,
             self.harness.table,
-            FakeExecutor(self.harness),
+            self.executor,
             provider,
             self.clock,
             LIMITS,
@@ -151,6 +152,31 @@
         self.reconcile(2)
         self.assertTrue(len(set(self.provider.upkeeps)) <= CAP)
 
+    def longest_drain(self, outcome):
+        """Return for how many iterations in a row the first worker is drained."""
+        self.add_wave()
+        for machine in MACHINES:
+            self.provider.set(machine, worker_id=f"w-{machine}")
+            self.harness.apply(worker=worker(f"w-{machine}"))
+        self.provider.outcome = outcome
+        self.replica.lead()
+        longest = count = 0
+        for _ in range(40):
+            self.reconcile()
+            is_drained = f"w-{MACHINES[0]}" in self.executor.draining
+            count = count + 1 if is_drained else 0
+            longest = max(longest, count)
+        return longest
+
+    def test_a_refused_upkeep_does_not_keep_its_worker_drained(self):
+        """Guards against idle workers that get no runs because of an invalid order."""
+        self.assertEqual(1, self.longest_drain(MachineOrderOutcome.REFUSED))
+        self.assertEqual(len(set(self.provider.upkeeps)), len(self.provider.upkeeps))
+
+    def test_an_upkeep_that_is_put_off_does_not_keep_its_worker_drained(self):
+        """Guards against idle workers that get no runs while no order is accepted."""
+        self.assertEqual(17, self.longest_drain(MachineOrderOutcome.LATER))
+
     def test_orders_for_machines_do_not_wait_for_each_other(self):
         """Guards against a pool that fills one order after another during a peak."""
         provider = ConcurrentProvider(MACHINES[:ORDERS_AT_ONCE], "portal")
