A wave gives a worker back that a long-running task needs

What callers saw: a task that is to last waits beside a worker with room for it, which is drained for a wave.

Cause: a worker is drained until nothing runs on it. A long-running task that cannot be moved off, since no other worker has room for it, keeps the drain from ending; a second one that waits for the room on the drained worker waits for as long. Without a machine to bring in, each holds what the other needs.

Fix: the planner returns the tasks that it could not get a machine for.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -24,6 +24,7 @@
     FleetCapacity,
     Move,
     PoolMachine,
+    PoolPlan,
     PoolPlanner,
     WaitReason,
     WaveMachine,
@@ -238,15 +239,18 @@
         self._tracker.update(by_name, views, standby)
         self._moves.update(by_name)
         self.fleet = _fleet_capacity(machines)
-        to_drain: set[str] = set()
+        in_wave: set[str] = set()
         with self._table.lock:
             waves = [w for w in self._table.waves.values() if not w.is_complete()]
         demands = self._executor.demands(serving, self._workers(machines, views))
         shortage = self.fleet is not None and has_shortage(demands.values(), self.fleet)
         for wave in waves:
-            to_drain |= self._plan_wave(wave, by_name, shortage)
-        to_drain |= self._plan_moves(machines, to_drain, waves, standby, demands)
-        self._drainer.drain({by_name[m].worker_id for m in to_drain if m in by_name})
+            in_wave |= self._plan_wave(wave, by_name, shortage)
+        plan = self._plan_moves(machines, in_wave, waves, standby, demands)
+        in_wave -= self._needed_machines(plan, in_wave, by_name, views)
+        to_drain = in_wave | self._moves.machines()
+        worker_ids = {by_name[m].worker_id for m in to_drain if m in by_name}
+        self._drainer.drain(worker_ids - {""})
         for wave in waves:
             self._order_upkeep(wave, by_name, to_drain)
         self._order_moves(by_name)
@@ -290,6 +294,35 @@
             choose_machines(remaining, wave.cap, unavailable, seconds_left, shortage)
         )
 
+    def _needed_machines(
+        self,
+        plan: PoolPlan,
+        in_wave: set[str],
+        by_name: dict[str, MachineState],
+        views: dict[str, WorkerView],
+    ) -> set[str]:
+        """Return the draining machines of a wave that long-running tasks need now.
+
+        These tasks fit nowhere else, and the drain might not end: what runs on the
+        machine may wait for the same room.
+        """
+        found: set[str] = set()
+        for service_name, tasks in plan.unmet:
+            count = tasks.count if tasks.step.long_running else 0
+            for machine in sorted(in_wave):
+                state = by_name[machine]
+                view = views.get(state.worker_id)
+                if state.service_name != service_name or view is None:
+                    continue
+                if not view.usable and view.unusable_because is WaitReason.DRAINING:
+                    view.usable = True
+                taken = tasks.place_on(view, count)
+                if taken and machine not in found:
+                    found.add(machine)
+                    self._pause(machine, "long-running tasks need it", PAUSE_SECONDS)
+                count -= taken
+        return found
+
     def _order_upkeep(
         self, wave: Wave, by_name: dict[str, MachineState], to_drain: set[str]
     ) -> None:
@@ -426,7 +459,8 @@
         waves: list[Wave],
         standby: str,
         demands: dict[str, Demand],
-    ) -> set[str]:
+    ) -> PoolPlan:
+        """Plan the moves of this iteration; return the plan."""
         in_wave = {machine for wave in waves for machine in wave.under_way()}
         since = self._replica.led_since()
         moves = [self._moves.get(item.machine) for item in machines]
@@ -452,14 +486,14 @@
             )
             for item, move in zip(machines, moves, strict=True)
         ]
-        planned = self._pool_planner.plan(pool, demands, standby, self._may_park())
-        for item in planned.moves:
+        plan = self._pool_planner.plan(pool, demands, standby, self._may_park())
+        for item in plan.moves:
             if self._moves.is_cancellable(item.machine):
                 self._moves.cancel(item.machine)
             else:
                 self._moves.plan(item.machine, item.service_name)
                 self._log_move(item, demands)
-        return self._moves.machines()
+        return plan
 
     def _may_stay(self, state: MachineState) -> bool:
         """Return whether a planned move can be cancelled to use a machine's worker."""
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -454,7 +454,7 @@
     for tasks in pool.demand.unplaced:
         count = tasks.count
         for view in views:
-            count -= _fill(view, tasks, count)
+            count -= tasks.place_on(view, count)
 
         def accepts(item: PoolMachine, tasks: UnplacedTasks = tasks) -> bool:
             return item.view().accepts(tasks.step, tasks.group)
@@ -467,14 +467,5 @@
             pool.add(item)
             moves.append(Move(item.machine, pool.name))
             views.append(item.view())
-            count -= _fill(views[-1], tasks, count)
+            count -= tasks.place_on(views[-1], count)
     return moves, unmet
-
-
-def _fill(view: WorkerView, tasks: UnplacedTasks, count: int) -> int:
-    """Reserve capacity for up to `count` tasks; return for how many there was room."""
-    for number in range(count):
-        if not view.accepts(tasks.step, tasks.group):
-            return number
-        view.reserve(tasks.step, tasks.group)
-    return count
--- a/arbutuscleat/scheduling/unplaced_tasks.py
+++ b/arbutuscleat/scheduling/unplaced_tasks.py
@@ -35,6 +35,14 @@
     step: StepRecord
     count: int
 
+    def place_on(self, view: WorkerView, count: int) -> int:
+        """Reserve capacity for at most `count` tasks; return for how many it did."""
+        for number in range(count):
+            if not view.accepts(self.step, self.group):
+                return number
+            view.reserve(self.step, self.group)
+        return count
+
 
 class Placement:
     """Places waiting tasks on the workers of a service, to find those that fit nowhere.
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -7,7 +7,7 @@
     MachineController,
     MachineOrderOutcome,
 )
-from arbutuscleat.wire.gen_jobs.ttypes import OrderMachines
+from arbutuscleat.wire.gen_jobs.ttypes import OrderMachines, WaveRecord
 from tests.fakes import ManualClock
 from tests.fakes.jobs import OTHER_JOB, JobTableHarness, job, run, step, worker
 from tests.fakes.machines import FakeExecutor, FakeReplica
@@ -96,6 +96,25 @@
         self.reconcile(4.0)
         self.assertEqual([], self.provider.moves)
 
+    def test_a_wave_gives_a_worker_back_that_a_long_running_task_needs(self):
+        """Guards against a drain and a task that wait for each other's room."""
+        for name in STANDBY:
+            self.provider.set(name, is_up=False)
+        self.run_spread_job(count=3)
+        self.harness.accept(job(OTHER_JOB, steps=[step(long_running=True)]))
+        self.harness.start(run(OTHER_JOB, worker_id="w-k3"))
+        wave = WaveRecord(wave=1, machines=["k3"], cap=1, due_at_ms=1_000)
+        self.harness.apply(wave=wave)
+        self.reconcile(1.0)
+        self.assertEqual(set(), self.executor.draining)
+
+    def test_a_wave_keeps_a_worker_that_no_task_needs(self):
+        self.run_spread_job()
+        wave = WaveRecord(wave=1, machines=["k3"], cap=1, due_at_ms=1_000)
+        self.harness.apply(wave=wave)
+        self.reconcile(1.0)
+        self.assertEqual({"w-k3"}, self.executor.draining)
+
     # ---- drains for moves ----
 
     def park(self, seconds):
--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -57,5 +57,8 @@
     def demands(self, names, workers):
         return service_demands(self.harness.table, names, 1_000, workers)
 
+    def movable_tasks(self, worker_id):
+        return []
+
     def propose(self, command):
         return self.harness.propose(command)
