Machines that are asked for and do not come are logged and counted

No log line or metric showed that a service waits for a machine: the reasons of waiting tasks name only the limits of the workers that are there.

MachineWaits observes each iteration of the machine controller. Gauges by service: tasks without a machine and how long, moves planned or under way and how long, machines out of service.

--- a/arbutuscleat/execution/__init__.py
+++ b/arbutuscleat/execution/__init__.py
@@ -4,6 +4,7 @@
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .machine_controller import MachineController
+from .machine_waits import MachineWaits
 from .provider import MachineOrderOutcome, MachineState, MaySend, Provider
 from .worker_client import (
     FinishedRun,
@@ -27,6 +28,7 @@
     "MachineController",
     "MachineOrderOutcome",
     "MachineState",
+    "MachineWaits",
     "MaySend",
     "OrderAnswer",
     "OrderOutcome",
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -51,6 +51,7 @@
     MachinePauses,
 )
 from .machine_tracker import MachineTracker
+from .machine_waits import MachineWaits
 from .provider import MachineOrderOutcome, MachineState, Provider
 from .worker_drainer import WorkerDrainer
 
@@ -122,6 +123,7 @@
         """Monotonic time since which each drained machine could have its upkeep."""
 
         self._reconciled_at = clock.monotonic()
+        self.waits = MachineWaits()
         self.fleet: FleetCapacity | None = None
         """Capacity of all machines; None before the first list."""
 
@@ -223,6 +225,7 @@
         self._moves.reset()
         self._pauses.reset()
         self._ready_since = {}
+        self.waits.reset()
         self._demand_history.reset()
 
     def _restore_upkeep(self) -> None:
@@ -254,6 +257,16 @@
         for wave in waves:
             self._order_upkeep(wave, by_name, to_drain)
         self._order_moves(by_name)
+        self.waits.observe(
+            plan.unmet,
+            self._moves.moves(),
+            [
+                item.service_name
+                for item in machines
+                if not self._tracker.is_in_service(item.machine)
+            ],
+            self._clock.monotonic(),
+        )
 
     # ---- waves ----
 
--- a/arbutuscleat/execution/machine_moves.py
+++ b/arbutuscleat/execution/machine_moves.py
@@ -72,6 +72,10 @@
         """Return the machines that are to be drained for a move, or are moving."""
         return set(self._moves)
 
+    def moves(self) -> list[MachineMove]:
+        """Return the moves that are planned or under way."""
+        return list(self._moves.values())
+
     def may_plan(self, machine: str) -> bool:
         """Return whether a move of a machine may be planned now."""
         return machine not in self._moves and not self._pauses.is_paused(machine)
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -4,7 +4,7 @@
 
 from arbutuscleat.consensus import Replica, Role
 from arbutuscleat.core import Clock
-from arbutuscleat.execution import Executor
+from arbutuscleat.execution import Executor, MachineWaits
 from arbutuscleat.jobs import JobTable
 from arbutuscleat.metrics import labelled
 
@@ -22,11 +22,19 @@
         Holds the sessions with workers; there are none unless this process leads.
     clock : Clock
         Source of time.
+    machine_waits : MachineWaits, optional
+        The services that wait for machines, if this process orders machines.
     """
 
     def __init__(
-        self, replica: Replica, table: JobTable, executor: Executor, clock: Clock
+        self,
+        replica: Replica,
+        table: JobTable,
+        executor: Executor,
+        clock: Clock,
+        machine_waits: MachineWaits | None = None,
     ):
+        self._machine_waits = machine_waits
         self._replica = replica
         self._table = table
         self._executor = executor
@@ -48,6 +56,8 @@
         gauges["worker_sessions_silent"] = sum(
             not item.is_responsive() for item in sessions
         )
+        if self._machine_waits is not None:
+            gauges |= self._machine_waits.gauges
         return gauges
 
     def _table_gauges(self) -> dict[str, float]:
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -208,8 +208,13 @@
             MAX_HEADER_BYTES,
             MAX_BODY_BYTES,
         )
+        controller = self._machine_controller
         control_metrics = ControlMetrics(
-            self._replica, self._table, self._executor, clock
+            self._replica,
+            self._table,
+            self._executor,
+            clock,
+            None if controller is None else controller.waits,
         )
         self.metrics.collect(control_metrics.read)
         self._metrics_server = MetricsServer(
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -115,6 +115,29 @@
         self.reconcile(1.0)
         self.assertEqual({"w-k3"}, self.executor.draining)
 
+    # ---- gauges ----
+
+    def test_tasks_without_a_machine_are_logged_and_counted(self):
+        """Guards against a wait for a machine that shows nowhere."""
+        asked = step(2, long_running=True, required_label="z")
+        self.harness.accept(job(steps=[asked]))
+        with self.assertLogs("absl", "INFO") as logs:
+            self.reconcile(9.0)
+        lines = [line for line in logs.output if "no machine for" in line]
+        self.assertEqual(3, len(lines), lines)
+        gauges = self.controller.waits.gauges
+        self.assertEqual(2, gauges['tasks_without_machine{service="karachi"}'])
+        age = gauges['tasks_without_machine_oldest_seconds{service="karachi"}']
+        self.assertEqual(8.75, age)
+
+    def test_moves_and_machines_out_of_service_are_counted(self):
+        self.run_spread_job(count=3)
+        self.executor.unusable = {"w-k3"}
+        self.reconcile(4.0)
+        gauges = self.controller.waits.gauges
+        self.assertEqual(1, gauges['machines_moving{service="karachi"}'])
+        self.assertEqual(1, gauges['machines_out_of_service{service="karachi"}'])
+
     # ---- drains for moves ----
 
     def park(self, seconds):
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -28,7 +28,10 @@
             sessions={"w1": SimpleNamespace(is_responsive=lambda: False)},
             step_waits=step_waits,
         )
-        gauges = ControlMetrics(replica, harness.table, executor, clock).read()
+        machine_waits = SimpleNamespace(gauges={"machines_moving": 2})
+        gauges = ControlMetrics(
+            replica, harness.table, executor, clock, machine_waits
+        ).read()
         wait_ms = clock.now_ms() - 1_000
         expected = {
             "leads": 1,
@@ -41,6 +44,7 @@
             'jobs_waiting{queue="approvals"}': 1,
             'oldest_wait_seconds{queue="approvals"}': wait_ms / 1000,
             'tasks_running{service="karachi"}': 1,
+            "machines_moving": 2,
             "worker_sessions": 1,
             "worker_sessions_silent": 1,
             'steps_waiting{kind="finite",reason="no worker"}': 2,
