--- a/examples/berthline.py
+++ b/examples/berthline.py
@@ -79,9 +79,11 @@
     ----------
     folder : Path
         Folder for settings, state and logs.
+    machines : int, default=4
+        Number of machines, each with a worker.
     """
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, machines: int = 4):
         self._folder = folder
         hosts = CONTROL_HOSTS + ENTRY_HOSTS
         self._peer_port = free_port(hosts)
@@ -90,14 +92,14 @@
         self.control = [Address(host, self._front_port) for host in CONTROL_HOSTS]
         self.workers: dict[str, StandInWorker] = {}
         self._worker_count = 0
-        machines = []
-        for number in range(4):
+        states = []
+        for number in range(machines):
             name = f"m-{number}"
             worker_id = self._make_worker(name, "karachi").worker_id
-            machines.append(
+            states.append(
                 MachineState(name, "karachi", True, worker_id, ("a", "r1"), 64_000)
             )
-        self.provider = ProviderModel(machines, self._replace_worker)
+        self.provider = ProviderModel(states, self._replace_worker)
         self._provider_front = StandInProvider(self.provider)
         self.processes: dict[str, subprocess.Popen] = {}
         self._http = urllib3.PoolManager(retries=False, timeout=CALL_SECONDS)
