--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -34,6 +34,7 @@
     WorkerRecord,
 )
 
+from .end_batcher import EndBatcher
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .session import WorkerSession
@@ -129,6 +130,7 @@
 
         self.plan_count = 0
         self.step_waits = StepWaits()
+        self._end_batcher = EndBatcher(self.propose, clock)
         self.sessions: dict[str, WorkerSession] = {}
         self._thread = threading.Thread(target=self._run, name="executor", daemon=True)
 
@@ -338,7 +340,7 @@
             self._make_client(record),
             fence,
             self._table,
-            self.propose,
+            self._end_batcher.propose,
             self._replica.leads,
             self._clock,
             self._limits,
