The last attempt of a task is not used up on a worker that still fails

A task that failed waits 2 s for the other worker, which is full, then uses its next attempt on the failing one, and again. The circuit breaker does not limit half of a service, so nothing else kept it away.

Before its last attempt a finite task now waits up to 8 s (as long as a breaker gives a worker no new runs at most) for a worker other than the one that failed it last, but only while no run has succeeded there since: a success ends the longer wait. Failing is worth nothing to the caller, a late job still something. Earlier attempts and long-running tasks wait for 2 s as before.

Before the fix both new tests found the task placed on the failing worker.

--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -29,6 +29,11 @@
 another one. It spans a short task and the interval after which a worker that fails
 everything gets no new runs."""
 
+LAST_ATTEMPT_WAIT_SECONDS = 8.0
+"""Same as `OTHER_WORKER_WAIT_SECONDS`, before the last attempt of a finite task on a
+worker where no run has succeeded since: as long as a circuit breaker gives a worker no
+new runs at most. After it the job may fail; before, it is at worst late."""
+
 START_DELAY_MS = 20
 """Delay of occurrences after their due time, to tolerate small clock differences."""
 
@@ -122,7 +127,9 @@
             if not candidate.job.has_long_running_step():
                 break
             service = table.service_of(candidate.job)
-            found, left = self._start_job(candidate, by_service[service], True, now)
+            found, left = self._start_job(
+                table, candidate, by_service[service], True, now
+            )
             runs.extend(found)
             blocked.setdefault(service, []).extend(left)
             if len(runs) >= MAX_STARTS:
@@ -132,7 +139,7 @@
                 self._reserve_first(tasks, by_service[service], table, now)
         for candidate in candidates:
             workers = by_service[table.service_of(candidate.job)]
-            found, _ = self._start_job(candidate, workers, False, now)
+            found, _ = self._start_job(table, candidate, workers, False, now)
             runs.extend(found)
             if len(runs) >= MAX_STARTS:
                 break
@@ -184,6 +191,7 @@
 
     def _start_job(
         self,
+        table: JobTable,
         candidate: _Candidate,
         workers: Sequence[WorkerView],
         long_running: bool,
@@ -194,6 +202,7 @@
         Either the long-running tasks or the finite ones are considered.
         """
         job, occurrence = candidate.job, candidate.occurrence
+        max_attempts = None if long_running else table.max_attempts_of(job)
         runs: list[RunRecord] = []
         blocked: list[_Blocked] = []
         for number, step in enumerate(job.steps):
@@ -214,9 +223,12 @@
                 continue
             if step.gang:
                 if len(waiting) == len(tasks):
-                    runs.extend(self._place_gang(step, waiting, workers, now))
+                    found = self._place_gang(step, waiting, workers, max_attempts, now)
+                    runs.extend(found)
             else:
-                found, left = self._place_each(step, waiting, workers, now)
+                found, left = self._place_each(
+                    step, waiting, workers, max_attempts, now
+                )
                 runs.extend(found)
                 blocked.extend(left)
         return runs, blocked
@@ -226,12 +238,14 @@
         step: StepRecord,
         waiting: Iterable[TaskState],
         workers: Sequence[WorkerView],
+        max_attempts: int | None,
         now: float,
     ) -> tuple[list[RunRecord], list[_Blocked]]:
         runs = []
         blocked = []
         for task in waiting:
-            view = self._best_worker(step, task, workers, now)
+            is_last = _is_last_attempt(task.failures, max_attempts)
+            view = self._best_worker(step, task, workers, is_last, now)
             if view is not None:
                 view.reserve(step, task.key[:3])
                 self._failed_tasks.record_start(task.key, now)
@@ -288,10 +302,13 @@
         step: StepRecord,
         waiting: Sequence[TaskState],
         workers: Sequence[WorkerView],
+        max_attempts: int | None,
         now: float,
     ) -> list[RunRecord]:
         """Place all tasks of a gang or none, on one rack if possible when requested."""
         number = 1 + max(task.number for task in waiting)
+        failures = sum(task.failures for task in waiting)
+        is_last = _is_last_attempt(failures, max_attempts)
         groups: list[Sequence[WorkerView]] = [workers]
         if step.rack_local:
             racks = sorted({view.rack for view in workers})
@@ -301,7 +318,7 @@
         for group in groups:
             taken: list[tuple[TaskState, WorkerView]] = []
             for task in waiting:
-                view = self._best_worker(step, task, group, now)
+                view = self._best_worker(step, task, group, is_last, now)
                 if view is None:
                     break
                 view.reserve(step, task.key[:3])
@@ -322,9 +339,13 @@
         step: StepRecord,
         task: TaskState,
         workers: Sequence[WorkerView],
+        is_last: bool,
         now: float,
     ) -> WorkerView | None:
-        """Return the worker for a task, or None if it has to wait."""
+        """Return the worker for a task, or None if it has to wait.
+
+        `is_last` is whether the job fails if this attempt fails.
+        """
         best = None
         best_rank: tuple[bool, int, bool, int] | None = None
         group = task.key[:3]
@@ -340,9 +361,12 @@
             )
             if best_rank is None or rank < best_rank:
                 best, best_rank = view, rank
-        if best_rank is not None and best_rank[0]:
+        if best is not None and best_rank is not None and best_rank[0]:
             others = [view for view in workers if view is not best]
-            if self._waits_for_another(step, task, others, now):
+            limit = OTHER_WORKER_WAIT_SECONDS
+            if is_last and best.grade:
+                limit = LAST_ATTEMPT_WAIT_SECONDS
+            if self._waits_for_another(step, task, others, limit, now):
                 return None
         return best
 
@@ -351,19 +375,25 @@
         step: StepRecord,
         task: TaskState,
         others: Iterable[WorkerView],
+        limit: float,
         now: float,
     ) -> bool:
         """Return whether a task that has failed should wait for another worker.
 
-        It waits rather than use up its next attempt on the same worker, for a bounded
-        time. A long-running task has any number of attempts, so it only waits if one
-        of the others will accept it.
+        It waits rather than use up its next attempt on the same worker, for at most
+        `limit` seconds. A long-running task has any number of attempts, so it only
+        waits if one of the others will accept it.
         """
         if not task.has_failed_latest_run():
             return False
         waited = self._failed_tasks.seconds_waited(task, now)
-        if waited >= OTHER_WORKER_WAIT_SECONDS:
+        if waited >= limit:
             return False
         if step.long_running:
             return any(view.will_accept(step, task.key[:3]) for view in others)
         return any(view.could_hold(step) for view in others)
+
+
+def _is_last_attempt(failures: int, max_attempts: int | None) -> bool:
+    """Return whether the next attempt is the last; None is any number of attempts."""
+    return max_attempts is not None and failures + 1 >= max_attempts
--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -211,6 +211,34 @@
         self.now = 2.0
         self.assertEqual([(JOB, 0, "w1")], self.placed())
 
+    def test_a_last_attempt_is_not_used_up_on_a_worker_that_still_fails(self):
+        """Guards against jobs that fail because one of two workers does."""
+        self.add_worker("w1", cpu=1_000, grade=3)
+        self.add_worker("w2", cpu=1_000)
+        self.occupy("w2")
+        self.fail_on_w1()
+        self.harness.start(run(number=2))
+        self.harness.end(run(number=2), RunOutcome.FAILED)
+        self.assertEqual([], self.placed())
+        self.now = 7.9
+        self.assertEqual([], self.placed())
+        self.now = 8.0
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
+
+    def test_a_last_attempt_waits_no_longer_for_a_worker_that_succeeds(self):
+        """Guards against late jobs beside a worker that has recovered."""
+        self.add_worker("w1", cpu=1_000, grade=3)
+        self.add_worker("w2", cpu=1_000)
+        self.occupy("w2")
+        self.fail_on_w1()
+        self.harness.start(run(number=2))
+        self.harness.end(run(number=2), RunOutcome.FAILED)
+        self.assertEqual([], self.placed())
+        self.now = 3.0
+        self.assertEqual([], self.placed())
+        self.grades["w1"] = 0
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
+
     def test_the_wait_for_a_full_worker_ignores_steps_of_the_time_of_day(self):
         """Guards against waits of twice the bound, and against none, after a step."""
         self.add_worker("w1", cpu=1_000)
