A gang that does not fit reserves capacity

A gang starts completely or not at all, and reserved nothing: single tasks received each piece of capacity that became free, so in a test with two workers whose runs end at different times a gang of two did not start in 10 s, finite or long-running, although it came first in the order.

A gang that does not fit now reserves capacity as a long-running task does: on the workers where all its tasks are expected to fit first, one reservation at a time in each service. A finite gang does so when its turn comes, so work that comes before it is not held back. In the test it starts after 1.5 s, when the runs on both workers have ended.

Before the fix both new tests failed (1.5 != None).

--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -3,7 +3,8 @@
 The planner is designed for loads in which one queue at a time needs more capacity than
 its workers have. Long-running tasks come first, because they have a value for as long
 as they run. If some fit nowhere, capacity is reserved for the first of them; finite
-tasks that do not delay it may use it meanwhile. Jobs that can still meet their
+tasks that do not delay it may use it meanwhile. A gang that does not fit reserves
+capacity in the same way when its turn comes. Jobs that can still meet their
 objective come next, by the priority of their queue and then by the latest time at which
 they have to start. Jobs that are already late use the remaining capacity.
 """
@@ -61,8 +62,8 @@
     occurrence: int = field(compare=False)
 
 
-_Blocked = tuple[StepRecord, TaskState]
-"""A task that no worker accepts now, and its step."""
+_Blocked = tuple[StepRecord, Sequence[TaskState]]
+"""A task that no worker accepts now, or the tasks of a gang, and their step."""
 
 
 class Planner:
@@ -123,6 +124,7 @@
     ) -> list[RunRecord]:
         runs: list[RunRecord] = []
         blocked: dict[str, list[_Blocked]] = {}
+        reserved: set[str] = set()
         for candidate in candidates:
             if not candidate.job.has_long_running_step():
                 break
@@ -135,12 +137,17 @@
             if len(runs) >= MAX_STARTS:
                 return runs
         for service, tasks in blocked.items():
-            if tasks:
-                self._reserve_first(tasks, by_service[service], table, now)
+            if tasks and self._reserve_first(tasks, by_service[service], table, now):
+                reserved.add(service)
         for candidate in candidates:
-            workers = by_service[table.service_of(candidate.job)]
-            found, _ = self._start_job(table, candidate, workers, False, now)
+            service = table.service_of(candidate.job)
+            workers = by_service[service]
+            found, left = self._start_job(table, candidate, workers, False, now)
             runs.extend(found)
+            gangs = [(step, tasks) for step, tasks in left if step.gang]
+            if gangs and service not in reserved:
+                if self._reserve_first(gangs, workers, table, now):
+                    reserved.add(service)
             if len(runs) >= MAX_STARTS:
                 break
         return runs
@@ -225,6 +232,8 @@
                 if len(waiting) == len(tasks):
                     found = self._place_gang(step, waiting, workers, max_attempts, now)
                     runs.extend(found)
+                    if not found:
+                        blocked.append((step, waiting))
             else:
                 found, left = self._place_each(
                     step, waiting, workers, max_attempts, now
@@ -242,7 +251,7 @@
         now: float,
     ) -> tuple[list[RunRecord], list[_Blocked]]:
         runs = []
-        blocked = []
+        blocked: list[_Blocked] = []
         for task in waiting:
             is_last = _is_last_attempt(task.failures, max_attempts)
             view = self._best_worker(step, task, workers, is_last, now)
@@ -251,7 +260,7 @@
                 self._failed_tasks.record_start(task.key, now)
                 runs.append(task.key.run_record(task.number + 1, view.incarnation))
                 continue
-            blocked.append((step, task))
+            blocked.append((step, [task]))
             if not task.failures:
                 break  # The same requirements: the step's other tasks fit nowhere.
         return runs, blocked
@@ -271,17 +280,24 @@
         workers: Sequence[WorkerView],
         table: JobTable,
         now: float,
-    ) -> None:
-        """Reserve capacity for the first of these tasks that will ever fit.
+    ) -> bool:
+        """Reserve capacity for the first of these tasks or gangs that will ever fit.
 
-        One at a time keeps little from the finite tasks, and each task has its turn.
+        One at a time keeps little from the finite tasks, and each has its turn. Return
+        False if none will fit.
         """
         ends = {v.record.worker_id: self._expected_ends(v, table, now) for v in workers}
-        for step, task in blocked:
-            views = [v for v in workers if not task.failed_on(v.record.worker_id)]
-            for choice in (views, workers):
-                if reserve_capacity(step, task.key[:3], 1, choice, ends):
-                    return
+        for step, tasks in blocked:
+            group = tasks[0].key[:3]
+            others = [
+                view
+                for view in workers
+                if not any(task.failed_on(view.record.worker_id) for task in tasks)
+            ]
+            for views in (others, workers):
+                if reserve_capacity(step, group, len(tasks), views, ends):
+                    return True
+        return False
 
     def _expected_ends(
         self, view: WorkerView, table: JobTable, now: float
--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -115,6 +115,41 @@
         runs = self.plan().runs
         self.assertEqual((3, {1}), (len(runs), {r.number for r in runs}))
 
+    def starve_gang(self, **fields):
+        """Let a gang of two wait beside tasks of its size that arrive later.
+
+        Return the time at which it starts. Runs take a second; they end at different
+        times, so that there is never room for both tasks of the gang by itself.
+        """
+        for worker_id in ("w1", "w2"):
+            self.add_worker(worker_id, cpu=1_000)
+        self.harness.accept(job(BUSY_JOB, steps=[step(400)]))
+        self.harness.start(run(BUSY_JOB), run(BUSY_JOB, index=1, worker_id="w2"))
+        ends = {0: 1.0, 1: 1.5}
+        gang = job(steps=[step(2, gang=True, **fields)])
+        gang.accepted_at_ms = 500
+        self.harness.accept(gang)
+        while self.now < 10.0:
+            runs = self.plan().runs
+            if JOB in {record.job_id for record in runs}:
+                return self.now
+            for record in runs:
+                self.harness.start(record)
+                ends[record.index] = self.now + 1.0
+            self.now += 0.25
+            for index in [index for index, at in ends.items() if at <= self.now]:
+                del ends[index]
+                self.harness.end(run(BUSY_JOB, index=index), RunOutcome.DONE)
+        return None
+
+    def test_single_tasks_do_not_starve_a_gang(self):
+        """Guards against capacity that never becomes free for all tasks at once."""
+        self.assertEqual(1.5, self.starve_gang())
+
+    def test_single_tasks_do_not_starve_a_long_running_gang(self):
+        """Guards against the same for tasks without an end."""
+        self.assertEqual(1.5, self.starve_gang(long_running=True))
+
     def test_a_rack_local_gang_is_placed_on_one_rack_if_possible(self):
         self.add_worker("w1", cpu=1_000, labels=["a", "r1"])
         self.add_worker("w2", cpu=2_000, labels=["a", "r2"])
