--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -220,12 +220,9 @@
             if not job.is_ready(occurrence, number):
                 continue
             tasks = job.tasks(occurrence, number)
-            waiting = [
-                task
-                for task in tasks
-                if task.status is TaskStatus.WAITING
-                and not self._is_restart_delayed(step, task, now)
-            ]
+            waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
+            if long_running:
+                waiting = [t for t in waiting if not self._is_delayed(t, now)]
             if not waiting:
                 continue
             if step.gang:
@@ -265,13 +262,10 @@
                 break  # The same requirements: the step's other tasks fit nowhere.
         return runs, blocked
 
-    def _is_restart_delayed(
-        self, step: StepRecord, task: TaskState, now: float
-    ) -> bool:
-        return (
-            bool(step.long_running)
-            and task.has_failed_latest_run()
-            and not self._failed_tasks.may_restart(task, now)
+    def _is_delayed(self, task: TaskState, now: float) -> bool:
+        """Return whether the restart of a long-running task is delayed."""
+        return task.has_failed_latest_run() and not self._failed_tasks.may_restart(
+            task, now
         )
 
     def _reserve_first(
