--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """What all parts of one run share."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -32,4 +33,27 @@
         self.disturbances = Disturbances()
         self.workload = Workload(seed)
         self.network = Network()
+
+
+class Loop:
+    """A thread that repeats an action, with pauses, until it is stopped."""
+
+    def __init__(self, world: World, pause: Callable[[], float], act: Callable):
+        self._report = world.report
+        self._pause = pause
+        self._act = act
         self.stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.start = self._thread.start
+
+    def stop(self) -> None:
+        self.stopping.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self.stopping.wait(self._pause()):
+            try:
+                self._act()
+            except Exception as exc:  # A failing part must not go unnoticed.
+                self._report.violation("SOAK", self._act.__qualname__, repr(exc))
+                raise
