--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import os
 import shutil
+import signal
 import sys
 import time
 from pathlib import Path
@@ -57,6 +58,8 @@
         "--regressions", action="store_true", help="play the seeds that have failed"
     )
     options = parser.parse_args()
+    # An exception, so that the processes are ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     seeds = range(options.seed, options.seed + options.seeds)
     cases = [(seed, options.size, options.seconds) for seed in seeds]
     if options.regressions:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -301,6 +301,7 @@
         scene = self._scene
         scene.over.clear()
         timer = threading.Timer(seconds, scene.over.set)
+        timer.daemon = True
         timer.start()
         while not scene.over.is_set():
             self._number += 1
@@ -311,6 +312,10 @@
             thread.start()
             self._threads.append(thread)
             scene.sleep(pause)
+        self.stop()
+
+    def stop(self) -> None:
+        self._scene.over.set()
         for thread in self._threads:
             thread.join()
         self._threads.clear()
