A last attempt does not wait for workers full of long-running tasks

A finite task waits up to 8 s before its last attempt for a worker other than the one that failed it. It did so for workers on which long-running tasks take the capacity as well, which never comes: a wait with nothing that ends it but its bound.

It now waits longer than 2 s only if another worker could run it once all finite runs there have ended. Before: test_a_last_attempt_waits_no_longer_if_no_other_worker_ever_gets_free found no run planned after 2 s. Found by reading; no play has shown it.

--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -375,7 +375,8 @@
             others = [view for view in workers if view is not best]
             limit = OTHER_WORKER_WAIT_SECONDS
             if is_last and best.grade:
-                limit = LAST_ATTEMPT_WAIT_SECONDS
+                if any(view.holds_beside_long_running(step) for view in others):
+                    limit = LAST_ATTEMPT_WAIT_SECONDS
             if self._waits_for_another(step, task, others, limit, now):
                 return None
         return best
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -136,6 +136,10 @@
         """
         if step.spread_limit and self.counts.get(group, 0) >= step.spread_limit:
             return False
+        return self.holds_beside_long_running(step)
+
+    def holds_beside_long_running(self, step: StepRecord) -> bool:
+        """Return whether a task of `step` fits once all finite runs have ended."""
         return self._holds(
             step,
             self.record.cpu - self.long_running_cpu,
--- a/tests/scheduling/test_planner.py
+++ b/tests/scheduling/test_planner.py
@@ -234,6 +234,18 @@
         self.fail_on_w1(long_running=True)
         self.assertEqual([(JOB, 0, "w1")], self.placed())
 
+    def test_a_last_attempt_waits_no_longer_if_no_other_worker_ever_gets_free(self):
+        """Guards against a wait of 8 s for capacity that never gets free."""
+        self.add_worker("w1", cpu=1_000, grade=3)
+        self.add_worker("w2", cpu=1_000)
+        self.occupy("w2", long_running=True)
+        self.fail_on_w1()
+        self.harness.start(run(number=2))
+        self.harness.end(run(number=2), RunOutcome.FAILED)
+        self.assertEqual([], self.placed())
+        self.now = 2.0
+        self.assertEqual([(JOB, 0, "w1")], self.placed())
+
     def test_a_failed_task_does_not_wait_without_end_for_a_full_worker(self):
         """Guards against tasks that are lost while another worker stays full."""
         self.add_worker("w1", cpu=1_000)
