Placement passes the workers once for each step

The search for tasks that fit nowhere began at the first worker for each waiting task. A worker that has refused one task of a step refuses the next one, too, so two passes for each step are enough; the bound is now on the number of steps. Found by reading: the job table is locked meanwhile.

--- a/arbutuscleat/scheduling/unplaced_tasks.py
+++ b/arbutuscleat/scheduling/unplaced_tasks.py
@@ -12,9 +12,9 @@
 
 from .worker_view import WorkerView
 
-MAX_TASKS = 256
-"""Waiting tasks per service that are compared with the workers. It bounds how long the
-table is locked."""
+MAX_STEPS = 64
+"""Long-running steps per service whose waiting tasks are compared with the workers. It
+bounds how long the table is locked."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +56,7 @@
 
     def __init__(self, workers: Sequence[WorkerView]):
         self._workers = workers
-        self._tasks_left = MAX_TASKS
+        self._steps_left = MAX_STEPS
         self.unplaced: list[UnplacedTasks] = []
         self.placed_long_running = 0
         """Number of waiting long-running tasks that some worker will accept."""
@@ -77,22 +77,16 @@
             if not any(view.could_hold(step) for view in self._workers):
                 self.unplaced.append(UnplacedTasks(group, step, 1))
             return
-        for left in range(count, 0, -1):
-            if not self._tasks_left:
-                return
-            self._tasks_left -= 1
-            view = self._find(step, group)
-            if view is None:
-                self.unplaced.append(UnplacedTasks(group, step, left))
-                return
-            view.reserve(step, group)
-            self.placed_long_running += 1
-
-    def _find(self, step: StepRecord, group: tuple[str, int, int]) -> WorkerView | None:
-        for view in self._workers:
-            if view.accepts(step, group):
-                return view
-        for view in self._workers:
-            if view.will_accept(step, group):
-                return view
-        return None
+        if not self._steps_left:
+            return
+        self._steps_left -= 1
+        left = count
+        for is_accepted in (WorkerView.accepts, WorkerView.will_accept):
+            # A worker that has refused one task of a step will refuse the next one.
+            for view in self._workers:
+                while left and is_accepted(view, step, group):
+                    view.reserve(step, group)
+                    left -= 1
+        self.placed_long_running += count - left
+        if left:
+            self.unplaced.append(UnplacedTasks(group, step, left))
