A drain that lasts is logged and counted

The drain of a worker for a wave lasts until its tasks have ended or could be moved. Nothing showed that one lasted, nor what it waited for.

A log line names the worker and the CPU still in use after 5 s, and again each time the drain has lasted twice as long; gauges count the draining workers and the longest drain.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -115,7 +115,7 @@
         self._pool_planner = PoolPlanner()
         self._stopping = threading.Event()
         self._term = -1
-        self._drainer = WorkerDrainer(table, executor, self._tracker)
+        self._drainer = WorkerDrainer(table, executor, self._tracker, clock)
         self._demand_history = DemandHistory()
         self._pauses = MachinePauses(clock)
         self._moves = MachineMoves(clock, self._tracker, self._pauses)
@@ -265,6 +265,7 @@
                 for item in machines
                 if not self._tracker.is_in_service(item.machine)
             ],
+            self._drainer.drain_seconds(),
             self._clock.monotonic(),
         )
 
--- a/arbutuscleat/execution/machine_waits.py
+++ b/arbutuscleat/execution/machine_waits.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from absl import logging
 
@@ -42,6 +42,7 @@
         unmet: Iterable[tuple[str, UnplacedTasks]],
         moves: Iterable[MachineMove],
         out_of_service: Iterable[str],
+        drain_seconds: Sequence[float],
         now: float,
     ) -> None:
         """Update the gauges, and log the waits that last.
@@ -54,6 +55,8 @@
             The moves that are planned or under way.
         out_of_service : iterable of str
             Service of each machine without a usable worker.
+        drain_seconds : sequence of float
+            For how long each draining worker has been draining, in seconds.
         now : float
             Monotonic time in seconds.
         """
@@ -61,7 +64,10 @@
         groups = {tasks.group for _, tasks in unmet}
         self._since = {group: self._since.get(group, now) for group in groups}
         self._log_at = {k: v for k, v in self._log_at.items() if k in groups}
-        gauges: dict[str, float] = {}
+        gauges: dict[str, float] = {
+            "workers_draining": len(drain_seconds),
+            "workers_draining_oldest_seconds": max(drain_seconds, default=0.0),
+        }
         for service_name, tasks in unmet:
             age = now - self._since[tasks.group]
             _add(gauges, "tasks_without_machine", service_name, tasks.count, age)
--- a/arbutuscleat/execution/worker_drainer.py
+++ b/arbutuscleat/execution/worker_drainer.py
@@ -1,5 +1,8 @@
 """Worker draining: schedule no new runs on a worker until it is idle."""
 
+from absl import logging
+
+from arbutuscleat.core import Clock
 from arbutuscleat.jobs import JobTable
 from arbutuscleat.wire.gen_jobs.ttypes import JobCommand, RemoveWorker
 
@@ -9,6 +12,10 @@
 PLANS_BEFORE_ORDER = 2
 """Number of plans after which every run planned before the drain is in the log."""
 
+LOG_AFTER_SECONDS = 5.0
+"""Duration after which a drain is logged first, and again each time it has doubled. An
+idle worker is drained for less."""
+
 
 class WorkerDrainer:
     """Drains workers before their machines are moved or serviced.
@@ -21,9 +28,20 @@
         Schedules no new runs on draining workers.
     tracker : MachineTracker
         Reports the CPU in use on a worker.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, table: JobTable, executor: Executor, tracker: MachineTracker):
+    def __init__(
+        self,
+        table: JobTable,
+        executor: Executor,
+        tracker: MachineTracker,
+        clock: Clock,
+    ):
+        self._clock = clock
+        self._since: dict[str, float] = {}
+        self._log_at: dict[str, float] = {}
         self._table = table
         self._executor = executor
         self._tracker = tracker
@@ -39,17 +57,39 @@
             if worker_id not in worker_ids:
                 del self._draining[worker_id]
         self._executor.set_draining(set(self._draining))
+        self._log_long_drains()
 
     def reset(self) -> None:
         """End the drain of all workers."""
         if self._draining:
             self._executor.set_draining(set())
         self._draining = {}
+        self._since = {}
 
     def is_active(self) -> bool:
         """Return whether any worker is draining."""
         return bool(self._draining)
 
+    def drain_seconds(self) -> list[float]:
+        """Return for how long each draining worker has been draining, in seconds."""
+        now = self._clock.monotonic()
+        return [now - since for since in self._since.values()]
+
+    def _log_long_drains(self) -> None:
+        now = self._clock.monotonic()
+        self._since = {name: self._since.get(name, now) for name in self._draining}
+        self._log_at = {k: v for k, v in self._log_at.items() if k in self._draining}
+        for worker_id, since in self._since.items():
+            age = now - since
+            if age >= LOG_AFTER_SECONDS and now >= self._log_at.get(worker_id, 0.0):
+                self._log_at[worker_id] = now + age
+                logging.info(
+                    "worker %s: draining for %.1f s, CPU %d still in use",
+                    worker_id,
+                    age,
+                    self._tracker.cpu_in_use(worker_id),
+                )
+
     def is_draining(self, worker_id: str) -> bool:
         """Return whether a worker is draining."""
         return worker_id in self._draining
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -138,6 +138,19 @@
         self.assertEqual(1, gauges['machines_moving{service="karachi"}'])
         self.assertEqual(1, gauges['machines_out_of_service{service="karachi"}'])
 
+    def test_a_drain_that_lasts_is_logged_and_counted(self):
+        """Guards against a wave that never ends on a machine, unnoticed."""
+        self.run_spread_job()
+        wave = WaveRecord(wave=1, machines=["k3"], cap=1, due_at_ms=1_000)
+        self.harness.apply(wave=wave)
+        with self.assertLogs("absl", "INFO") as logs:
+            self.reconcile(12.0)
+        lines = [line for line in logs.output if "w-k3: draining for" in line]
+        self.assertEqual(2, len(lines), lines)
+        gauges = self.controller.waits.gauges
+        self.assertEqual(1, gauges["workers_draining"])
+        self.assertEqual(11.75, gauges["workers_draining_oldest_seconds"])
+
     # ---- drains for moves ----
 
     def park(self, seconds):
