--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -7,6 +7,7 @@
 
 CORE = "core "
 PROVIDER = "provider "
+WORKERS = "worker "
 PLANNED = "planned"
 UNPLANNED = "unplanned"
 FOREVER = float("inf")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -35,6 +35,17 @@
         self.network = Network()
 
 
+class Part:
+    """A part of the run, with what it shares with the others."""
+
+    def __init__(self, world: World):
+        self.world = world
+        self.report = world.report
+        self.fail = world.report.violation
+        self.calm = world.disturbances.calm
+        self.jobs = world.workload.jobs
+
+
 class Loop:
     """A thread that repeats an action, with pauses, until it is stopped."""
 
