--- a/tests/soak/slowness.py
+++ b/tests/soak/slowness.py
@@ -6,7 +6,7 @@
 
 INTERVAL = 0.5
 MAX_WAIT = 0.25
-"""Half of an interval: as much as a link's packets may wait in half a second."""
+"""Half of an interval: a busy node of the platform gets 0.54 of a processor."""
 
 
 class SlownessWatch(Part):
