A busy machine that a service waits for has no pause

Callers waited longer at the beginning of load peaks: machines that were off were withheld for 2 s.

A machine that is off has no worker, nothing is drained, and a service waits for it.

Before the fix test_a_busy_machine_that_a_service_waits_for_has_no_pause found one order instead of two.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -338,11 +338,11 @@
         return found
 
     def _order_upkeep(
-        self, wave: Wave, by_name: dict[str, MachineState], to_drain: set[str]
+        self, wave: Wave, by_name: dict[str, MachineState], in_wave: set[str]
     ) -> None:
         ready = []
         for machine in wave.machines:
-            if machine not in to_drain or machine in wave.finished:
+            if machine not in in_wave or machine in wave.finished:
                 continue
             state = by_name.get(machine)
             if state is None or not state.is_up:
@@ -559,7 +559,7 @@
             return outcome
 
         for machine, outcome in self._send_orders(order, self._acquire(ready)):
-            self._moves.record_outcome(machine, outcome)
+            self._moves.record_outcome(by_name[machine], outcome)
 
 
 def _fleet_capacity(machines: list[MachineState]) -> FleetCapacity | None:
--- a/arbutuscleat/execution/machine_moves.py
+++ b/arbutuscleat/execution/machine_moves.py
@@ -122,12 +122,20 @@
             elif self._tracker.cpu_in_use(state.worker_id):
                 del self._moves[machine]  # A run has started there meanwhile.
 
-    def record_outcome(self, machine: str, outcome: MachineOrderOutcome | None) -> None:
-        """Record the outcome of an order, or None if it was not sent."""
+    def record_outcome(
+        self, state: MachineState, outcome: MachineOrderOutcome | None
+    ) -> None:
+        """Record the outcome of an order, or None if it was not sent.
+
+        A machine without a worker has no pause if it is busy, since nothing is drained
+        and a service waits for it.
+        """
+        machine = state.machine
         if outcome is MachineOrderOutcome.REFUSED:
             self._give_up(machine, "refused", REFUSED_PAUSE_SECONDS)
         elif outcome is MachineOrderOutcome.BUSY:
-            self._give_up(machine, "the machine is busy", PAUSE_SECONDS)
+            pause_seconds = PAUSE_SECONDS if state.worker_id else 0.0
+            self._give_up(machine, "the machine is busy", pause_seconds)
         elif outcome in (MachineOrderOutcome.DONE, MachineOrderOutcome.UNKNOWN):
             self._moves[machine].is_under_way = True
 
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -219,6 +219,21 @@
         self.assertEqual(len(set(self.provider.moves)), len(self.provider.moves))
         self.assertEqual(set(), self.executor.draining)
 
+    def need_s0(self):
+        """Let a long-running step need one machine more than its service has."""
+        self.provider.set("s1", is_up=False)
+        asked = step(len(POOL) + 1, long_running=True, spread_limit=1)
+        self.harness.accept(job(steps=[asked]))
+        self.reconcile(POLL_SECONDS)
+        self.assertEqual([("s0", "karachi")], self.provider.moves)
+
+    def test_a_busy_machine_that_a_service_waits_for_has_no_pause(self):
+        """Guards against machines that are withheld for 2 s in a load peak."""
+        self.provider.outcome = MachineOrderOutcome.BUSY
+        self.need_s0()
+        self.reconcile(POLL_SECONDS)
+        self.assertEqual(2, len(self.provider.moves))
+
     def test_a_machine_that_goes_down_before_the_order_is_not_moved(self):
         """Guards against a new worker that is drained for the move of the old one."""
         self.provider.outcome = MachineOrderOutcome.LATER
