A wave takes no machine that is to move

Callers waited longer at the beginning of load peaks that met a wave: a machine that was planned for the peak went into upkeep instead.

Cause: the controller ordered upkeep for any drained machine of a wave, those drained for a move included, and the wave planner did not know which machines are to move. The order of the move was then answered with "busy".

A machine that is to move is no candidate of a wave, and upkeep is ordered only for machines that the wave chose. Before the fix test_a_machine_that_is_to_move_gets_no_upkeep found an upkeep of s0 ordered.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -255,7 +255,7 @@
         worker_ids = {by_name[m].worker_id for m in to_drain if m in by_name}
         self._drainer.drain(worker_ids - {""})
         for wave in waves:
-            self._order_upkeep(wave, by_name, to_drain)
+            self._order_upkeep(wave, by_name, in_wave)
         self._order_moves(by_name)
         self.waits.observe(
             plan.unmet,
@@ -294,7 +294,7 @@
                     machine=machine,
                     is_up=state.is_up
                     and self._leases.may_hold(machine, since)
-                    and not self._pauses.is_paused(machine),
+                    and self._moves.may_plan(machine),
                     is_empty=load == 0,
                     is_draining=self._drainer.is_draining(state.worker_id),
                     load=load,
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -234,6 +234,17 @@
         self.reconcile(POLL_SECONDS)
         self.assertEqual(2, len(self.provider.moves))
 
+    def test_a_machine_that_is_to_move_gets_no_upkeep(self):
+        """Guards against a wave that takes machines on their way to a load peak."""
+        self.provider.outcome = MachineOrderOutcome.LATER
+        self.need_s0()
+        wave = WaveRecord(wave=1, machines=["s0"], cap=1, due_at_ms=1_000)
+        self.harness.apply(wave=wave)
+        self.provider.outcome = MachineOrderOutcome.DONE
+        self.reconcile(POLL_SECONDS)
+        self.assertEqual([], self.provider.upkeeps)
+        self.assertEqual(2, len(self.provider.moves))
+
     def test_a_machine_that_goes_down_before_the_order_is_not_moved(self):
         """Guards against a new worker that is drained for the move of the old one."""
         self.provider.outcome = MachineOrderOutcome.LATER
