Simulation: an order in flight does not reach another worker at its address

The address of a worker was used by another one while a start was on its way, and the emulated link, which had compared the start times of the two before, delivered it to the new one. A real worker compares the id in the call when it arrives and answers 421. The link now loses a call during which the worker at its address has changed, as it did when the worker had ended.

The check is unchanged.

--- a/tests/execution/simulation.py
+++ b/tests/execution/simulation.py
@@ -134,9 +134,9 @@
             self.clock.spawn(lambda: self.deliver_late(order, 0.5 + 200 * chance))
             self.clock.pause(timeout)
             return kind(OrderOutcome.NO_ANSWER)
-        self.clock.pause(CALL_SECONDS)
         model = self.model
-        if model is None:
+        self.clock.pause(CALL_SECONDS)
+        if model is None or model is not self.model:
             return kind(OrderOutcome.NO_ANSWER)
         answer = getattr(model, name)(order, timeout)
         if name == "hold" and answer.outcome is OrderOutcome.DONE:
