Handlers of signals take no lock

What callers saw: an entry node that was stopped as planned did not react and was ended 8 s later.

Cause: a handler set an Event, whose lock is not reentrant. A signal that arrives while the main thread holds that lock itself, at the end of a wait or in clear(), blocks it for good.

The stack of the main thread: in Condition.wait, interrupted by the handler of SIGHUP in Event.set at the lock.

Why the fix works: handlers put into a SimpleQueue, whose put may interrupt any other call of the same thread; the main thread takes actions from it, and still wakes up twice a second for signals that another thread has received.

--- a/arbutuscleat/daemons/running.py
+++ b/arbutuscleat/daemons/running.py
@@ -5,6 +5,7 @@
 import sys
 import threading
 from pathlib import Path
+from queue import SimpleQueue
 from typing import Protocol, TypeVar
 
 from absl import logging
@@ -13,7 +14,7 @@
 from arbutuscleat.nodes.running import (
     EXIT_OK,
     exit_on_invariant_error,
-    wait_for_signal,
+    wait_for_action,
 )
 from arbutuscleat.settings import ProcessSettings, load_settings
 from arbutuscleat.telemetry import configure_logs
@@ -70,12 +71,12 @@
 
 def run_until_stopped(daemon: Daemon) -> int:
     """Run a daemon until SIGTERM or SIGINT, and return the exit code."""
-    stop = threading.Event()
+    actions: SimpleQueue[str] = SimpleQueue()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+        signal.signal(number, lambda *_: actions.put("stop"))
     threading.excepthook = exit_on_invariant_error
     daemon.start()
-    wait_for_signal(stop)
+    wait_for_action(actions)
     logging.info("stopping")
     daemon.stop()
     logging.info("stopped")
--- a/arbutuscleat/nodes/running.py
+++ b/arbutuscleat/nodes/running.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import threading
+from queue import Empty, SimpleQueue
 from typing import Protocol
 
 from absl import logging
@@ -37,25 +38,16 @@
 
     SIGHUP calls `Node.reload`.
     """
-    wakeup = threading.Event()
-    requested: set[str] = set()
-
-    def request(action: str) -> None:
-        requested.add(action)
-        wakeup.set()
-
+    # `SimpleQueue.put` may interrupt any call in the same thread, `Event.set` may not.
+    actions: SimpleQueue[str] = SimpleQueue()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: request("stop"))
-    signal.signal(signal.SIGHUP, lambda *_: request("reload"))
+        signal.signal(number, lambda *_: actions.put("stop"))
+    signal.signal(signal.SIGHUP, lambda *_: actions.put("reload"))
     threading.excepthook = exit_on_invariant_error
     node.start()
-    while "stop" not in requested:
-        wait_for_signal(wakeup)
-        wakeup.clear()
-        if "reload" in requested:
-            requested.discard("reload")
-            logging.info("reloading settings")
-            node.reload()
+    while wait_for_action(actions) != "stop":
+        logging.info("reloading settings")
+        node.reload()
     logging.info("stopping")
     try:
         node.stop()
@@ -68,13 +60,16 @@
     return EXIT_OK
 
 
-def wait_for_signal(event: threading.Event) -> None:
-    """Wait in the main thread for an event that a signal handler sets.
+def wait_for_action(actions: SimpleQueue[str]) -> str:
+    """Wait in the main thread for what a signal handler has put into a queue.
 
     A wait without a timeout would not end if another thread received the signal.
     """
-    while not event.wait(SIGNAL_CHECK_SECONDS):
-        pass
+    while True:
+        try:
+            return actions.get(timeout=SIGNAL_CHECK_SECONDS)
+        except Empty:
+            continue
 
 
 def exit_on_invariant_error(failure: threading.ExceptHookArgs) -> None:
