A deferred wave gives drained machines back

Callers waited longer at the beginning of load peaks that met a wave: idle machines that had been drained for the wave went into upkeep although tasks were waiting by then.

Cause: while tasks wait and there is time, a wave takes no further machines, but it kept those that it was draining, also empty ones that could serve the waiting tasks at once.

While a wave is deferred, empty machines are no longer chosen; those with runs go on, since their long-running tasks may have been moved already. Before the fix test_a_deferred_wave_gives_drained_machines_back found all four machines chosen.

--- a/arbutuscleat/scheduling/wave_planner.py
+++ b/arbutuscleat/scheduling/wave_planner.py
@@ -77,18 +77,22 @@
     Returns
     -------
     list of str
-        Names of the machines.
+        Names of the machines. An empty one is left out while the wave is deferred.
     """
     room = cap - unavailable
     rounds = math.ceil(len(remaining) / max(1, cap))
     min_seconds = rounds * IDLE_MACHINE_SECONDS * IDLE_TIME_FACTOR
-    if room <= 0 or (has_shortage and seconds_left > min_seconds):
-        return [i.machine for i in remaining if i.is_draining and i.is_up]
+    draining = [i for i in remaining if i.is_draining and i.is_up]
+    if has_shortage and seconds_left > min_seconds:
+        # An empty machine that was chosen before can still serve the waiting tasks.
+        return [item.machine for item in draining if not item.is_empty]
+    if room <= 0:
+        return [item.machine for item in draining]
     usable = [item for item in remaining if item.is_up]
     pace = len(remaining) * BUSY_MACHINE_SECONDS * PACE_FACTOR / max(seconds_left, 1.0)
     at_once = min(room, max(1, math.ceil(pace) - unavailable))
     chosen = [item.machine for item in usable if item.is_empty][:room]
-    draining = [i for i in usable if i.is_draining and not i.is_empty]
+    draining = [item for item in draining if not item.is_empty]
     chosen += [item.machine for item in draining]
     busy = [i for i in usable if not i.is_draining and not i.is_empty]
     busy.sort(key=lambda item: item.load)
--- a/tests/scheduling/test_wave_planner.py
+++ b/tests/scheduling/test_wave_planner.py
@@ -45,6 +45,14 @@
             8, len(choose_machines(remaining, 8, 0, 17.0, has_shortage=True))
         )
 
+    def test_a_deferred_wave_gives_drained_machines_back(self):
+        """Guards against upkeep of idle machines that a load peak has begun to need."""
+        remaining = [machine(f"m{number}", is_draining=True) for number in range(3)]
+        remaining.append(machine("busy", load=1_000, is_empty=False, is_draining=True))
+        self.assertEqual(
+            ["busy"], choose_machines(remaining, 8, 0, 26.0, has_shortage=True)
+        )
+
     def test_a_machine_that_is_not_up_is_not_chosen(self):
         remaining = [machine("a", is_up=False)]
         self.assertEqual([], choose_machines(remaining, 1, 0, 60.0))
