Learners are sent entries at an interval

A group has three voters; further control nodes, five on the grown sites, are learners. The leader sent each entry to each of them as soon as the request before was answered, and every new entry woke all their threads. A read barrier asks voters only; the answers of others do not count for it.

--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -18,6 +18,9 @@
         Ratio of the longest to the shortest election timeout; at least 1.
     former_leader_election_seconds : float
         Election timeout of a former leader that has just restarted.
+    learner_interval_seconds : float
+        Shortest time between two requests with entries to a replica that is not a
+        voter.  No commit waits for it, so its entries can be sent many at a time.
     call_seconds : float
         Timeout of one call to a peer.
     tick_seconds : float
@@ -43,6 +46,7 @@
     election_seconds: float = 1.5
     election_spread: float = 1.5
     former_leader_election_seconds: float = 0.1
+    learner_interval_seconds: float = 0.0
     call_seconds: float = 1.0
     tick_seconds: float = 0.1
     max_batch_entries: int = 1024
--- a/arbutuscleat/consensus/progress.py
+++ b/arbutuscleat/consensus/progress.py
@@ -15,6 +15,8 @@
         Index of the last entry known to be synced at the peer.
     acknowledged_at : float
         When the latest answered request was sent, in monotonic seconds.
+    sent_at : float
+        When the latest request was sent, in monotonic seconds.
     send_at : float
         When the next heartbeat or retry is due, in monotonic seconds.
     asked_round : int
@@ -30,6 +32,7 @@
     next_index: int = 1
     match_index: int = 0
     acknowledged_at: float = float("-inf")
+    sent_at: float = float("-inf")
     send_at: float = float("-inf")
     asked_round: int = 0
     snapshot_offset: int = 0
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -213,8 +213,9 @@
         deadline = Deadline.after(state.clock, timeout)
         asked_at = state.clock.monotonic()
         with state.lock:
-            for progress in list(state.progress.values()):
-                progress.send_at = asked_at
+            for voter in state.membership.voters():
+                if voter in state.progress:
+                    state.progress[voter].send_at = asked_at
             state.send_ready.notify_all()
             while state.role is Role.LEADER:
                 if self._has_committed_in_term() and state.quorum_heard_since(asked_at):
@@ -421,7 +422,8 @@
         if request is None and needs_snapshot and self._replication.may_send(progress):
             request = self._snapshots.next_request(peer)
         if request is not None:
-            progress.send_at = state.clock.monotonic() + state.cfg.heartbeat_seconds
+            progress.sent_at = state.clock.monotonic()
+            progress.send_at = progress.sent_at + state.cfg.heartbeat_seconds
         return request
 
     def _step_down_without_quorum(self) -> None:
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -66,6 +66,8 @@
         self.lock = threading.Lock()
         # Wakes the threads of the peers when there may be something to send.
         self.send_ready = threading.Condition(self.lock)
+        # Not woken by entries: the threads of learners look for them at an interval.
+        self.learner_send_ready = threading.Condition(self.lock)
         # Wakes the writer when entries wait to be synced.
         self.write_ready = threading.Condition(self.lock)
         # Wakes the callers that wait for answers of a quorum.
@@ -115,6 +117,10 @@
             return False
         return record.incarnation == self.incarnation
 
+    def is_learner(self, peer: str) -> bool:
+        """Return whether the log does not list a peer as a voter."""
+        return peer not in self.membership.voters()
+
     def hears_leader(self) -> bool:
         """Return whether a leader was heard within the shortest election timeout."""
         silence = self.clock.monotonic() - self.last_heard
--- a/arbutuscleat/consensus/replica_threads.py
+++ b/arbutuscleat/consensus/replica_threads.py
@@ -115,13 +115,23 @@
             with state.lock:
                 request = self._next_request(peer.node_id)
                 if request is None:
-                    state.clock.wait(state.send_ready, self._idle_seconds(peer.node_id))
+                    self._wait_for_request(peer.node_id)
                     continue
                 sent_at = state.clock.monotonic()
             answer = peer.send(request, state.cfg.call_seconds)
             if isinstance(answer, Success):
                 self._handle_answer(peer.node_id, request, answer.unwrap(), sent_at)
 
+    def _wait_for_request(self, peer: str) -> None:
+        """Wait until there may be a request for a peer; the caller holds `lock`."""
+        state = self._state
+        idle = self._idle_seconds(peer)
+        interval = state.cfg.learner_interval_seconds
+        if interval and state.role is Role.LEADER and state.is_learner(peer):
+            state.clock.wait(state.learner_send_ready, min(idle, interval))
+        else:
+            state.clock.wait(state.send_ready, idle)
+
     def _idle_seconds(self, peer: str) -> float:
         """Return how long to wait before the next request to a peer is due."""
         state = self._state
--- a/arbutuscleat/consensus/replication.py
+++ b/arbutuscleat/consensus/replication.py
@@ -51,7 +51,8 @@
         if previous_term is None:
             return None
         behind = progress.next_index <= state.log.last_index
-        if not self.is_due(progress) and not (behind and self.may_send(progress)):
+        may_send = self.may_send(progress) and not self._is_early(peer, progress)
+        if not self.is_due(progress) and not (behind and may_send):
             return None
         return AppendRequest(
             term=state.term,
@@ -112,6 +113,12 @@
         responsive = silence < 2 * self._state.cfg.heartbeat_seconds
         return responsive or self.is_due(progress)
 
+    def _is_early(self, peer: str, progress: Progress) -> bool:
+        """Return whether a learner was sent a request too recently for another one."""
+        state = self._state
+        early_until = progress.sent_at + state.cfg.learner_interval_seconds
+        return state.clock.monotonic() < early_until and state.is_learner(peer)
+
     def is_listed(self, peer: str, incarnation: str, progress: Progress) -> bool:
         """Return whether the log lists `peer` with this incarnation.
 
--- a/benchmarks/job_runs.py
+++ b/benchmarks/job_runs.py
@@ -78,11 +78,12 @@
     """Run the benchmark and print its results."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--machines", type=int, default=24)
+    parser.add_argument("--learners", type=int, default=0)
     parser.add_argument("--jobs-per-second", type=float, default=8.0)
     parser.add_argument("--seconds", type=float, default=15.0)
     options = parser.parse_args()
     shutil.rmtree(FOLDER, ignore_errors=True)
-    fleet = BerthlineDemo(FOLDER, options.machines)
+    fleet = BerthlineDemo(FOLDER, options.machines, options.learners)
     try:
         fleet.start()
         fleet.wait(lambda: fleet.put_config(CONFIG_WITHOUT_STANDBY) == 200)
--- a/examples/berthline.py
+++ b/examples/berthline.py
@@ -81,11 +81,16 @@
         Folder for settings, state and logs.
     machines : int, default=4
         Number of machines, each with a worker.
+    learners : int, default=0
+        Number of control nodes besides the three that found the group.
     """
 
-    def __init__(self, folder: Path, machines: int = 4):
+    def __init__(self, folder: Path, machines: int = 4, learners: int = 0):
         self._folder = folder
-        hosts = CONTROL_HOSTS + ENTRY_HOSTS
+        self._control_hosts = CONTROL_HOSTS + tuple(
+            f"127.0.1.{number}" for number in range(1, learners + 1)
+        )
+        hosts = self._control_hosts + ENTRY_HOSTS
         self._peer_port = free_port(hosts)
         self._front_port = free_port(hosts)
         self._readiness_port = free_port(hosts)
@@ -108,7 +113,7 @@
     def start(self) -> None:
         """Start all parts, set the configuration and wait until the nodes are ready."""
         self._provider_front.start()
-        for host in CONTROL_HOSTS:
+        for host in self._control_hosts:
             self.start_process(host, "control")
         for host in ENTRY_HOSTS:
             self.start_process(host, "entry")
@@ -152,7 +157,8 @@
             seeds=[f"{seed}:{self._front_port}" for seed in CONTROL_HOSTS],
             provider=str(self._provider_front.address),
         )
-        node.write_settings(first_start=not node.data_folder.exists())
+        is_founder = host in CONTROL_HOSTS
+        node.write_settings(first_start=is_founder and not node.data_folder.exists())
         self.processes[host] = node.start()
 
     def put_config(self, content: Any) -> int:
@@ -197,7 +203,7 @@
     def leader(self) -> str:
         """Return the host of the latest leader that still runs, from the logs."""
         found = []
-        for host in CONTROL_HOSTS:
+        for host in self._control_hosts:
             text = (self._folder / host / "log").read_text()
             lines = [line for line in text.splitlines() if "sessions begin" in line]
             if lines and self.processes[host].poll() is None:
