--- a/tests/platform/test_suspended_leader.py
+++ b/tests/platform/test_suspended_leader.py
@@ -73,9 +73,6 @@
     def settimeout(self, timeout):
         self.steps.step("timeout")
 
-    def gettimeout(self):
-        return None
-
     def close(self):
         pass
 
