--- a/tests/scheduling/test_wave_planner.py
+++ b/tests/scheduling/test_wave_planner.py
@@ -48,7 +48,7 @@
     def test_a_deferred_wave_gives_drained_machines_back(self):
         """Guards against upkeep of idle machines that a load peak has begun to need."""
         remaining = [machine(f"m{number}", is_draining=True) for number in range(3)]
-        remaining.append(machine("busy", load=1_000, is_empty=False, is_draining=True))
+        remaining.append(machine("busy", load=1_000, is_draining=True))
         self.assertEqual(
             ["busy"], choose_machines(remaining, 8, 0, 26.0, has_shortage=True)
         )
