--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -31,6 +31,12 @@
     return b"".join(lines) + reader.read(int(headers.get("Content-Length", 0)))
 
 
+def read_to_end(conn):
+    """Read until the other side has closed the connection."""
+    while conn.recv(4096):
+        pass
+
+
 class ScriptedServer:
     """Answers the requests of each connection from its script, then closes it.
 
@@ -117,6 +123,17 @@
         result = self.call(calls)
         self.assertEqual((0, {}, True), (result.status, result.tree, result.sent))
 
+    def test_a_request_without_an_answer_is_not_delivered_later(self):
+        """Guards against an order that the kernel repeats after a partition."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = Address("127.0.0.1", listener.getsockname()[1])
+            result = self.call(HttpCalls(address, {}), SHORT_TIMEOUT)
+            self.assertEqual((0, True), (result.status, result.sent))
+            conn, _ = listener.accept()
+            with conn:
+                conn.settimeout(TIMEOUT)
+                self.assertRaises(ConnectionResetError, read_to_end, conn)
+
     def test_a_request_is_written_at_once(self):
         """Guards against a suspended process that completes a half-sent request."""
         server, calls = self.serve([ANSWER])
