A hold does not stop a run whose start is about to be sent

Callers could see a run of a long-running task stopped right after its start, while another task of its step was away (AVAIL).

Cause: the log has a run once its start is committed, but the start counted as pending only once it was queued. A hold that was sent in between expected the worker to list the run. If its answer was handled after the start had been answered, the run counted as missing and was stopped.

The next start on that worker followed 12 ms after it, so the start had been answered.

A start counts as pending from before its commit on.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -283,21 +283,33 @@
         return found
 
     def _start_runs(self, runs: list[RunRecord]) -> None:
+        sessions = [self._session_of(run) for run in runs]
+        for run, session in zip(runs, sessions, strict=True):
+            if session is not None:
+                session.expect_start(run)
         command = JobCommand(starts=RunStarts(runs=runs))
         with self._load.timed("commit of starts"):
             result = self._replica.propose(encode(command), PROPOSE_TIMEOUT_SECONDS)
-        if not isinstance(result, Success):
+        if isinstance(result, Success):
+            _log_starts(runs)
+            accepted = result.unwrap()
+        else:
             logging.warning("commit of %d run starts is not confirmed", len(runs))
-            return
-        _log_starts(runs)
-        for run, accepted in zip(runs, result.unwrap(), strict=True):
-            session = self.sessions.get(run.worker_id)
-            if (
-                accepted
-                and session is not None
-                and session.incarnation[1] == run.born_ms
-            ):
+            accepted = [False] * len(runs)
+        for run, session, is_accepted in zip(runs, sessions, accepted, strict=True):
+            if session is None:
+                continue
+            if is_accepted:
                 session.order_start(run)
+            else:
+                session.withdraw_start(run)
+
+    def _session_of(self, run: RunRecord) -> WorkerSession | None:
+        """Return the session with the worker incarnation of a run, if there is one."""
+        session = self.sessions.get(run.worker_id)
+        if session is None or session.incarnation[1] != run.born_ms:
+            return None
+        return session
 
     def _take_due_stops(self) -> list[tuple[WorkerSession, TaskKey, int]]:
         found = []
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -192,6 +192,18 @@
         """Return whether the circuit breaker admits long-running tasks."""
         return self._breaker.accepts_long_running()
 
+    def expect_start(self, run: RunRecord) -> None:
+        """Expect a start whose commit to the log has not been confirmed yet.
+
+        A hold that is sent after the commit, but before the start is queued, would
+        otherwise find that the worker does not list the run, and stop it.
+        """
+        self._sender.expect_start(run)
+
+    def withdraw_start(self, run: RunRecord) -> None:
+        """No longer expect a start whose commit is not confirmed."""
+        self._sender.withdraw_start(run)
+
     def order_start(self, run: RunRecord) -> None:
         """Queue the start of a run that is committed to the log."""
         self._sender.order_start(run)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -214,3 +214,23 @@
             self.assertIsNot(session, self.executor.sessions["w1"])
             run_once(self.executor)
             self.assertTrue(self.executor.sessions["w1"].is_usable())
+
+    def test_a_hold_between_the_commit_and_the_start_of_a_run_does_not_stop_it(self):
+        """Guards against stops of runs that a concurrent hold does not list yet."""
+        self.harness.apply(worker=worker("w1"))
+        for _ in range(2):
+            run_once(self.executor)
+        self.harness.accept(job(steps=[step(1, long_running=True, may_miss=1)]))
+        session = self.executor.sessions["w1"]
+        propose = self.executor._replica.propose
+        expected = []
+
+        def propose_and_hold(payload, timeout):
+            result = propose(payload, timeout)
+            expected.append(session._expected_runs()[0])
+            return result
+
+        self.executor._replica.propose = propose_and_hold
+        run_once(self.executor)
+        self.assertEqual([{}], expected)
+        self.assertEqual(1, len(self.harness.table.runs[session.incarnation]))
