--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -3,8 +3,8 @@
 The planner is designed for demand that shifts from one queue to another. A service
 with waiting tasks first keeps the machines that have not left it yet, then receives
 machines from the standby pool, and then idle machines of services that have more than
-they need. Machines that have been idle for a while are parked: they move to the standby
-pool, where they are off. Running tasks are never ended for a move.
+they need. Machines that have been idle for some time are parked: they move to the
+standby pool, where they are off. Running tasks are never ended for a move.
 
 The number of machines that a service needs is computed for all its tasks, and for those
 with the same requirement (a label, accelerators), which only some machines can run.
