Upkeep under way counts after the leadership lapsed within a term

A wave could take down more machines than its cap (LIMIT): a controller that found itself without the leadership once forgot which upkeep it had ordered.

Cause: it forgets everything when it does not lead, and reads the upkeep of former leaders from the table only when the term has changed. A leader that loses its quorum for a moment may go on in the same term.

The term counts as new after each reset. Before the fix test_upkeep_counts_towards_the_cap_after_leadership_lapsed_in_the_term found further orders 0.25 s after unanswered ones.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -219,6 +219,7 @@
         return held
 
     def _reset(self) -> None:
+        self._term = -1  # The same term may go on, with upkeep still under way.
         self._leases.reset()
         self._tracker.reset()
         self._drainer.reset()
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -107,6 +107,21 @@
         self.reconcile(4)
         self.assertEqual([], self.provider.upkeeps)
 
+    def test_upkeep_counts_towards_the_cap_after_leadership_lapsed_in_the_term(self):
+        """Guards against a machine taken beside one whose order is not answered yet."""
+        self.add_wave()
+        self.provider.outcome = MachineOrderOutcome.UNKNOWN
+        self.replica.lead()
+        self.controller.reconcile_once()
+        ordered = len(self.provider.upkeeps)
+        self.assertTrue(ordered > 0)
+        self.replica.is_leader = False
+        self.controller.reconcile_once()
+        self.replica.is_leader = True
+        self.clock.advance(0.25)
+        self.controller.reconcile_once()
+        self.assertEqual(ordered, len(self.provider.upkeeps))
+
     def test_a_machine_held_by_a_former_leader_is_ordered_after_its_lease(self):
         self.add_wave()
         self.order_as_former_leader(MACHINES[0], finished=False)
