--- a/arbutuscleat/execution/machine_moves.py
+++ b/arbutuscleat/execution/machine_moves.py
@@ -21,6 +21,9 @@
 from .machine_tracker import MachineTracker
 from .provider import MachineOrderOutcome, MachineState
 
+BUSY_PAUSE_SECONDS = 0.4
+"""Pause of a machine without a worker after "busy": another one is tried before it."""
+
 
 @dataclass(slots=True)
 class MachineMove:
@@ -127,14 +130,14 @@
     ) -> None:
         """Record the outcome of an order, or None if it was not sent.
 
-        A machine without a worker has no pause if it is busy, since nothing is drained
+        A machine without a worker that is busy has a short pause: nothing is drained,
         and a service waits for it.
         """
         machine = state.machine
         if outcome is MachineOrderOutcome.REFUSED:
             self._give_up(machine, "refused", REFUSED_PAUSE_SECONDS)
         elif outcome is MachineOrderOutcome.BUSY:
-            pause_seconds = PAUSE_SECONDS if state.worker_id else 0.0
+            pause_seconds = PAUSE_SECONDS if state.worker_id else BUSY_PAUSE_SECONDS
             self._give_up(machine, "the machine is busy", pause_seconds)
         elif outcome in (MachineOrderOutcome.DONE, MachineOrderOutcome.UNKNOWN):
             self._moves[machine].is_under_way = True
