A machine that stays down in its move is replaced

A move under way whose machine is down ends after 10 s, several times a move. Before the fix test_a_machine_that_stays_down_in_its_move_is_replaced found no order for the other machine.

--- a/arbutuscleat/execution/machine_moves.py
+++ b/arbutuscleat/execution/machine_moves.py
@@ -21,6 +21,9 @@
 from .machine_tracker import MachineTracker
 from .provider import MachineOrderOutcome, MachineState
 
+MOVE_TIMEOUT_SECONDS = 10.0
+"""How long a machine that is down counts as moving: several times a move."""
+
 BUSY_PAUSE_SECONDS = 0.4
 """Pause of a machine without a worker after "busy": another one is tried before it."""
 
@@ -115,8 +118,9 @@
             if state is None or state.service_name == move.service_name:
                 del self._moves[machine]
             elif not state.is_up:
-                if not move.is_under_way:
-                    del self._moves[machine]  # It went down before the order.
+                age = now - move.planned_at
+                if not move.is_under_way or age >= MOVE_TIMEOUT_SECONDS:
+                    del self._moves[machine]  # It went down for another reason.
             elif now - move.planned_at >= ORDER_TIMEOUT_SECONDS and (
                 # A machine without a worker may wait: nothing is drained.
                 move.is_under_way or state.worker_id
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -242,6 +242,14 @@
         self.reconcile(POLL_SECONDS)
         self.assertEqual(("s1", "karachi"), self.provider.moves[-1])
 
+    def test_a_machine_that_stays_down_in_its_move_is_replaced(self):
+        """Guards against a move that counts as capacity without an end."""
+        self.need_s0()
+        self.provider.set("s0", is_up=False)
+        self.provider.set("s1", is_up=True)
+        self.reconcile(12.0)
+        self.assertEqual(("s1", "karachi"), self.provider.moves[-1])
+
     def test_a_machine_that_is_to_move_gets_no_upkeep(self):
         """Guards against a wave that takes machines on their way to a load peak."""
         self.provider.outcome = MachineOrderOutcome.LATER
