The stop of an older run leaves the next start pending

A run could be stopped right after its start: while a worker still listed an older run of the task, the stop of that run took the place of the next start among the pending orders, so that a hold expected the worker to list the new run already. Found in the review.

Each task keeps its latest pending order now. Before the fix test_the_stop_of_an_older_run_leaves_the_next_start_pending found the run expected.

--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -151,9 +151,11 @@
     def order_stop(self, key: TaskKey, number: int) -> None:
         """Queue the stop of a run, unless an order for this run is pending."""
         with self._lock:
-            if self._pending.get(key) == number:
+            pending = self._pending.get(key, 0)
+            if pending == number:
                 return  # A later hold reconsiders the run once this order is done.
-            self._pending[key] = number
+            # The start of a later run stays pending beside the stop of this one.
+            self._pending[key] = max(pending, number)
         self._orders.put(_Order(None, key, number))
 
     def pending(self) -> set[TaskKey]:
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -102,6 +102,14 @@
         self.session.order_start(run(number=number))
         self.session.send_queued_orders()
 
+    def test_the_stop_of_an_older_run_leaves_the_next_start_pending(self):
+        """Guards against a stop of a run whose start is about to be sent."""
+        self.session.expect_start(run(number=2))
+        self.session.order_stop(KEY, 1)
+        self.session.send_queued_orders()
+        self.harness.start(run(number=2))
+        self.assertEqual({}, self.session._expected_runs()[0])
+
     def status(self):
         return self.harness.table.jobs[JOB].task(KEY).status
 
