The wait for an upkeep order begins anew with each drain

A wave left a machine alone for 2 s at once, with the log line that its upkeep was not ordered in time: the time since which it could have been ordered was kept from an earlier drain, for example one whose order was not answered. Found in the review.

Only machines that the wave drains now keep their time. Before the fix test_the_wait_for_an_order_begins_anew_when_a_machine_returns found another machine ordered.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -252,6 +252,11 @@
             in_wave |= self._plan_wave(wave, by_name, shortage)
         plan = self._plan_moves(machines, in_wave, waves, standby, demands)
         in_wave -= self._needed_machines(plan, in_wave, by_name, views)
+        self._ready_since = {
+            machine: since
+            for machine, since in self._ready_since.items()
+            if machine in in_wave
+        }
         to_drain = in_wave | self._moves.machines()
         worker_ids = {by_name[m].worker_id for m in to_drain if m in by_name}
         self._drainer.drain(worker_ids - {""})
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -122,6 +122,21 @@
         self.controller.reconcile_once()
         self.assertEqual(ordered, len(self.provider.upkeeps))
 
+    def test_the_wait_for_an_order_begins_anew_when_a_machine_returns(self):
+        """Guards against a wave that skips a machine for the wait of an earlier drain."""
+        self.provider.outcome = MachineOrderOutcome.UNKNOWN
+        self.replica.lead()
+        self.add_wave()
+        self.reconcile()
+        name = self.provider.upkeeps[0]
+        for machine in MACHINES:
+            self.provider.set(machine, is_up=False)
+        self.reconcile(20)
+        self.provider.set(name, is_up=True)
+        self.reconcile()
+        self.assertEqual(name, self.provider.upkeeps[-1])
+        self.assertEqual(2, self.provider.upkeeps.count(name))
+
     def test_a_machine_held_by_a_former_leader_is_ordered_after_its_lease(self):
         self.add_wave()
         self.order_as_former_leader(MACHINES[0], finished=False)
