A task whose stop is still being sent counts as unavailable

Two tasks of a step could be stopped for moves at once (AVAIL): a stopped run that its worker still lists counts as ready again after 15 s, though its stop may still be on its way. Found in the review, by reading.

A run with a pending order does not count as ready. Before the fix test_a_task_whose_stop_is_still_being_sent_counts_as_unavailable found a movable task.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -193,14 +193,18 @@
                 return []
             # The tasks listed by a session are as old as its last hold, so a moved
             # task counts as unavailable until a later run of it is ready.
-            ready_runs = {
-                (task.key, task.number)
-                for other in self.sessions.values()
-                if other.is_responsive()
-                for task in other.running
-                if task.percent >= READY_PERCENT
-                and not self._is_stop_expected(task.key, task.number)
-            }
+            ready_runs = set()
+            for other in self.sessions.values():
+                if not other.is_responsive():
+                    continue
+                pending = other.pending()
+                ready_runs |= {
+                    (task.key, task.number)
+                    for task in other.running
+                    if task.percent >= READY_PERCENT
+                    and task.key not in pending
+                    and not self._is_stop_expected(task.key, task.number)
+                }
             views = self._views()
             for view in views.values():
                 view.admits_long_running = False  # No move to a failing worker.
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -214,6 +214,10 @@
         """Queue the stop of a run, unless an order for this run is pending."""
         self._sender.order_stop(key, number)
 
+    def pending(self) -> set[TaskKey]:
+        """Return the tasks with an order that is expected, queued or being sent."""
+        return self._sender.pending()
+
     def send_queued_orders(self) -> None:
         """Send all queued orders: one iteration of the sender's threads."""
         self._sender.send_queued()
