--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -123,7 +123,7 @@
         self.assertEqual(ordered, len(self.provider.upkeeps))
 
     def test_the_wait_for_an_order_begins_anew_when_a_machine_returns(self):
-        """Guards against a wave that skips a machine for the wait of an earlier drain."""
+        """Guards against a machine that is skipped for the wait of an earlier drain."""
         self.provider.outcome = MachineOrderOutcome.UNKNOWN
         self.replica.lead()
         self.add_wave()
