Test of pending stops: each worker has its own emulated tasks

test_a_task_whose_stop_is_still_being_sent_counts_as_unavailable stood in a class whose workers share one emulator, so that each listed the tasks of all, and it failed with the fix as well.

--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -58,6 +58,21 @@
             run_once(self.executor)
         self.assertEqual(1, len(self.executor.movable_tasks(second)))
 
+    def test_a_task_whose_stop_is_still_being_sent_counts_as_unavailable(self):
+        """Guards against a second task of a step stopped beside a pending stop."""
+        for worker_id in ("w1", "w2", "w3"):
+            self.harness.apply(worker=worker(worker_id, cpu=1_000))
+        self.harness.accept(job(steps=[step(2, long_running=True, may_miss=1)]))
+        for _ in range(3):
+            run_once(self.executor)
+        (first, (task,)), (second, _) = [
+            (place, list(tasks.values()))
+            for place, tasks in self.harness.table.runs.items()
+        ]
+        self.assertEqual(1, len(self.executor.movable_tasks(second[0])))
+        self.executor.sessions[first[0]].order_stop(task.key, task.number)
+        self.assertEqual([], self.executor.movable_tasks(second[0]))
+
     def test_tasks_are_not_moved_to_a_worker_that_fails_its_runs(self):
         """Guards against a move to a worker that takes tasks only as a last resort."""
         for worker_id in ("w1", "w2", "w3"):
@@ -215,21 +230,6 @@
             run_once(self.executor)
             self.assertTrue(self.executor.sessions["w1"].is_usable())
 
-    def test_a_task_whose_stop_is_still_being_sent_counts_as_unavailable(self):
-        """Guards against a second task of a step stopped beside a pending stop."""
-        for worker_id in ("w1", "w2", "w3"):
-            self.harness.apply(worker=worker(worker_id, cpu=1_000))
-        self.harness.accept(job(steps=[step(2, long_running=True, may_miss=1)]))
-        for _ in range(3):
-            run_once(self.executor)
-        (first, (task,)), (second, _) = [
-            (place, list(tasks.values()))
-            for place, tasks in self.harness.table.runs.items()
-        ]
-        self.assertEqual(1, len(self.executor.movable_tasks(second[0])))
-        self.executor.sessions[first[0]].order_stop(task.key, task.number)
-        self.assertEqual([], self.executor.movable_tasks(second[0]))
-
     def test_a_hold_between_the_commit_and_the_start_of_a_run_does_not_stop_it(self):
         """Guards against stops of runs that a concurrent hold does not list yet."""
         self.harness.apply(worker=worker("w1"))
