Names and texts of the scheduling: capacity fits, waits have room

holds_beside_long_running, could_hold and has_placed_tasks read like leases and placements; they are fits_beside_long_running, fits_if_idle and has_tasks_with_room. Behaviour is the same.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -57,8 +57,8 @@
 """Progress reported by a long-running task that has finished starting up."""
 
 STOP_EFFECT_SECONDS = 15.0
-"""Time after which a run that is still listed was not stopped: the order was not sent.
-An order that is not answered may be executed 12 s later."""
+"""How long a run that is to be stopped counts as unavailable although its worker lists
+it. An unanswered order may take effect 12 s later; after that, it was never sent."""
 
 SESSIONS_PER_TERM = 1_000_000
 """Number of fencing tokens available in each term; a process opens far fewer sessions
--- a/arbutuscleat/execution/machine_pauses.py
+++ b/arbutuscleat/execution/machine_pauses.py
@@ -1,7 +1,7 @@
-"""Machine pauses: machines that are not drained for some time.
+"""Machine pauses: machines for which no order is planned for some time.
 
-A machine that could not be ordered is left alone before the next attempt, so that its
-worker gets runs meanwhile.
+An order that failed is not planned again at once, so that the machine's worker gets
+runs meanwhile.
 """
 
 from arbutuscleat.core import Clock
@@ -35,9 +35,9 @@
         self._until = {}
 
     def begin(self, machine: str, seconds: float) -> None:
-        """Leave a machine alone for some seconds."""
+        """Plan no order for a machine for some seconds."""
         self._until[machine] = self._clock.monotonic() + seconds
 
     def is_paused(self, machine: str) -> bool:
-        """Return whether a machine is left alone at present."""
+        """Return whether no order for a machine may be planned at present."""
         return self._clock.monotonic() < self._until.get(machine, 0.0)
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -384,7 +384,7 @@
         return [(key, number) for key, number in runs if stopped.get(key) != number]
 
     def _stop_stalled(self, answer: HoldAnswer) -> None:
-        """Stop stalled tasks and schedule no new runs on the worker for a while."""
+        """Stop stalled tasks and schedule no new runs on the worker for a time."""
         progressing = []
         with self._table.lock:
             for item in answer.running:
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -101,7 +101,7 @@
     return replace(
         demand,
         unplaced=tuple(placement.unplaced),
-        has_placed_tasks=placement.placed_long_running > 0,
+        has_tasks_with_room=placement.long_running_with_room > 0,
     )
 
 
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -375,7 +375,7 @@
             others = [view for view in workers if view is not best]
             limit = OTHER_WORKER_WAIT_SECONDS
             if is_last and best.grade:
-                if any(view.holds_beside_long_running(step) for view in others):
+                if any(view.fits_beside_long_running(step) for view in others):
                     limit = LAST_ATTEMPT_WAIT_SECONDS
             if self._waits_for_another(step, task, others, limit, now):
                 return None
@@ -402,7 +402,7 @@
             return False
         if step.long_running:
             return any(view.will_accept(step, task.key[:3]) for view in others)
-        return any(view.could_hold(step) for view in others)
+        return any(view.fits_if_idle(step) for view in others)
 
 
 def _is_last_attempt(failures: int, max_attempts: int | None) -> bool:
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -310,7 +310,7 @@
 
     def idle_machines(self) -> list[PoolMachine]:
         """Return the idle machines that the service can spare, one by one."""
-        if self.demand.has_placed_tasks:
+        if self.demand.has_tasks_with_room:
             return []
         return [
             item
--- a/arbutuscleat/scheduling/service_demand.py
+++ b/arbutuscleat/scheduling/service_demand.py
@@ -58,7 +58,7 @@
         The parts of the demand that only some machines can meet.
     unplaced : tuple of UnplacedTasks
         Waiting tasks that none of the machines that the service has will run.
-    has_placed_tasks : bool
+    has_tasks_with_room : bool
         Whether a long-running task waits that one of these machines will run.
     """
 
@@ -72,7 +72,7 @@
     waiting_tasks: int = 0
     by_requirement: Mapping[Requirement, "Demand"] = field(default_factory=dict)
     unplaced: tuple[UnplacedTasks, ...] = ()
-    has_placed_tasks: bool = False
+    has_tasks_with_room: bool = False
 
     @property
     def cpu(self) -> int:
--- a/arbutuscleat/scheduling/unplaced_tasks.py
+++ b/arbutuscleat/scheduling/unplaced_tasks.py
@@ -58,7 +58,7 @@
         self._workers = workers
         self._steps_left = MAX_STEPS
         self.unplaced: list[UnplacedTasks] = []
-        self.placed_long_running = 0
+        self.long_running_with_room = 0
         """Number of waiting long-running tasks that some worker will accept."""
 
     def add(self, step: StepRecord, group: tuple[str, int, int], count: int) -> None:
@@ -74,7 +74,7 @@
             Number of waiting tasks.
         """
         if not step.long_running:
-            if not any(view.could_hold(step) for view in self._workers):
+            if not any(view.fits_if_idle(step) for view in self._workers):
                 self.unplaced.append(UnplacedTasks(group, step, 1))
             return
         if not self._steps_left:
@@ -87,6 +87,6 @@
                 while left and is_accepted(view, step, group):
                     view.reserve(step, group)
                     left -= 1
-        self.placed_long_running += count - left
+        self.long_running_with_room += count - left
         if left:
             self.unplaced.append(UnplacedTasks(group, step, left))
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -118,9 +118,9 @@
             return WaitReason.RESERVED
         return None
 
-    def could_hold(self, step: StepRecord) -> bool:
+    def fits_if_idle(self, step: StepRecord) -> bool:
         """Return whether the worker could run a task of `step` if it was idle."""
-        return self._holds(step, self.record.cpu, self.record.mem_mb, self.record.gpu)
+        return self._fits(step, self.record.cpu, self.record.mem_mb, self.record.gpu)
 
     def will_accept(self, step: StepRecord, group: tuple[str, int, int]) -> bool:
         """Return whether a long-running task is accepted once all finite runs ended.
@@ -136,11 +136,11 @@
         """
         if step.spread_limit and self.counts.get(group, 0) >= step.spread_limit:
             return False
-        return self.holds_beside_long_running(step)
+        return self.fits_beside_long_running(step)
 
-    def holds_beside_long_running(self, step: StepRecord) -> bool:
+    def fits_beside_long_running(self, step: StepRecord) -> bool:
         """Return whether a task of `step` fits once all finite runs have ended."""
-        return self._holds(
+        return self._fits(
             step,
             self.record.cpu - self.long_running_cpu,
             self.record.mem_mb - self.long_running_mem_mb,
@@ -166,7 +166,7 @@
         cpu, mem_mb, gpu : int
             Free CPU in thousandths of a core, memory in MB and accelerators.
         """
-        if not self.usable or not self._holds(step, cpu, mem_mb, gpu):
+        if not self.usable or not self._fits(step, cpu, mem_mb, gpu):
             return 0
         limits = [step.count]
         if not step.fills and step.cpu:
@@ -181,7 +181,7 @@
             limits.append(self.max_new_runs)
         return max(0, min(limits))
 
-    def _holds(self, step: StepRecord, cpu: int, mem_mb: int, gpu: int) -> bool:
+    def _fits(self, step: StepRecord, cpu: int, mem_mb: int, gpu: int) -> bool:
         return (
             self._admits(step)
             and (not step.required_label or step.required_label in self.record.labels)
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -196,7 +196,7 @@
     def test_no_machine_is_parked_while_a_long_running_task_waits_for_room(self):
         """Guards against a worker that is drained just before a task starts on it."""
         machines = [machine(f"k{i}", "karachi") for i in range(4)]
-        found = plan(machines, karachi=Demand(has_placed_tasks=True))
+        found = plan(machines, karachi=Demand(has_tasks_with_room=True))
         self.assertEqual(set(), found)
 
     def test_machines_are_not_parked_until_demand_was_observed(self):
--- a/tests/scheduling/test_unplaced_tasks.py
+++ b/tests/scheduling/test_unplaced_tasks.py
@@ -24,7 +24,7 @@
         asked = step(5, long_running=True, spread_limit=1)
         self.views[0].reserve(asked, GROUP)
         self.assertEqual([3], self.unplaced(asked, 4))
-        self.assertEqual(1, self.placement.placed_long_running)
+        self.assertEqual(1, self.placement.long_running_with_room)
 
     def test_a_task_that_fits_in_no_single_piece_is_unplaced(self):
         """Guards against a task that waits for ever next to enough memory in sum."""
