--- a/tests/consensus/test_joining.py
+++ b/tests/consensus/test_joining.py
@@ -175,6 +175,17 @@
         self.group.run(3.0)
         self.assertTrue(self.group.replicas[name].status().voter)
 
+    def test_a_group_of_five_recovers_from_the_loss_of_two_disks(self):
+        """Guards against a lost quorum although three of five disks remain."""
+        for name in ("d", "e"):
+            self.group.add(name)
+            self.group.join(name)
+            self.group.run(1.0)
+        for name in FOUNDERS[:2]:
+            self.group.add(name)
+        self.group.run(10.0)
+        self.assertIsNotNone(self.group.leader())
+
     def test_a_replaced_voter_returns_as_a_learner(self):
         self.group.add("d")
         self.group.join("d")
