--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -49,14 +49,10 @@
 MAX_VOTERS = 3
 """An odd number: if a partition splits the group in two, one side has a majority."""
 
-LEARNER_INTERVAL_SECONDS = 0.025
-"""Half a tick: a learner stays recent enough to be promoted at the next tick."""
-
 REPLICA_CONFIG = ReplicaConfig(
     heartbeat_seconds=0.2,
     election_seconds=0.7,
     election_spread=1.6,
-    learner_interval_seconds=LEARNER_INTERVAL_SECONDS,
     call_seconds=0.8,
     tick_seconds=0.05,
     snapshot_entries=3000,
