--- a/tests/soak/slowness.py
+++ b/tests/soak/slowness.py
@@ -14,7 +14,7 @@
 class SlownessWatch(Part):
     """Reads how long the threads of control and stopping nodes were ready to run.
 
-    On a busy machine every node is slow at times, and no fault of the soak says so.
+    On a busy machine every node is slow at times without any fault being injected.
     """
 
     def __init__(self, world: World, fleet: Fleet):
