Disk failures: sizes of the files in the log line, gauge replica_failed

Tells apart whether a log that has outgrown its disk or a disk that refuses writes made a replica fail, and shows for how long it is failed: the line had the error alone, and no metric said so.

--- a/arbutuscleat/consensus/disk.py
+++ b/arbutuscleat/consensus/disk.py
@@ -28,6 +28,10 @@
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to `size` bytes and sync it."""
 
+    @abstractmethod
+    def sizes(self) -> dict[str, int]:
+        """Return the sizes of the files in bytes, by name."""
+
 
 class FolderDisk(Disk):
     """A data folder in the file system.
@@ -75,6 +79,10 @@
         os.ftruncate(descriptor, size)
         os.fsync(descriptor)
 
+    def sizes(self) -> dict[str, int]:
+        """Return the sizes of the files in bytes, by name."""
+        return {path.name: path.stat().st_size for path in self._folder.iterdir()}
+
     def close(self) -> None:
         """Close the open files."""
         for name in list(self._open_files):
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -172,9 +172,24 @@
         self.failure = str(exc)
         self.role = Role.FAILED
         self.leader = ""
-        logging.error("replica %s: failed on a disk error: %s", self.node_id, exc)
+        logging.error(
+            "replica %s: failed on a disk error in term %d after entry %d: %s; %s",
+            self.node_id,
+            self.term,
+            self.log.synced_index,
+            exc,
+            self._file_sizes(),
+        )
         self.send_ready.notify_all()
 
+    def _file_sizes(self) -> str:
+        """Return the files and their sizes, as written in logs."""
+        try:
+            sizes = self.disk.sizes()
+        except OSError as exc:
+            return f"sizes of the files unknown: {exc}"
+        return ", ".join(f"{name} {size} bytes" for name, size in sorted(sizes.items()))
+
     def reset_election_timer(self) -> None:
         """Restart the election timer with a random timeout."""
         self.election_due = self._next_election()
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -47,6 +47,7 @@
             "leads": status.role is Role.LEADER,
             "term": status.term,
             "commit_index": status.commit_index,
+            "replica_failed": status.role is Role.FAILED,
         }
         with self._table.lock:
             gauges |= self._table_gauges()
--- a/tests/fakes/disk.py
+++ b/tests/fakes/disk.py
@@ -52,6 +52,9 @@
     def truncate(self, name, size):
         self._write(name, self.files[name][:size], self.files[name])
 
+    def sizes(self):
+        return {name: len(data) for name, data in self.files.items()}
+
     def _write(self, name, whole, torn):
         self.writes += 1
         if self.fail_at is not None:
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -37,6 +37,7 @@
             "leads": 1,
             "term": 4,
             "commit_index": 9,
+            "replica_failed": False,
             "configuration_version": 1,
             "jobs_held": 2,
             "jobs_active": 2,
