A voter whose disk refuses writes counts as silent

Cause: a failed replica goes on answering append requests, with a refusal, and the leader recorded each answer as a sign of life. So the voter was not silent, no learner was promoted in its place, and it counted for the quorum that the leader has to hear.

Change: answers say that the disk has failed, and the leader counts them as no answer. A learner replaces the voter after voter_silence_seconds, as it does one that is down. A failed replica no longer asks to join every 0.3 s.

--- a/arbutuscleat/access/joiner.py
+++ b/arbutuscleat/access/joiner.py
@@ -10,7 +10,7 @@
 from absl import logging
 from returns.result import Success
 
-from arbutuscleat.consensus import Replica
+from arbutuscleat.consensus import Replica, Role
 from arbutuscleat.core import Clock
 from arbutuscleat.wire import Address, Channel, Credentials
 from arbutuscleat.wire.gen_jobs import JobControl
@@ -70,7 +70,7 @@
     def _run(self) -> None:
         while not self._clock.sleep(self._stopping, CHECK_SECONDS):
             status = self._replica.status()
-            if not status.leader:
+            if not status.leader and status.role is not Role.FAILED:
                 self._request_join()
 
     def _request_join(self) -> None:
--- a/arbutuscleat/consensus/replication.py
+++ b/arbutuscleat/consensus/replication.py
@@ -91,6 +91,8 @@
             progress = state.progress[peer]
             if not self.is_listed(peer, answer.incarnation, progress):
                 return
+            if answer.disk_failed:
+                return  # Counts as silent: it can neither vote nor store entries.
             progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
             if answer.accepted:
                 progress.match_index = max(progress.match_index, answer.last_index)
@@ -260,4 +262,5 @@
             accepted=accepted,
             last_index=last,
             incarnation=state.incarnation,
+            disk_failed=state.role is Role.FAILED,
         )
--- a/arbutuscleat/consensus/snapshots.py
+++ b/arbutuscleat/consensus/snapshots.py
@@ -107,6 +107,8 @@
             progress = state.progress[peer]
             if not self._replication.is_listed(peer, answer.incarnation, progress):
                 return
+            if answer.disk_failed:
+                return  # Counts as silent.
             progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
             self._advance_progress(progress, request, answer.accepted)
             state.peer_answered.notify_all()
@@ -198,4 +200,5 @@
             term=self._state.term,
             accepted=accepted,
             incarnation=self._state.incarnation,
+            disk_failed=self._state.role is Role.FAILED,
         )
--- a/arbutuscleat/wire/arbutuscleat.thrift
+++ b/arbutuscleat/wire/arbutuscleat.thrift
@@ -86,12 +86,14 @@
   7: i64 commit_index
 }
 
+// `disk_failed`: the replica neither votes nor stores entries now.
 struct AppendAnswer {
   1: i64 request_id
   2: i64 term
   3: bool accepted
   4: i64 last_index
   5: string incarnation
+  6: optional bool disk_failed
 }
 
 struct SnapshotChunk {
@@ -111,6 +113,7 @@
   2: i64 term
   3: bool accepted
   4: string incarnation
+  5: optional bool disk_failed
 }
 
 // Sent by a leader that is about to stop: the peer asks for votes at once.
--- a/arbutuscleat/wire/gen/ttypes.py
+++ b/arbutuscleat/wire/gen/ttypes.py
@@ -928,16 +928,18 @@
      - accepted
      - last_index
      - incarnation
+     - disk_failed
 
     """
 
 
-    def __init__(self, request_id=None, term=None, accepted=None, last_index=None, incarnation=None,):
+    def __init__(self, request_id=None, term=None, accepted=None, last_index=None, incarnation=None, disk_failed=None,):
         self.request_id = request_id
         self.term = term
         self.accepted = accepted
         self.last_index = last_index
         self.incarnation = incarnation
+        self.disk_failed = disk_failed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -973,6 +975,11 @@
                     self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.disk_failed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1003,6 +1010,10 @@
             oprot.writeFieldBegin('incarnation', TType.STRING, 5)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.disk_failed is not None:
+            oprot.writeFieldBegin('disk_failed', TType.BOOL, 6)
+            oprot.writeBool(self.disk_failed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1174,15 +1185,17 @@
      - term
      - accepted
      - incarnation
+     - disk_failed
 
     """
 
 
-    def __init__(self, request_id=None, term=None, accepted=None, incarnation=None,):
+    def __init__(self, request_id=None, term=None, accepted=None, incarnation=None, disk_failed=None,):
         self.request_id = request_id
         self.term = term
         self.accepted = accepted
         self.incarnation = incarnation
+        self.disk_failed = disk_failed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1213,6 +1226,11 @@
                     self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.disk_failed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1239,6 +1257,10 @@
             oprot.writeFieldBegin('incarnation', TType.STRING, 4)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.disk_failed is not None:
+            oprot.writeFieldBegin('disk_failed', TType.BOOL, 5)
+            oprot.writeBool(self.disk_failed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6399,6 +6421,7 @@
     (3, TType.BOOL, 'accepted', None, None, ),  # 3
     (4, TType.I64, 'last_index', None, None, ),  # 4
     (5, TType.STRING, 'incarnation', 'UTF8', None, ),  # 5
+    (6, TType.BOOL, 'disk_failed', None, None, ),  # 6
 )
 all_structs.append(SnapshotChunk)
 SnapshotChunk.thrift_spec = (
@@ -6420,6 +6443,7 @@
     (2, TType.I64, 'term', None, None, ),  # 2
     (3, TType.BOOL, 'accepted', None, None, ),  # 3
     (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'disk_failed', None, None, ),  # 5
 )
 all_structs.append(TakeOverRequest)
 TakeOverRequest.thrift_spec = (
