A replica takes part again once its disk accepts writes

Cause: a failed write was final for the life of the process. The disks of three of four control nodes refused writes for some seconds, at 4, 16 and 28 s; each took its replica for good, and the third took the quorum. The log had 190 to 710 kB on disks of 128 MB, so it had not filled them, and the nodes went on at once after the restart of all machines, on the same disks. Class: a fault that passes is treated as one that stays, and only an event from outside ends it.

What it has acknowledged is all in memory, and a failed sync is not tried again, so once the new files are synced the disk holds all that it has ever answered for, and it goes on as after a restart.

Tests that failed before: no leader after the disks of all replicas have refused writes by turns; role FAILED 3 s after the disk accepts writes.

--- a/arbutuscleat/consensus/disk.py
+++ b/arbutuscleat/consensus/disk.py
@@ -1,7 +1,7 @@
 """Disks: durable storage for the files of a replica.
 
 A write is durable only once it is synced.  Every method raises `OSError` if the disk
-fails; a failed sync is final and is never retried.
+fails; a failed sync is never retried on the same file.
 """
 
 import os
--- a/arbutuscleat/consensus/log.py
+++ b/arbutuscleat/consensus/log.py
@@ -111,6 +111,10 @@
             return None
         return self._batch_after(self._synced)
 
+    def whole(self) -> LogBatch:
+        """Return the batch of all entries, to be written with `rewrite`."""
+        return self._batch_after(self._base_index)
+
     def replace_after(self, base: int, entries: Sequence[LogEntry]) -> None:
         """Replace the entries after index `base` by `entries` in memory."""
         del self._entries[base - self._base_index :]
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -26,6 +26,7 @@
 
 from .config import ReplicaConfig
 from .disk import Disk
+from .disk_recovery import DiskRecovery
 from .elections import Elections
 from .peer import Peer, PeerAnswer, PeerRequest
 from .progress import Progress
@@ -58,7 +59,7 @@
     voter : bool
         Whether the log lists this incarnation as a voter.
     failure : str
-        The disk error that made the replica fail; empty if there was none.
+        The disk error because of which the replica is failed; empty if it is not.
     """
 
     node_id: str
@@ -115,6 +116,7 @@
         self._replication = Replication(self._state)
         self._snapshots = Snapshots(self._state, self._replication)
         self._reconfiguration = Reconfiguration(self._state)
+        self._disk_recovery = DiskRecovery(self._state)
         self._threads = ReplicaThreads(
             self._state,
             {peer.node_id: peer for peer in peers},
@@ -315,6 +317,7 @@
         self._step_down_without_quorum()
         self._elections.tick()
         self._reconfiguration.tick()
+        self._disk_recovery.tick()
         if self._snapshots.is_due():
             self._snapshots.write()
 
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -168,7 +168,10 @@
     # ---- changes; the caller holds `lock` ----
 
     def fail(self, exc: OSError) -> None:
-        """Enter the failed role, because a failed write or sync is final."""
+        """Enter the failed role, after a failed write or sync.
+
+        `DiskRecovery` leaves it once the whole state has been written to new files.
+        """
         self.failure = str(exc)
         self.role = Role.FAILED
         self.leader = ""
@@ -181,6 +184,16 @@
             self._file_sizes(),
         )
         self.send_ready.notify_all()
+        self.peer_answered.notify_all()
+
+    def recover(self) -> None:
+        """Leave the failed role as a follower without a known leader.
+
+        As after a restart, no pre-vote is granted for the shortest election timeout.
+        """
+        self.failure = ""
+        self.last_heard = self.clock.monotonic()
+        self.become_follower("")
 
     def _file_sizes(self) -> str:
         """Return the files and their sizes, as written in logs."""
--- a/arbutuscleat/consensus/role.py
+++ b/arbutuscleat/consensus/role.py
@@ -11,4 +11,4 @@
     CANDIDATE = "candidate"
     LEADER = "leader"
     FAILED = "failed"
-    """The disk failed: the replica neither votes nor acknowledges entries."""
+    """The disk refuses writes: the replica neither votes nor acknowledges entries."""
--- a/tests/consensus/test_disk_failures.py
+++ b/tests/consensus/test_disk_failures.py
@@ -3,9 +3,14 @@
 from testtools import TestCase
 
 from arbutuscleat.consensus import Role
+from arbutuscleat.consensus.disk_recovery import RETRY_SECONDS
 from arbutuscleat.wire.gen.ttypes import EntryKind
+from tests import guarantees
+from tests.consensus.harness import ReplicaHarness, entries
 from tests.consensus.test_joining import FOUNDERS, Group
 
+FAULTS = ("error", "torn", "unsynced")
+
 
 class RefusedWritesTest(TestCase):
     """A group of three voters and a learner whose disks refuse writes by turns."""
@@ -67,3 +72,76 @@
         self.propose("1")
         self.group.run(4.0)
         self.assertEqual({*FOUNDERS, "d"} - {name}, self.group.voters())
+
+
+class RecoveryTest(TestCase):
+    """One replica that has voted and stored entries, and then fails."""
+
+    def failed_harness(self, fault):
+        harness = ReplicaHarness()
+        self.assertTrue(harness.append(entries(1, 1, 1)).accepted)
+        self.assertTrue(harness.vote(term=3, candidate="c").granted)
+        harness.disk.fault, harness.disk.fail_at = fault, 1
+        self.assertFalse(self.append_third(harness).accepted)
+        harness.replica.tick()
+        harness.disk.repair()
+        return harness
+
+    def append_third(self, harness):
+        return harness.append(entries(3, 3), term=3, previous=(2, 1), leader="c")
+
+    def retry(self, harness):
+        harness.clock.advance(RETRY_SECONDS)
+        harness.replica.tick()
+
+    def assert_keeps_its_promises(self, harness):
+        self.assertFalse(harness.vote(term=3, candidate="b").granted)
+        self.assertTrue(harness.vote(term=3, candidate="c").granted)
+        guarantees.acknowledged_entries_stay([1, 1], harness.log())
+
+    def test_a_recovered_replica_keeps_its_vote_and_its_entries(self):
+        for fault in FAULTS:
+            harness = self.failed_harness(fault)
+            self.retry(harness)
+            self.assertIs(Role.FOLLOWER, harness.replica.status().role, fault)
+            self.assert_keeps_its_promises(harness)
+            self.assertTrue(self.append_third(harness).accepted)
+            self.assert_keeps_its_promises(harness.restart())
+            self.assertEqual([1, 1, 3], harness.log())
+
+    def test_a_disk_that_fails_again_at_any_write_of_the_recovery_loses_nothing(self):
+        for fault in FAULTS:
+            for write in (1, 2, 3):
+                harness = self.failed_harness(fault)
+                harness.disk.fail_at = write
+                self.retry(harness)
+                self.assertIs(Role.FAILED, harness.replica.status().role)
+                self.assert_keeps_its_promises(harness.restart())
+                harness.disk.repair()
+                self.assertTrue(self.append_third(harness).accepted)
+                self.assertEqual([1, 1, 3], harness.restart().log())
+
+    def test_nothing_is_granted_or_stored_before_the_recovery(self):
+        harness = self.failed_harness("unsynced")
+        self.assertFalse(harness.vote(term=4).granted)
+        answer = self.append_third(harness)
+        self.assertEqual((False, True), (answer.accepted, answer.disk_failed))
+
+    def test_no_pre_vote_right_after_a_recovery(self):
+        harness = self.failed_harness("error")
+        harness.clock.advance(60.0)
+        self.retry(harness)
+        self.assertFalse(harness.vote(term=9, pre_vote=True).granted)
+        harness.clock.advance(harness.cfg.election_seconds)
+        self.assertTrue(harness.vote(term=9, pre_vote=True).granted)
+
+    def test_a_failed_leader_does_not_lead_after_its_recovery(self):
+        harness = ReplicaHarness().lead()
+        harness.propose("1")
+        harness.disk.fail_at = 1
+        self.assertFalse(harness.replica.write_unsynced())
+        harness.replica.tick()
+        harness.disk.repair()
+        self.retry(harness)
+        self.assertIs(Role.FOLLOWER, harness.replica.status().role)
+        self.assertFalse(harness.replica.leads())
--- a/tests/consensus/test_stateful.py
+++ b/tests/consensus/test_stateful.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from arbutuscleat.consensus.disk_recovery import RETRY_SECONDS
 from tests import guarantees
 from tests.consensus.harness import ReplicaHarness, entries
 
@@ -108,6 +109,16 @@
         self.harness.disk.repair()
         self.harness.restart()
 
+    @rule(fault=st.sampled_from(["error", "torn", "unsynced"]), write=st.integers(1, 3))
+    def disk_refuses_writes_for_a_time(self, fault, write):
+        self.harness.disk.fault, self.harness.disk.fail_at = fault, write
+        self.replicate()
+        self.harness.replica.tick()
+        self.harness.disk.repair()
+        self.harness.clock.advance(RETRY_SECONDS)
+        self.harness.replica.tick()
+        assert not self.harness.replica.status().failure
+
     @invariant()
     def votes_once(self):
         guarantees.one_vote_per_term(self.votes)
