A replica is listed once, not in each tick until it answers

The leader lists an incarnation that it has heard of, and only the next answer of that replica cleared the note of it, so each tick before that proposed the same set again; no other change of the replica set is possible meanwhile. The note now counts only if the log does not list that incarnation yet.

--- a/arbutuscleat/consensus/reconfiguration.py
+++ b/arbutuscleat/consensus/reconfiguration.py
@@ -71,11 +71,10 @@
         """Return the record of a new learner or of a learner to promote, if any."""
         state = self._state
         for node_id, progress in state.progress.items():
-            if progress.unlisted_incarnation:
+            incarnation = progress.unlisted_incarnation
+            if incarnation and not self._lists(node_id, incarnation):
                 return ReplicaRecord(
-                    node_id=node_id,
-                    incarnation=progress.unlisted_incarnation,
-                    voter=False,
+                    node_id=node_id, incarnation=incarnation, voter=False
                 )
         for record in state.membership.current.replicas:
             if not record.voter and self._may_promote(record.node_id):
@@ -84,6 +83,10 @@
                 )
         return None
 
+    def _lists(self, node_id: str, incarnation: str) -> bool:
+        record = self._state.membership.record(node_id)
+        return record is not None and record.incarnation == incarnation
+
     def _may_promote(self, node_id: str) -> bool:
         if not self._is_caught_up(node_id):
             return False
--- a/tests/consensus/test_joining.py
+++ b/tests/consensus/test_joining.py
@@ -138,6 +138,16 @@
         self.assertEqual(set(FOUNDERS), self.group.voters())
         self.assertIn("d", self.group.replicas[self.group.leader()].members())
 
+    def test_a_replica_is_listed_once_although_its_first_answer_is_late(self):
+        """Guards against an entry of the log for each tick until the answer."""
+        self.group.add("d")
+        state = self.group.replicas[self.group.leader()]._state
+        self.group.join("d")
+        self.group.silent.add("d")
+        before = state.log.last_index
+        self.group.run(1.0)
+        self.assertEqual(before + 1, state.log.last_index)
+
     def test_only_the_leader_accepts_a_join(self):
         self.group.add("d")
         others = set(FOUNDERS) - {self.group.leader()}
