An entry instance follows the configuration after its disk refused a write

A version that cannot be saved is logged and not published, since an instance with a disk must not return with an older one. With each later answer the whole configuration is written to new files; once that succeeds the version is published. Peers are given published deltas only.

--- a/arbutuscleat/membership/configuration_view.py
+++ b/arbutuscleat/membership/configuration_view.py
@@ -39,6 +39,7 @@
         self._deltas: deque[ConfigDelta] = deque(maxlen=MAX_DELTAS)
         self._version = NO_VERSION
         self._listeners: list[Listener] = []
+        self._has_failed_save = False
 
     def add_listener(self, listener: Listener) -> None:
         """Call `listener` with each new configuration before it is published."""
@@ -67,16 +68,33 @@
         return self._configuration
 
     def apply(self, answer: FetchAnswer) -> bool:
-        """Apply the answer to a fetch; return whether the version increased."""
+        """Apply the answer to a fetch; return whether the version increased.
+
+        A version that cannot be saved is not published, because an instance with a
+        disk must not return with an older one. It is saved with the next answer.
+        """
         with self.changed:
             before = self._version
-            if answer.full is not None and self._apply_full(answer.full):
-                self._save_full(answer.full)
+            is_full = answer.full is not None and self._apply_full(answer.full)
             applied = [d for d in answer.deltas or () if self._apply_delta(d)]
-            self._save_deltas(applied)
+            try:
+                self._save(is_full, applied)
+            except OSError as exc:
+                self._has_failed_save = True
+                logging.error(
+                    "configuration version %d cannot be saved, version %d stays: %s",
+                    self._held_version(),
+                    before,
+                    exc,
+                )
+                return False
             self._publish()
             return self._version > before
 
+    def has_failed_save(self) -> bool:
+        """Return whether the disk refused the latest version."""
+        return self._has_failed_save
+
     def full(self) -> Configuration | None:
         """Return the complete configuration as a record; the caller holds `changed`."""
         configuration = self._configuration
@@ -84,10 +102,8 @@
 
     def deltas_since(self, version: int) -> list[ConfigDelta] | None:
         """Return the deltas after `version`, or None if some were discarded."""
-        missing = self._version - version
-        if missing < 0 or missing > len(self._deltas):
-            return None
-        return list(self._deltas)[len(self._deltas) - missing :]
+        found = [d for d in self._deltas if version < d.version <= self._version]
+        return found if len(found) == self._version - version else None
 
     def _apply_full(self, record: Configuration) -> bool:
         if record.version <= self._held_version():
@@ -124,14 +140,19 @@
         self._version = configuration.version
         self.changed.notify_all()
 
-    def _save_full(self, record: Configuration) -> None:
-        if self._store is not None:
-            self._store.save_full(record)
-
-    def _save_deltas(self, deltas: list[ConfigDelta]) -> None:
-        if self._store is not None and deltas:
-            self._store.save_deltas(deltas)
+    def _save(self, is_full: bool, applied: list[ConfigDelta]) -> None:
+        """Save what an answer has changed; after a failed save, everything."""
+        if self._store is None:
+            return
+        if is_full or self._has_failed_save:
+            self._save_full()
+        elif applied:
+            self._store.save_deltas(applied)
             if self._store.needs_compaction():
-                record = self.full()
-                assert record is not None
-                self._store.save_full(record)
+                self._save_full()
+        self._has_failed_save = False
+
+    def _save_full(self) -> None:
+        record = self.full()
+        if record is not None and self._store is not None:
+            self._store.save_full(record)
--- a/arbutuscleat/membership/subscription.py
+++ b/arbutuscleat/membership/subscription.py
@@ -117,7 +117,8 @@
             needs_renewal = self._rights.control_lease_expires_within(
                 RENEW_BEFORE_SECONDS
             )
-            if not is_leader or (needs_renewal and self._view.version == version):
+            is_stuck = needs_renewal and self._view.version == version
+            if not is_leader or is_stuck or self._view.has_failed_save():
                 self._clock.sleep(self._stopping, RETRY_INTERVAL_SECONDS)
 
     def _switch_source(self, source: str, hint: str) -> None:
