Fault soak: the disks of control nodes refuse writes

A limit of the size of files, set from outside on a running process, makes each of its writes fail until it is lifted. These faults come as a series of their own beside the others, so that the faults of earlier seeds stay as they were. The output of the nodes goes through pipes, which the limit does not concern.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -96,6 +96,12 @@
         scene.disk.release()
 
 
+def refuse_writes(scene, rng):
+    """Let the disks of one or two control nodes refuse writes, one after another."""
+    for node in rng.sample(scene.fleet.controls(), rng.choice([1, 1, 2])):
+        scene.fleet.refuse_writes(node, rng.uniform(0.3, MAX_SECONDS), scene.sleep)
+
+
 def kill_controls(scene, rng):
     seconds = rng.uniform(0.1, 2.0)
     kill, sleep = scene.fleet.kill_node, scene.sleep
@@ -278,27 +284,29 @@
 """The kinds of faults, and how often each is chosen relative to the others."""
 
 
+DISK_FAULTS = {refuse_writes: 1.0}
+"""Injected beside the others, as another series: seeds keep their other faults."""
+
+
 class Injector:
-    """Injects the faults of a seed in rounds; the n-th fault is always the same."""
+    """Injects a series of faults in rounds; the n-th fault of a seed never changes."""
 
-    def __init__(self, scene: Scene, mean_pause: float):
+    def __init__(self, scene: Scene, mean_pause: float, faults=FAULTS, series="fault"):
         self._scene = scene
         self._mean_pause = mean_pause
+        self._faults = faults
+        self._series = series
         self._number = 0
         self._threads: list[threading.Thread] = []
 
-    def run(self, seconds: float) -> None:
-        """Inject overlapping faults for some time, and wait until all are undone."""
+    def run(self) -> None:
+        """Inject overlapping faults until they have to end, and undo all of them."""
         scene = self._scene
-        scene.over.clear()
-        timer = threading.Timer(seconds, scene.over.set)
-        timer.daemon = True
-        timer.start()
         while not scene.over.is_set():
             self._number += 1
-            rng = random.Random(f"{scene.world.seed} fault {self._number}")
+            rng = random.Random(f"{scene.world.seed} {self._series} {self._number}")
             pause = rng.expovariate(1.0 / self._mean_pause)
-            fault = rng.choices(list(FAULTS), list(FAULTS.values()))[0]
+            fault = rng.choices(list(self._faults), list(self._faults.values()))[0]
             thread = threading.Thread(target=self._inject, args=(fault, rng))
             thread.start()
             self._threads.append(thread)
@@ -306,6 +314,7 @@
         self.stop()
 
     def stop(self) -> None:
+        """End the faults of all series, and wait until those of this one are undone."""
         self._scene.over.set()
         for thread in self._threads:
             thread.join()
@@ -319,3 +328,12 @@
         except Exception as exc:  # A failing fault must not end unnoticed.
             self._scene.world.report.violation("SOAK", fault.__name__, repr(exc))
             raise
+
+
+def inject(scene: Scene, injectors: Iterable[Injector], seconds: float) -> None:
+    """Inject the faults of several series for some time."""
+    scene.over.clear()
+    timer = threading.Timer(seconds, scene.over.set)
+    timer.daemon = True
+    timer.start()
+    _together(injector.run for injector in injectors)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import random
+import resource
 import shutil
 import signal
 import subprocess
@@ -202,6 +203,21 @@
                 if not node.paused:
                     process.send_signal(signal.SIGCONT)
 
+    def refuse_writes(self, node: Node, seconds: float, sleep) -> None:
+        """Let all writes of a node to files fail for some time."""
+        with node.lock:
+            if node.stopping or node.process.poll() is not None:
+                return
+            process = node.process
+            _await_handlers(process)
+        with self.world.disturbances.during(node.scope + UNPLANNED):
+            self.report.event(f"{node.name}: no writes for {seconds:.2f} s")
+            with contextlib.suppress(ProcessLookupError):
+                limits = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, limits[1]))
+                sleep(seconds)
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limits)
+
     def change_settings(self, node: Node, rng: random.Random, signals: bool) -> None:
         """Write other seeds into the settings of a node."""
         with node.lock:
@@ -222,7 +238,10 @@
         if not self._running:
             return
         node.settings.write_settings(first)
-        node.process = node.settings.start()
+        # Through a pipe, as a process whose disk refuses writes goes on logging.
+        node.process = node.settings.start(subprocess.PIPE)
+        copy = threading.Thread(target=_copy_output, args=(node,), daemon=True)
+        copy.start()
         node.lives += 1
         node.stopping = False
         self.world.disturbances.note(node.scope + PLANNED)
@@ -264,6 +283,12 @@
                         self._start(node)
 
 
+def _copy_output(node: Node) -> None:
+    with node.settings.log_path.open("ab", buffering=0) as log:
+        for line in node.process.stdout:
+            log.write(line)
+
+
 def _await_handlers(process: subprocess.Popen) -> None:
     """Wait until a process handles SIGTERM, which the interpreter's start precludes."""
     while process.poll() is None:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -13,7 +13,7 @@
 from .checks.jobs import CutCheck, JobCheck
 from .checks.machines import MachineCheck
 from .checks.runs import RunCheck
-from .faults import Injector, Scene
+from .faults import DISK_FAULTS, Injector, Scene, inject
 from .fleet import Fleet
 from .operator import Operator
 from .report import Report
@@ -29,6 +29,9 @@
 MEAN_PAUSE = 0.9
 """Mean time between two faults, in seconds."""
 
+MEAN_DISK_PAUSE = 6.0
+"""Mean time between two faults of disks, in seconds."""
+
 LASTING_JOBS = 3
 MAX_QUESTIONS = 8
 MAX_LASTING_TASKS = 4
@@ -64,8 +67,11 @@
             caller.config_check = self._config_check
         self._waits = WaitCheck(world, back_ends, runs)
         self._slowness = SlownessWatch(world, fleet)
-        scene = Scene(world, fleet, back_ends, self._operator)
-        self._injector = Injector(scene, MEAN_PAUSE)
+        self._scene = scene = Scene(world, fleet, back_ends, self._operator)
+        self._injectors = [
+            Injector(scene, MEAN_PAUSE),
+            Injector(scene, MEAN_DISK_PAUSE, DISK_FAULTS, "disk fault"),
+        ]
 
     def run(self, seconds: float) -> Report:
         """Inject faults and check for about `seconds`, and always clean up."""
@@ -73,7 +79,7 @@
             self._start()
             until = time.monotonic() + seconds
             while True:
-                self._injector.run(FAULTY_SECONDS)
+                inject(self._scene, self._injectors, FAULTY_SECONDS)
                 self.world.report.event("calm")
                 time.sleep(CALM_SECONDS)
                 if time.monotonic() + FAULTY_SECONDS > until:
@@ -81,7 +87,8 @@
             self._finish()
         finally:
             self._operator.loop.stopping.set()
-            self._injector.stop()
+            for injector in self._injectors:
+                injector.stop()
             self._fleet.kill()
             self._back_ends.stop()
             self.world.network.stop()
