A voter whose disk refuses writes is sent heartbeats only

Its peers' refusals carry no last index, so each one set the next entry back to the first of the log, and as each also counted as a sign of life, the whole log was sent again without a pause.

A peer that has said so is now sent empty heartbeats, which suffice to learn that it has recovered. The test failed before.

--- a/arbutuscleat/consensus/progress.py
+++ b/arbutuscleat/consensus/progress.py
@@ -25,6 +25,8 @@
         Bytes of the current snapshot that the peer has accepted.
     snapshot_index : int
         Index of the last entry in the snapshot being sent; 0 if none is sent.
+    disk_failed : bool
+        Whether the latest answer said that the peer's disk refuses writes.
     unlisted_incarnation : str
         Incarnation of the peer if the log does not list it, otherwise empty.
     """
@@ -37,4 +39,5 @@
     asked_round: int = 0
     snapshot_offset: int = 0
     snapshot_index: int = 0
+    disk_failed: bool = False
     unlisted_incarnation: str = ""
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -138,6 +138,11 @@
             return ""
         return self.leader
 
+    def is_responsive(self, progress: Progress) -> bool:
+        """Return whether a peer has answered within two heartbeats, and can write."""
+        silence = self.clock.monotonic() - progress.acknowledged_at
+        return silence < 2 * self.cfg.heartbeat_seconds and not progress.disk_failed
+
     def quorum_heard_since(self, moment: float) -> bool:
         """Return whether a majority answered requests sent at or after `moment`.
 
--- a/arbutuscleat/consensus/replication.py
+++ b/arbutuscleat/consensus/replication.py
@@ -54,16 +54,19 @@
         may_send = self.may_send(progress) and not self._is_early(peer, progress)
         if not self.is_due(progress) and not (behind and may_send):
             return None
+        entries: list[LogEntry] = []
+        if not progress.disk_failed:  # Otherwise heartbeats show when it recovers.
+            entries = state.log.slice(
+                progress.next_index,
+                state.cfg.max_batch_entries,
+                state.cfg.max_batch_bytes,
+            )
         return AppendRequest(
             term=state.term,
             leader=state.node_id,
             previous_index=previous,
             previous_term=previous_term,
-            entries=state.log.slice(
-                progress.next_index,
-                state.cfg.max_batch_entries,
-                state.cfg.max_batch_bytes,
-            ),
+            entries=entries,
             commit_index=state.commit_index,
         )
 
@@ -91,7 +94,8 @@
             progress = state.progress[peer]
             if not self.is_listed(peer, answer.incarnation, progress):
                 return
-            if answer.disk_failed:
+            progress.disk_failed = bool(answer.disk_failed)
+            if progress.disk_failed:
                 return  # Counts as silent: it can neither vote nor store entries.
             progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
             if answer.accepted:
@@ -111,9 +115,7 @@
 
         A peer that does not answer is retried only at the heartbeat interval.
         """
-        silence = self._state.clock.monotonic() - progress.acknowledged_at
-        responsive = silence < 2 * self._state.cfg.heartbeat_seconds
-        return responsive or self.is_due(progress)
+        return self._state.is_responsive(progress) or self.is_due(progress)
 
     def _is_early(self, peer: str, progress: Progress) -> bool:
         """Return whether a learner was sent a request too recently for another one."""
--- a/arbutuscleat/consensus/snapshots.py
+++ b/arbutuscleat/consensus/snapshots.py
@@ -107,7 +107,8 @@
             progress = state.progress[peer]
             if not self._replication.is_listed(peer, answer.incarnation, progress):
                 return
-            if answer.disk_failed:
+            progress.disk_failed = bool(answer.disk_failed)
+            if progress.disk_failed:
                 return  # Counts as silent.
             progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
             self._advance_progress(progress, request, answer.accepted)
--- a/tests/consensus/test_disk_failures.py
+++ b/tests/consensus/test_disk_failures.py
@@ -65,6 +65,23 @@
         self.assertEqual("", self.group.replicas[name].status().failure)
         self.assertLessEqual(last, self.state(name).commit_index)
 
+    def test_a_voter_whose_disk_refuses_writes_is_not_sent_the_log_again(self):
+        """Guards against a leader that sends its whole log with each heartbeat."""
+        name = self.follower()
+        handle, sent = self.group.replicas[name].handle_append, []
+
+        def record(request):
+            sent.append(len(request.entries))
+            return handle(request)
+
+        self.group.replicas[name].handle_append = record
+        self.group.silent.add("d")
+        self.refuse_writes(name)
+        for text in range(100):
+            self.propose(str(text))
+            self.group.run(0.1)
+        self.assertLess(sum(sent), 100)
+
     def test_a_learner_replaces_a_voter_whose_disk_refuses_writes(self):
         """Guards against refusals that count as signs of a working voter."""
         name = self.follower()
