A learner that has just gone silent is not promoted

Scenario: the disk of a voter refuses writes, that of the learner a second later. After two seconds the learner was promoted, since it had been silent for less than voter_silence_seconds: four voters, of whom two answer, and no quorum; with the three as they were the group would have gone on. The same happened with two nodes that crash within two seconds.

The test failed before: no leader after 8 s.

--- a/arbutuscleat/consensus/reconfiguration.py
+++ b/arbutuscleat/consensus/reconfiguration.py
@@ -94,7 +94,7 @@
         max_voters = state.cfg.max_voters
         if not max_voters:
             return True
-        if self._silence(node_id) > state.cfg.voter_silence_seconds:
+        if not state.is_responsive(state.progress[node_id]):
             return False
         voters = state.membership.voters()
         # One voter too many is accepted here: the next change removes the silent one.
--- a/tests/consensus/test_disk_failures.py
+++ b/tests/consensus/test_disk_failures.py
@@ -65,6 +65,16 @@
         self.assertEqual("", self.group.replicas[name].status().failure)
         self.assertLessEqual(last, self.state(name).commit_index)
 
+    def test_a_learner_whose_disk_has_just_failed_is_not_promoted(self):
+        """Guards against a quorum that is lost by promoting a replica that is down."""
+        self.refuse_writes(self.follower())
+        self.propose("1")
+        self.group.run(1.0)
+        self.refuse_writes("d")
+        self.propose("2")
+        self.group.run(8.0)
+        self.assertIsNotNone(self.group.leader())
+
     def test_a_voter_whose_disk_refuses_writes_is_not_sent_the_log_again(self):
         """Guards against a leader that sends its whole log with each heartbeat."""
         name = self.follower()
