A failed replacement of a file leaves no other file on the full disk

FolderDisk.replace left NAME.new behind when the disk took only a part of it, so a full disk stayed fuller, and the retry wrote to the same file.

--- a/arbutuscleat/consensus/disk.py
+++ b/arbutuscleat/consensus/disk.py
@@ -65,10 +65,14 @@
         temporary = self._folder / f"{name}.new"
         descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            _write_all(descriptor, data)
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+            try:
+                _write_all(descriptor, data)
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+        except OSError:
+            os.unlink(temporary)  # It would take up space on a full disk.
+            raise
         self._close_file(name)
         os.rename(temporary, self._folder / name)
         self._sync_folder()
