Entries after a compaction of unsynced ones survive a restart

Found in the review: a compaction beyond the synced entries left the synced index below the base of the log, so the next batch started before the log, and the file could not be read at the next start (DamagedFileError). No leader that does this has been constructed. The test failed before.

--- a/arbutuscleat/consensus/log.py
+++ b/arbutuscleat/consensus/log.py
@@ -140,6 +140,7 @@
         del self._entries[: base_index - self._base_index]
         self._base_index = base_index
         self._base_term = base_term
+        self._synced = max(self._synced, base_index)
         return self._batch_after(base_index)
 
     def rewrite(self, batch: LogBatch) -> None:
--- a/tests/consensus/test_log.py
+++ b/tests/consensus/test_log.py
@@ -55,6 +55,15 @@
         self.assertEqual((3, 5), (found.base_index, found.last_index))
         self.assertIsNone(found.entry(3))
 
+    def test_entries_after_a_compaction_of_unsynced_ones_survive_a_restart(self):
+        """Guards against a batch that starts before the log does."""
+        self.log.append(entry(6, 1))
+        self.log.append(entry(7, 1))
+        self.log.rewrite(self.log.compact(7))
+        self.log.append(entry(8, 1))
+        write(self.log)
+        self.assertEqual(8, self.reopened(7, 1).last_index)
+
     def test_a_snapshot_newer_than_the_file_wins(self):
         found = self.reopened(9, 2)
         self.assertEqual(
