A replica starts while its disk refuses writes

The log is now cut in memory, and the replica starts failed if the file could not be; it is rewritten whole before anything is appended to it. The test failed before with the OSError. A start on an empty folder still needs a disk that accepts writes: without an identity there is no replica.

--- a/arbutuscleat/consensus/log.py
+++ b/arbutuscleat/consensus/log.py
@@ -7,7 +7,7 @@
 index, so a conflicting suffix is replaced by appending one more batch.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from arbutuscleat.wire import decode, encode
 from arbutuscleat.wire.gen.ttypes import LogBatch, LogEntry
@@ -28,6 +28,12 @@
     base_index, base_term : int
         Index and term of the last entry covered by the snapshot.
 
+    Attributes
+    ----------
+    load_error : OSError or None
+        Why the file could not be adapted to the loaded entries, so that it has to be
+        rewritten before anything is appended; None if it fits.
+
     Raises
     ------
     DamagedFileError
@@ -39,6 +45,7 @@
         self._base_index = base_index
         self._base_term = base_term
         self._entries: list[LogEntry] = []
+        self.load_error: OSError | None = None
         self._load(base_index, base_term)
         self._synced = self.last_index
 
@@ -169,7 +176,7 @@
             return
         payloads, valid_size = read_frames(data, LOG_FILE)
         if valid_size < len(data):
-            self._disk.truncate(LOG_FILE, valid_size)
+            self._repair_file(lambda: self._disk.truncate(LOG_FILE, valid_size))
         for position, payload in enumerate(payloads):
             self._replay(decode(LogBatch, payload), first=position == 0)
         self._align_with_snapshot(base_index, base_term)
@@ -195,4 +202,12 @@
                 f"ends at entry {base_index}"
             )
         if self.term_at(base_index) != base_term:
-            self.rewrite(self.reset(base_index, base_term))
+            batch = self.reset(base_index, base_term)
+            self._repair_file(lambda: self.rewrite(batch))
+
+    def _repair_file(self, write: Callable[[], None]) -> None:
+        """Adapt the file to the entries that were loaded, if the disk accepts it."""
+        try:
+            write()
+        except OSError as exc:
+            self.load_error = exc
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -87,6 +87,9 @@
         # Whether this replica led the latest term it knows of before it restarted.
         self.was_leader = False
         self._load()
+        if self.log.load_error is not None:
+            with self.lock:
+                self.fail(self.log.load_error)
         self._started_at = clock.monotonic()
         self.election_due = self._next_election()
 
--- a/tests/consensus/test_disk_failures.py
+++ b/tests/consensus/test_disk_failures.py
@@ -148,6 +148,21 @@
                 self.assertTrue(self.append_third(harness).accepted)
                 self.assertEqual([1, 1, 3], harness.restart().log())
 
+    def test_a_replica_starts_although_its_disk_refuses_to_cut_a_torn_entry(self):
+        """Guards against a process that cannot start while its disk refuses writes."""
+        harness = self.failed_harness("torn")
+        harness.disk.fail_at = 1
+        disk = harness.disk = harness.disk.copy()
+        disk.fail_at = 1
+        harness.open()
+        self.assertIs(Role.FAILED, harness.replica.status().role)
+        harness.replica.tick()
+        disk.repair()
+        self.retry(harness)
+        self.assert_keeps_its_promises(harness)
+        self.assertTrue(self.append_third(harness).accepted)
+        self.assertEqual([1, 1, 3], harness.restart().log())
+
     def test_nothing_is_granted_or_stored_before_the_recovery(self):
         harness = self.failed_harness("unsynced")
         self.assertFalse(harness.vote(term=4).granted)
