A machine that one list leaves out is not gone

An operator could read a wave as completed (MIXED) while none of its machines had begun its upkeep: one empty list of the provider marked all of them as finished. A partial list did the same for the machines it left out, and it ended the upkeep of those that were under way, so that the wave could take more machines than its cap (LIMIT). Found by reading; nobody has reported it.

Cause: `_plan_wave` and `MachineTracker` took one answer without a machine for the machine's end.

`MachineAbsences` counts the lists in a row that leave an expected machine out (those of open waves and those under upkeep). Counting lists, not seconds, keeps a provider's outage between two partial answers from counting as absence. So a machine that really is gone still ends its part of a wave, unless the provider lists no machine at all.

Before: test_an_empty_list_of_machines_does_not_complete_a_wave read a completed wave, test_machines_missing_from_some_lists_are_not_finished found five machines finished without upkeep, test_upkeep_of_a_machine_missing_from_a_list_counts_towards_the_cap counted 4 orders with a cap of 2. test_machines_that_no_longer_exist_do_not_keep_a_wave_open passed before and passes now.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -42,6 +42,7 @@
 from .executor import Executor
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
+from .machine_absences import MachineAbsences
 from .machine_leases import MachineLeases
 from .machine_moves import MachineMoves
 from .machine_pauses import (
@@ -111,7 +112,8 @@
         self._provider = provider
         self._clock = clock
         self._leases = MachineLeases(holder, clock, limits.machine_lease)
-        self._tracker = MachineTracker(table, clock, limits.upkeep)
+        self._absences = MachineAbsences()
+        self._tracker = MachineTracker(table, clock, limits.upkeep, self._absences)
         self._pool_planner = PoolPlanner()
         self._stopping = threading.Event()
         self._term = -1
@@ -168,7 +170,7 @@
             self._restore_upkeep()
         with self._load.timed("list of machines"):
             machines = self._provider.machines()
-        if machines is None:
+        if not machines:  # An empty list is no knowledge either.
             self._end_stale_drains()
             return
         with self._load.timed("machine iteration"):
@@ -221,6 +223,7 @@
     def _reset(self) -> None:
         self._term = -1  # The same term may go on, with upkeep still under way.
         self._leases.reset()
+        self._absences.reset()
         self._tracker.reset()
         self._drainer.reset()
         self._moves.reset()
@@ -240,12 +243,14 @@
         by_name = {item.machine: item for item in machines}
         standby, serving = self._services()
         views = self._executor.worker_views()
+        with self._table.lock:
+            waves = [w for w in self._table.waves.values() if not w.is_complete()]
+        expected = {machine for wave in waves for machine in wave.unfinished()}
+        self._absences.observe(expected | self._tracker.under_upkeep(), by_name)
         self._tracker.update(by_name, views, standby)
         self._moves.update(by_name)
         self.fleet = _fleet_capacity(machines)
         in_wave: set[str] = set()
-        with self._table.lock:
-            waves = [w for w in self._table.waves.values() if not w.is_complete()]
         demands = self._executor.demands(serving, self._workers(machines, views))
         shortage = self.fleet is not None and has_shortage(demands.values(), self.fleet)
         for wave in waves:
@@ -285,7 +290,7 @@
         since = self._replica.led_since()
         for machine in wave.machines:
             state = by_name.get(machine)
-            if state is None and machine not in wave.finished:
+            if machine not in wave.finished and self._absences.is_gone(machine):
                 self._advance(wave, machine, finished=True)
                 logging.info(
                     "wave %d: machine %s no longer exists, marking it finished",
@@ -568,9 +573,7 @@
             self._moves.record_outcome(by_name[machine], outcome)
 
 
-def _fleet_capacity(machines: list[MachineState]) -> FleetCapacity | None:
-    if not machines:
-        return None
+def _fleet_capacity(machines: list[MachineState]) -> FleetCapacity:
     return FleetCapacity(
         cpu=sum(item.cpu for item in machines),
         max_cpu=max(item.cpu for item in machines),
--- a/arbutuscleat/execution/machine_tracker.py
+++ b/arbutuscleat/execution/machine_tracker.py
@@ -13,6 +13,7 @@
 from arbutuscleat.jobs import JobTable
 from arbutuscleat.scheduling import WaitReason, WorkerView
 
+from .machine_absences import MachineAbsences
 from .provider import MachineState
 
 UPKEEP_MARGIN_SECONDS = 0.5
@@ -35,9 +36,14 @@
         Source of time.
     upkeep : float
         Duration of the upkeep of a machine, in seconds.
+    absences : MachineAbsences
+        The machines that no longer exist; observed before each update.
     """
 
-    def __init__(self, table: JobTable, clock: Clock, upkeep: float):
+    def __init__(
+        self, table: JobTable, clock: Clock, upkeep: float, absences: MachineAbsences
+    ):
+        self._absences = absences
         self._table = table
         self._clock = clock
         self._upkeep = upkeep
@@ -91,6 +97,10 @@
         """Record that the upkeep of a machine has been ordered."""
         self._under_upkeep[machine] = self._clock.monotonic()
 
+    def under_upkeep(self) -> set[str]:
+        """Return the machines that are under upkeep."""
+        return set(self._under_upkeep)
+
     def is_under_upkeep(self, machine: str) -> bool:
         """Return whether a machine is under upkeep."""
         return machine in self._under_upkeep
@@ -128,11 +138,14 @@
         min_seconds = self._upkeep + UPKEEP_MARGIN_SECONDS
         for machine, since in list(self._under_upkeep.items()):
             state = by_name.get(machine)
-            if state is not None and not state.is_up:
+            if state is None:
+                has_ended = self._absences.is_gone(machine)
+            elif state.is_up:
+                has_ended = machine in self._seen_down or now - since > min_seconds
+            else:
+                has_ended = False
                 self._seen_down.add(machine)
-            elif (
-                state is None or machine in self._seen_down or now - since > min_seconds
-            ):
+            if has_ended:
                 del self._under_upkeep[machine]
                 self._seen_down.discard(machine)
 
--- a/arbutuscleat/jobs/wave.py
+++ b/arbutuscleat/jobs/wave.py
@@ -41,6 +41,10 @@
         """Return the machines ordered for upkeep that is not known to have begun."""
         return self.ordered - self.finished
 
+    def unfinished(self) -> set[str]:
+        """Return the machines that are not finished."""
+        return set(self.machines) - self.finished
+
     def is_complete(self) -> bool:
         """Return whether every machine of the wave is finished."""
         return self.finished >= set(self.machines)
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from arbutuscleat.execution import ExecutionLimits, MachineOrderOutcome
+from arbutuscleat.execution.machine_absences import MAX_LISTS_WITHOUT_MACHINE
 from arbutuscleat.execution.machine_controller import MachineController
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
@@ -137,6 +138,54 @@
         self.assertEqual(name, self.provider.upkeeps[-1])
         self.assertEqual(2, self.provider.upkeeps.count(name))
 
+    def is_wave_complete(self):
+        return self.harness.table.waves[1].is_complete()
+
+    def test_an_empty_list_of_machines_does_not_complete_a_wave(self):
+        """Guards against a wave shown as completed before its machines' upkeep."""
+        self.add_wave()
+        self.replica.lead()
+        self.provider.machines = lambda: []
+        self.reconcile(2 * MAX_LISTS_WITHOUT_MACHINE)
+        self.assertFalse(self.is_wave_complete())
+
+    def test_machines_missing_from_some_lists_are_not_finished(self):
+        """Guards against a partial list that ends the wave of the others."""
+        self.add_wave()
+        self.replica.lead()
+        listed = self.provider.machines
+        self.provider.machines = lambda: listed()[:1]
+        self.reconcile(MAX_LISTS_WITHOUT_MACHINE - 1)
+        self.provider.machines = listed
+        self.reconcile()
+        self.provider.machines = lambda: listed()[:1]
+        self.reconcile(MAX_LISTS_WITHOUT_MACHINE - 1)
+        finished = self.harness.table.waves[1].finished
+        self.assertEqual(set(), finished - set(self.provider.upkeeps))
+
+    def test_machines_that_no_longer_exist_do_not_keep_a_wave_open(self):
+        self.add_wave()
+        self.replica.lead()
+        for machine in MACHINES[1:]:
+            del self.provider.states[machine]
+        self.reconcile(MAX_LISTS_WITHOUT_MACHINE)
+        self.assertTrue(self.is_wave_complete())
+        self.assertEqual(MACHINES[:1], self.provider.upkeeps)
+
+    def test_upkeep_of_a_machine_missing_from_a_list_counts_towards_the_cap(self):
+        """Guards against more than the cap under upkeep after a partial list."""
+        self.add_wave()
+        self.replica.lead()
+        self.reconcile()
+        self.assertEqual(CAP, len(self.provider.upkeeps))
+        listed = self.provider.machines
+        under_upkeep = set(self.provider.upkeeps)
+        self.provider.machines = lambda: [
+            item for item in listed() if item.machine not in under_upkeep
+        ]
+        self.reconcile(8)
+        self.assertEqual(CAP, len(self.provider.upkeeps))
+
     def test_a_machine_held_by_a_former_leader_is_ordered_after_its_lease(self):
         self.add_wave()
         self.order_as_former_leader(MACHINES[0], finished=False)
