A worker that rejects each start provides no capacity

A task that only one worker would take (by its label, its size or the spread limit) waited for good if that worker answered holds and rejected each start: no other machine came.

Cause: a rejected start pauses the worker for 0.3 or 1 s, then it is usable for the plan that sends the next start. One list of the machines in that moment began the 3 s anew after which a machine without a usable worker is no capacity.

The worker's status counts rejected starts in a row, if the reason is the worker's (unhealthy, no room, an expired order, no connection, no answer), not the task's (invalid, no ticket, outdated). After two, for 3 s after the latest, the worker counts as unusable for the capacity of its machine, so another machine comes after the usual 3 s, and it is chosen only if no other worker accepts a task. It is still tried, and an accepted start ends both at once; if nothing is tried on it any more, it counts as capacity again after 3 s, so neither state lasts without an end.

Before, with executor and machine controller on a job table: both tests of a replaced machine found no move in 10 s, and test_a_worker_that_rejects_each_start_comes_last found equal grades. test_a_worker_that_rejects_few_starts_is_not_replaced and test_a_start_rejected_for_a_reason_of_its_task_moves_no_machine passed before and pass now.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -404,6 +404,7 @@
                     view.reserve(step, key[:3])
                     finite_runs += not step.long_running
             views[worker_id] = view
+            view.rejects_starts = session.rejects_starts()
             view.admits_long_running = session.accepts_long_running()
             limit = session.max_new_runs(finite_runs)
             if limit is not None:
--- a/arbutuscleat/execution/machine_tracker.py
+++ b/arbutuscleat/execution/machine_tracker.py
@@ -190,6 +190,8 @@
 def _has_usable_worker(state: MachineState, views: Mapping[str, WorkerView]) -> bool:
     """Return whether the worker of a machine accepts runs, but for our own drains."""
     view = views.get(state.worker_id)
-    if not state.is_up or view is None or view.max_new_runs == 0:
+    if not state.is_up or view is None:
+        return False
+    if view.max_new_runs == 0 or view.rejects_starts:
         return False
     return view.usable or view.unusable_because is WaitReason.DRAINING
--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -38,6 +38,15 @@
 NO_ROOM_PAUSE_SECONDS = 0.3
 """The same for a worker without room for a run although the table showed some."""
 
+REASONS_OF_WORKER = (
+    OrderOutcome.EXPIRED,
+    OrderOutcome.NO_ROOM,
+    OrderOutcome.UNHEALTHY,
+    OrderOutcome.NOT_SENT,
+    OrderOutcome.NO_ANSWER,
+)
+"""Why a start may fail that would succeed on another worker."""
+
 Run = tuple[TaskKey, int]
 """A task and the number of one of its runs."""
 
@@ -229,7 +238,7 @@
                     return  # The session handles the run after its next holds.
                 if self._try_start(order, self._limits.call, True):
                     return
-                self._log_failed_start(order, OrderOutcome.NO_ANSWER)
+                self._record_failed_start(order, OrderOutcome.NO_ANSWER)
             self._stop_until_answered(order)
         finally:
             self._remove_pending(order)
@@ -285,14 +294,16 @@
             return False
         if not is_retry:
             self._load.observe("start", self._clock.monotonic() - order.queued_at)
-        if answer.outcome is not OrderOutcome.DONE:
+        if answer.outcome is OrderOutcome.DONE:
+            self._status.record_accepted_start()
+        else:
             self._handle_rejection(order, answer.outcome, is_retry)
         return True
 
     def _handle_rejection(
         self, order: _Order, outcome: OrderOutcome, is_retry: bool
     ) -> None:
-        self._log_failed_start(order, outcome)
+        self._record_failed_start(order, outcome)
         full = outcome is OrderOutcome.NO_ROOM
         self._status.pause(NO_ROOM_PAUSE_SECONDS if full else UNHEALTHY_PAUSE_SECONDS)
         if outcome in (OrderOutcome.OTHER_WORKER, OrderOutcome.FENCED):
@@ -303,7 +314,7 @@
             lost = [(order.key, order.number)]
             self._record_lost(lost, f"not started: {outcome.value}")
 
-    def _log_failed_start(self, order: _Order, outcome: OrderOutcome) -> None:
+    def _record_failed_start(self, order: _Order, outcome: OrderOutcome) -> None:
         logging.info(
             "run %d of %s on worker %s: start failed: %s",
             order.number,
@@ -311,6 +322,8 @@
             self._worker_id,
             outcome.value,
         )
+        if outcome in REASONS_OF_WORKER:
+            self._status.record_rejected_start()
 
     def _stop_until_answered(self, order: _Order) -> None:
         """Send a stop until it is answered or the worker leaves a hold unanswered."""
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -25,7 +25,7 @@
     WorkerRecord,
 )
 
-from .failure_breaker import FailureBreaker
+from .failure_breaker import MAX_GRADE, FailureBreaker
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .order_sender import OrderSender, Run
@@ -174,9 +174,13 @@
         """Return whether the worker answered the latest hold."""
         return self._status.is_responsive()
 
+    def rejects_starts(self) -> bool:
+        """Return whether the worker has rejected several starts in a row just now."""
+        return self._status.rejects_starts()
+
     def grade(self) -> int:
-        """Return the number of consecutive failed runs, at most 3."""
-        return self._breaker.grade()
+        """Return the number of consecutive failed runs, or 3 if no run starts."""
+        return MAX_GRADE if self.rejects_starts() else self._breaker.grade()
 
     def max_new_runs(self, running: int) -> int | None:
         """Return how many runs may be scheduled on the worker; None for any number.
--- a/arbutuscleat/execution/worker_status.py
+++ b/arbutuscleat/execution/worker_status.py
@@ -15,6 +15,13 @@
 """Number of unanswered orders in a row after which a worker counts as unresponsive. A
 single order can be lost even if the worker is healthy."""
 
+MIN_REJECTED_STARTS = 2
+"""Number of rejected starts in a row after which a worker provides no capacity. A
+single one may be rejected for a reason that passes."""
+
+REJECTED_START_SECONDS = 3.0
+"""How long a rejected start counts: several pauses after one. A worker that is not
+tried any more counts as capacity again after this time."""
 
 EXPIRY_CHECK_SECONDS = 0.02
 """How long after the last lease has expired a call or pause ends that it shortens."""
@@ -54,6 +61,8 @@
         self._reusable_until = 0.0
         self._unusable_until = 0.0
         self._orders_unanswered = 0
+        self._starts_rejected = 0
+        self._rejected_at = 0.0
         self._has_answered = False
         self._answered_at = 0.0
         self.holds_unanswered = 0
@@ -86,6 +95,25 @@
         with self._lock:
             self._orders_unanswered += 1
 
+    def record_accepted_start(self) -> None:
+        """Record a start that the worker accepted."""
+        with self._lock:
+            self._starts_rejected = 0
+
+    def record_rejected_start(self) -> None:
+        """Record a start that failed for a reason of the worker, not of the task."""
+        with self._lock:
+            self._starts_rejected += 1
+            self._rejected_at = self._clock.monotonic()
+
+    def rejects_starts(self) -> bool:
+        """Return whether the worker has rejected several starts in a row just now."""
+        with self._lock:
+            return (
+                self._starts_rejected >= MIN_REJECTED_STARTS
+                and self._clock.monotonic() - self._rejected_at < REJECTED_START_SECONDS
+            )
+
     def pause(self, seconds: float) -> None:
         """Schedule no new runs on the worker for at least some seconds."""
         until = self._clock.monotonic() + seconds
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -42,6 +42,8 @@
         Whether `max_new_runs` does not apply to long-running tasks.
     reservation : Reservation or None
         Capacity that is kept for tasks that wait for it.
+    rejects_starts : bool
+        Whether the worker has rejected several starts in a row just now.
     unusable_because : WaitReason
         Why new runs may not be scheduled on a worker that is not usable.
     """
@@ -61,6 +63,7 @@
         "max_new_runs",
         "admits_long_running",
         "reservation",
+        "rejects_starts",
         "unusable_because",
     )
 
@@ -79,6 +82,7 @@
         self.max_new_runs: int | None = None
         self.admits_long_running = False
         self.reservation: Reservation | None = None
+        self.rejects_starts = False
         self.unusable_because = WaitReason.UNRESPONSIVE
 
     @property
