Background threads go on after an unexpected exception

An exception that nobody expected ended a thread for good while its process lived on: a leader whose executor had ended would start nothing, yet hold the leadership; a control node without its joiner would never get back into the group; an entry node would keep the readiness it had; a thrift server that could not accept one connection (EMFILE) would accept none any more; a process whose log line did not fit its arguments would log nothing any more.

`run_loop` in `core/loops.py` runs the iterations of executor, machine controller, joiner, entry node's watch and thrift acceptor: an `Exception` is logged with its traceback, and the next iteration follows after 0.2 s. `InvariantError` is a `BaseException` and still ends the process.

What an iteration may leave behind: starts that the executor expects are withdrawn if the proposal raises, so that the next hold stops and reschedules a run that was committed after all. Sessions stay open, since without holds the leases of all workers would end. An entry node whose check fails counts as having seen no leader, so it is ready no longer than 2.5 s. A line that cannot be formatted is replaced by one that says where.

--- a/arbutuscleat/access/joiner.py
+++ b/arbutuscleat/access/joiner.py
@@ -11,7 +11,7 @@
 from returns.result import Success
 
 from arbutuscleat.consensus import Replica, Role
-from arbutuscleat.core import Clock
+from arbutuscleat.core import Clock, run_loop
 from arbutuscleat.wire import Address, Channel, Credentials
 from arbutuscleat.wire.gen_jobs import JobControl
 from arbutuscleat.wire.gen_jobs.ttypes import JoinRequest
@@ -68,10 +68,12 @@
         self._stopping.set()
 
     def _run(self) -> None:
-        while not self._clock.sleep(self._stopping, CHECK_SECONDS):
-            status = self._replica.status()
-            if not status.leader and status.role is not Role.FAILED:
-                self._request_join()
+        run_loop(self._check, self._stopping, self._clock, CHECK_SECONDS)
+
+    def _check(self) -> None:
+        status = self._replica.status()
+        if not status.leader and status.role is not Role.FAILED:
+            self._request_join()
 
     def _request_join(self) -> None:
         own_id = self._credentials.node_id
--- a/arbutuscleat/core/__init__.py
+++ b/arbutuscleat/core/__init__.py
@@ -10,6 +10,7 @@
 from .idempotency_key import UNTIMED, key_time_ms
 from .instance import Assignment, AssignmentPhase, Instance, InstanceState
 from .labels import Labels, is_name, parse_labels, validate_labels
+from .loops import run_loop, run_step
 from .maintenance import PHASE_TRANSITIONS, Maintenance, MaintenancePhase
 from .outcome import Outcome
 from .pool import Pool, validate_pool
@@ -46,6 +47,8 @@
     "key_time_ms",
     "parse_labels",
     "parse_selector",
+    "run_loop",
+    "run_step",
     "validate_labels",
     "validate_pool",
     "validate_selector",
--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -14,7 +14,7 @@
 from returns.result import Success
 
 from arbutuscleat.consensus import Replica
-from arbutuscleat.core import Clock
+from arbutuscleat.core import Clock, run_loop
 from arbutuscleat.jobs import JobTable, TaskKey
 from arbutuscleat.jobs.task import WorkerIncarnation
 from arbutuscleat.scheduling import (
@@ -222,8 +222,7 @@
         return isinstance(result, Success)
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
-            self.run_once()
+        run_loop(self.run_once, self._stopping, self._clock)
 
     def run_once(self) -> None:
         """Run one iteration of the loop."""
@@ -292,8 +291,14 @@
             if session is not None:
                 session.expect_start(run)
         command = JobCommand(starts=RunStarts(runs=runs))
-        with self._load.timed("commit of starts"):
-            result = self._replica.propose(encode(command), PROPOSE_TIMEOUT_SECONDS)
+        try:
+            with self._load.timed("commit of starts"):
+                result = self._replica.propose(encode(command), PROPOSE_TIMEOUT_SECONDS)
+        except Exception:
+            for run, session in zip(runs, sessions, strict=True):
+                if session is not None:
+                    session.withdraw_start(run)
+            raise
         if isinstance(result, Success):
             _log_starts(runs)
             accepted = result.unwrap()
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -16,7 +16,7 @@
 from absl import logging
 
 from arbutuscleat.consensus import Replica
-from arbutuscleat.core import Clock, InvariantError
+from arbutuscleat.core import Clock, run_loop, run_step
 from arbutuscleat.jobs import JobTable, Wave
 from arbutuscleat.scheduling import (
     Demand,
@@ -141,18 +141,12 @@
         self._stopping.set()
 
     def _run(self) -> None:
-        while not self._clock.sleep(self._stopping, POLL_SECONDS):
-            self.run_once()
+        run_loop(self.run_once, self._stopping, self._clock, POLL_SECONDS)
         self._order_pool.shutdown(wait=False)
 
     def run_once(self) -> None:
         """Run one iteration; if it fails, the next one begins with a new list."""
-        try:
-            self.reconcile_once()
-        except InvariantError:
-            raise
-        except Exception:
-            logging.exception("an iteration of the machine controller failed")
+        if not run_step(self.reconcile_once):
             self._end_stale_drains()
 
     def reconcile_once(self) -> None:
--- a/arbutuscleat/jsonlogs/bounded_handler.py
+++ b/arbutuscleat/jsonlogs/bounded_handler.py
@@ -114,7 +114,13 @@
             if record is None:
                 return
             try:
-                self._stream.write(self.format(record) + "\n")
+                line = self.format(record)
+            except Exception as exc:  # The arguments may not fit the text.
+                place = f"{record.filename}:{record.lineno}"
+                text = f"a line of {place} cannot be formatted: {exc!r}"
+                line = self.format(self._warning(record, text))
+            try:
+                self._stream.write(line + "\n")
                 if self._queue.empty():
                     self._stream.flush()
             except OSError:
--- a/arbutuscleat/nodes/entry_node.py
+++ b/arbutuscleat/nodes/entry_node.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from arbutuscleat.access import LeaderClient
-from arbutuscleat.core import SystemClock
+from arbutuscleat.core import SystemClock, run_loop, run_step
 from arbutuscleat.metrics import Metrics
 from arbutuscleat.web import HttpServer
 from arbutuscleat.wire import Address, Credentials
@@ -153,20 +153,22 @@
         return self._control_available and not self._closing.is_set()
 
     def _watch_control(self) -> None:
-        while not self._clock.sleep(self._stopping, CHECK_SECONDS):
-            found = self._leader_client.refresh()
-            is_cut_off = self._leader_client.is_cut_off()
-            limit = MAX_CUT_OFF_SECONDS if is_cut_off else MAX_LEADERLESS_SECONDS
-            seconds_without_leader = self._leader_client.seconds_without_leader()
-            ready = found or seconds_without_leader < limit
-            if ready != self._control_available:
-                logging.info(
-                    "control %s: %.1f s without a leader%s",
-                    "answers" if ready else "is silent",
-                    seconds_without_leader,
-                    ", most instances cannot be reached" if is_cut_off else "",
-                )
-            self._control_available = ready
+        run_loop(self._check_control, self._stopping, self._clock, CHECK_SECONDS)
+
+    def _check_control(self) -> None:
+        run_step(self._leader_client.refresh)  # If it fails, no leader is seen.
+        is_cut_off = self._leader_client.is_cut_off()
+        limit = MAX_CUT_OFF_SECONDS if is_cut_off else MAX_LEADERLESS_SECONDS
+        seconds_without_leader = self._leader_client.seconds_without_leader()
+        ready = seconds_without_leader < limit
+        if ready != self._control_available:
+            logging.info(
+                "control %s: %.1f s without a leader%s",
+                "answers" if ready else "is silent",
+                seconds_without_leader,
+                ", most instances cannot be reached" if is_cut_off else "",
+            )
+        self._control_available = ready
 
     def _gauges(self) -> dict[str, float]:
         return {
--- a/arbutuscleat/wire/server.py
+++ b/arbutuscleat/wire/server.py
@@ -12,6 +12,8 @@
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
 
+from arbutuscleat.core import SystemClock, run_loop
+
 from .address import Address
 from .credentials import Credentials
 from .framing import make_protocol
@@ -88,12 +90,16 @@
             _shut_down(connection)
 
     def _accept(self) -> None:
-        while not self._stopping.is_set():
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
+        run_loop(self._accept_one, self._stopping, SystemClock())
+
+    def _accept_one(self) -> None:
+        try:
+            connection, _ = self._listener.accept()
+        except OSError:
+            if self._stopping.is_set():
                 return
-            self._start_connection(connection)
+            raise  # For instance for want of file descriptors.
+        self._start_connection(connection)
 
     def _start_connection(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -40,6 +40,32 @@
         moved = self.executor.movable_tasks(place[0])
         self.assertEqual([JOB], [key.job_id for key, _ in moved])
 
+    def test_a_plan_that_fails_does_not_end_the_executor(self):
+        """Guards against a leader that starts nothing until it is replaced."""
+        plan = self.executor._planner.plan
+        errors = [KeyError("w1"), None]
+
+        def plan_or_fail(*args):
+            error = errors.pop(0)
+            if error is not None:
+                raise error
+            self.executor._stopping.set()
+            return plan(*args)
+
+        self.executor._planner.plan = plan_or_fail
+        with self.assertLogs("absl", "ERROR"):
+            self.executor._run()
+        self.assertEqual(1, self.executor.plan_count)
+
+    def test_a_start_whose_proposal_raises_is_no_longer_expected(self):
+        """Guards against a task that counts as being started for good."""
+        self.harness.apply(worker=worker("w1"))
+        run_once(self.executor)
+        self.harness.accept(job())
+        self.executor._replica.propose = lambda *args: 1 / 0
+        self.assertRaises(ZeroDivisionError, self.executor.run_once)
+        self.assertEqual(set(), self.executor.sessions["w1"].pending())
+
     def test_a_stop_that_was_never_sent_blocks_other_moves_for_a_limited_time(self):
         """Guards against a task that counts as unavailable although it runs."""
         for worker_id in ("w1", "w2", "w3"):
--- a/tests/jsonlogs/test_bounded_handler.py
+++ b/tests/jsonlogs/test_bounded_handler.py
@@ -73,6 +73,19 @@
         handler.close()
         self.assertIn("3 lines dropped", stream.getvalue())
 
+    def test_a_line_that_cannot_be_formatted_does_not_end_the_log(self):
+        """Guards against a process that logs nothing after one wrong call."""
+        stream = io.StringIO()
+        handler = self.make(stream)
+        wrong = record("%d lines")
+        wrong.args = ("some",)
+        handler.handle(wrong)
+        handler.handle(record("later"))
+        handler.close()
+        lines = stream.getvalue().splitlines()
+        self.assertIn("later", lines)
+        self.assertEqual(1, len([line for line in lines if "b.py:1" in line]))
+
     def test_a_burst_from_one_call_site_is_limited_and_counted(self):
         stream = io.StringIO()
         handler = self.make(stream, lines=2)
