--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -13,6 +13,9 @@
 
 TIMEOUT = 5.0
 SHORT_TIMEOUT = 0.2
+DRIP_SECONDS = 0.02
+"""Pause between two bytes; an answer of them takes several times `SHORT_TIMEOUT`."""
+
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ok": 1}'
 CUT_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ok'
 LAST_ANSWER = ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
@@ -44,9 +47,12 @@
     ----------
     scripts : list of list of bytes or None
         The answers on each connection, in the order of acceptance. None: no answer.
+    pause : float, default=0.0
+        Pause after each byte, in seconds; without one, an answer is sent at once.
     """
 
-    def __init__(self, scripts):
+    def __init__(self, scripts, pause=0.0):
+        self.pause = pause
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = Address("127.0.0.1", self.listener.getsockname()[1])
         self.requests = []
@@ -65,9 +71,20 @@
                     if answer is None:
                         self.finish.wait(TIMEOUT)
                     else:
-                        conn.sendall(answer)
+                        self.send(conn, answer)
             self.closed.set()
 
+    def send(self, conn, answer):
+        if not self.pause:
+            conn.sendall(answer)
+            return
+        try:
+            for number in range(len(answer)):
+                conn.sendall(answer[number : number + 1])
+                self.finish.wait(self.pause)
+        except OSError:
+            pass  # The client has closed the connection.
+
 
 class RecordingSocket(socket.socket):
     """A socket that records what is written to it."""
@@ -84,8 +101,8 @@
 
 
 class HttpCallsTest(TestCase):
-    def serve(self, *scripts):
-        server = ScriptedServer(scripts)
+    def serve(self, *scripts, pause=0.0):
+        server = ScriptedServer(scripts, pause)
         self.addCleanup(server.listener.close)
         self.addCleanup(server.finish.set)
         calls = HttpCalls(server.address, {"X-Caller": "test"})
@@ -118,6 +135,18 @@
         server.finish.set()
         self.assertEqual(200, self.call(calls).status)
 
+    def test_an_answer_sent_byte_by_byte_does_not_outlast_the_timeout(self):
+        """Guards against a call that waits for as long as its server sends bytes."""
+        for answer in (ANSWER, CHUNKED_ANSWER, b"HTTP/1.1 100 Continue\r\n\r\n" * 5):
+            _, calls = self.serve([answer], pause=DRIP_SECONDS)
+            result = self.call(calls, SHORT_TIMEOUT)
+            self.assertEqual((0, {}, True), (result.status, result.tree, result.sent))
+
+    def test_a_late_part_of_an_answer_is_waited_for_within_the_timeout(self):
+        _, calls = self.serve([ANSWER], pause=DRIP_SECONDS / 10)
+        result = self.call(calls)
+        self.assertEqual((200, {"ok": 1}), (result.status, result.tree))
+
     def test_an_answer_that_is_cut_off_is_none(self):
         _, calls = self.serve([CUT_ANSWER])
         result = self.call(calls)
--- a/tests/platform/test_suspended_leader.py
+++ b/tests/platform/test_suspended_leader.py
@@ -63,7 +63,7 @@
             self.request = b""
             self.orders.append(self.steps.elapsed)
 
-    def makefile(self, mode):
+    def makefile(self, mode, buffering=-1):
         self.steps.step("read")
         return io.BytesIO(ANSWER)
 
