A drained worker that is unresponsive counts as unresponsive

A wave could end the drain of a worker that did not answer, because a long-running task that fitted nowhere else would have had room there, and drain it again 2 s later, and so on: the task did not start, and its service got nothing for the pauses.

Cause: the executor looked at the drain before it looked at the session, so a worker with both counted as draining only, as one that is free once the drain ends. `WaitReason` already lists the checks in the other order.

The order is now that of `WaitReason`: leaving, unresponsive, paused, draining. The machine controller, which takes unresponsive and paused workers for capacity for some time, leaves out those that it drains by asking the drainer, not the reason.

The fake executor of the machine tests gives the same order now; test_an_unresponsive_worker_is_not_given_back holds with it, and shows nothing of the old order by itself.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -423,12 +423,13 @@
         """Return why no runs may be scheduled on a worker; None if they may."""
         if record.draining:
             return WaitReason.LEAVING
+        if not session.is_responsive():
+            return WaitReason.UNRESPONSIVE
+        if not session.is_usable():
+            return WaitReason.PAUSED
         if record.worker_id in self._draining:
             return WaitReason.DRAINING
-        if session.is_usable():
-            return None
-        responsive = session.is_responsive()
-        return WaitReason.PAUSED if responsive else WaitReason.UNRESPONSIVE
+        return None
 
 
 def limit_new_runs(
--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -464,8 +464,8 @@
             if move is not None or view is None:
                 capacity = (item.cpu, item.mem_mb, item.gpu)
                 view = idle_worker(item.machine, service, capacity, item.labels)
-            elif not view.usable and view.unusable_because in TEMPORARY_REASONS:
-                view.usable = True
+            elif not view.usable and not self._drainer.is_draining(item.worker_id):
+                view.usable = view.unusable_because in TEMPORARY_REASONS
             view.max_new_runs = None
             if view.usable:
                 workers.setdefault(service, []).append(view)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -5,6 +5,7 @@
 from arbutuscleat.execution.executor import STOP_EFFECT_SECONDS
 from arbutuscleat.execution.failure_breaker import MAX_FAILED_JOBS, OPEN_SECONDS
 from arbutuscleat.jobs import RunOutcome
+from arbutuscleat.scheduling import WaitReason
 from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker
 from tests.fakes import ManualClock
 from tests.fakes.executor import make_executor, run_once
@@ -66,6 +67,18 @@
         self.assertRaises(ZeroDivisionError, self.executor.run_once)
         self.assertEqual(set(), self.executor.sessions["w1"].pending())
 
+    def test_a_drained_worker_that_is_unresponsive_counts_as_unresponsive(self):
+        """Guards against a task that is given to it because its drain could end."""
+        self.harness.apply(worker=worker("w1"))
+        run_once(self.executor)
+        self.executor.set_draining({"w1"})
+        reasons = [self.executor.worker_views()["w1"].unusable_because]
+        model = self.executor.sessions["w1"]._client
+        model.hold = lambda *args: HoldAnswer(OrderOutcome.NO_ANSWER)
+        self.executor.sessions["w1"].hold_once()
+        reasons.append(self.executor.worker_views()["w1"].unusable_because)
+        self.assertEqual([WaitReason.DRAINING, WaitReason.UNRESPONSIVE], reasons)
+
     def test_a_stop_that_was_never_sent_blocks_other_moves_for_a_limited_time(self):
         """Guards against a task that counts as unavailable although it runs."""
         for worker_id in ("w1", "w2", "w3"):
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -115,6 +115,22 @@
         self.reconcile(1.0)
         self.assertEqual({"w-k3"}, self.executor.draining)
 
+    def start_wave_of_k3(self, others=()):
+        wave = WaveRecord(wave=1, machines=["k3", *others], cap=1, due_at_ms=1_000)
+        self.harness.apply(wave=wave)
+
+    def test_an_unresponsive_worker_is_not_given_back(self):
+        """Guards against a drain that ends for 2 s at a time for nothing."""
+        for name in STANDBY:
+            self.provider.set(name, is_up=False)
+        self.run_spread_job(count=3)
+        self.harness.accept(job(OTHER_JOB, steps=[step(long_running=True)]))
+        self.harness.start(run(OTHER_JOB, worker_id="w-k3"))
+        self.executor.unusable = {"w-k3"}
+        self.start_wave_of_k3()
+        self.reconcile(1.0)
+        self.assertEqual({"w-k3"}, self.executor.draining)
+
     # ---- gauges ----
 
     def test_tasks_without_a_machine_are_logged_and_counted(self):
--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -44,7 +44,7 @@
             views[name] = view = WorkerView(record, usable, 0)
             if record.draining:
                 view.unusable_because = WaitReason.LEAVING
-            elif name in self.draining:
+            elif name in self.draining - self.unusable:
                 view.unusable_because = WaitReason.DRAINING
             for key in table.runs.get(view.incarnation, ()):
                 view.reserve(table.jobs[key.job_id].steps[key.step], key[:3])
