A drain for a wave ends if nothing can leave the worker

A worker whose long-running tasks could not be moved (no room elsewhere, or too many of the step away) was drained for a wave for as long as that lasted, without a bound: it got no new runs, and a wave with a small cap did not go on with its other machines.

After 15 s in which no task could be moved and no finite run was left, the machine now has a pause of 10 s: its worker gets runs, and the wave chooses another machine. 15 s is how long an ordered stop may take to have effect, so a move under way does not end the drain; a finite run, or a task that can be moved, begins the time anew. The drain is tried again after the pause, so the wave still ends once the tasks can leave.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -63,6 +63,14 @@
 """Time without a list of the machines after which all drains end. A single call to the
 provider may take 1 s."""
 
+BLOCKED_DRAIN_SECONDS = 15.0
+"""How long a worker is drained for a wave while nothing but long-running tasks is left
+on it and none of them can be moved. An ordered stop may take as long to have effect."""
+
+BLOCKED_PAUSE_SECONDS = 10.0
+"""Pause of the machine of such a worker, in which it gets runs and other machines of
+the wave are drained."""
+
 TEMPORARY_REASONS = (WaitReason.UNRESPONSIVE, WaitReason.PAUSED)
 """Why a worker may get no runs, unless its machine or its tasks are to leave."""
 
@@ -124,6 +132,9 @@
         self._ready_since: dict[str, float] = {}
         """Monotonic time since which each drained machine could have its upkeep."""
 
+        self._blocked_since: dict[str, float] = {}
+        """Monotonic time since which nothing can leave each draining machine."""
+
         self._reconciled_at = clock.monotonic()
         self.waits = MachineWaits()
         self.fleet: FleetCapacity | None = None
@@ -187,6 +198,7 @@
             )
         self._moves.reset()
         self._ready_since = {}
+        self._blocked_since = {}
         self._drainer.reset()
 
     def _may_order(self, machine: str) -> bool:
@@ -223,6 +235,7 @@
         self._moves.reset()
         self._pauses.reset()
         self._ready_since = {}
+        self._blocked_since = {}
         self.waits.reset()
         self._demand_history.reset()
 
@@ -251,11 +264,9 @@
             in_wave |= self._plan_wave(wave, by_name, shortage)
         plan = self._plan_moves(machines, in_wave, waves, standby, demands)
         in_wave -= self._needed_machines(plan, in_wave, by_name, views)
-        self._ready_since = {
-            machine: since
-            for machine, since in self._ready_since.items()
-            if machine in in_wave
-        }
+        for times in (self._ready_since, self._blocked_since):
+            for machine in times.keys() - in_wave:
+                del times[machine]
         to_drain = in_wave | self._moves.machines()
         worker_ids = {by_name[m].worker_id for m in to_drain if m in by_name}
         self._drainer.drain(worker_ids - {""})
@@ -353,11 +364,12 @@
             if state is None or not state.is_up:
                 continue
             if self._drainer.is_drained(state.worker_id):
+                self._blocked_since.pop(machine, None)
                 if self._is_ready_in_time(machine):
                     ready.append(machine)
             else:
                 self._ready_since.pop(machine, None)
-                self._move_long_running(state.worker_id)
+                self._move_long_running(machine, state.worker_id)
         unavailable = sum(
             self._tracker.is_under_upkeep(other) for other in wave.machines
         )
@@ -401,6 +413,7 @@
             reason,
         )
         self._ready_since.pop(machine, None)
+        self._blocked_since.pop(machine, None)
         self._pauses.begin(machine, seconds)
 
     def _send_orders(
@@ -427,10 +440,23 @@
         command = AdvanceWave(wave=wave.number, machine=machine, finished=finished)
         return self._executor.propose(JobCommand(advance_wave=command))
 
-    def _move_long_running(self, worker_id: str) -> None:
-        """Move long-running tasks off a worker, as far as their steps allow it."""
-        for key, number in self._executor.movable_tasks(worker_id):
+    def _move_long_running(self, machine: str, worker_id: str) -> None:
+        """Move long-running tasks off a worker, as far as their steps allow it.
+
+        If none can be moved for some time and nothing else runs there, the machine has
+        a pause: its worker would be drained for nothing, and the wave would not go on.
+        """
+        tasks = self._executor.movable_tasks(worker_id)
+        for key, number in tasks:
             self._executor.order_stop(worker_id, key, number)
+        if tasks or self._tracker.has_finite_runs(worker_id):
+            self._blocked_since.pop(machine, None)
+            return
+        now = self._clock.monotonic()
+        since = self._blocked_since.setdefault(machine, now)
+        if now - since >= BLOCKED_DRAIN_SECONDS:
+            reason = "its long-running tasks cannot be moved"
+            self._pause(machine, reason, BLOCKED_PAUSE_SECONDS)
 
     # ---- moves ----
 
--- a/arbutuscleat/execution/machine_tracker.py
+++ b/arbutuscleat/execution/machine_tracker.py
@@ -117,6 +117,18 @@
         """
         return machine not in self._out_of_service
 
+    def has_finite_runs(self, worker_id: str) -> bool:
+        """Return whether a worker has runs that end by themselves."""
+        with self._table.lock:
+            record = self._table.workers.get(worker_id)
+            if record is None:
+                return False
+            jobs = self._table.jobs
+            return any(
+                key.job_id in jobs and not jobs[key.job_id].steps[key.step].long_running
+                for key in self._table.runs.get((worker_id, record.born_ms), {})
+            )
+
     def cpu_in_use(self, worker_id: str) -> int:
         """Return the CPU reserved on a worker in thousandths of a core; 0 if idle.
 
--- a/tests/execution/test_machine_moves.py
+++ b/tests/execution/test_machine_moves.py
@@ -7,9 +7,14 @@
     MachineController,
     MachineOrderOutcome,
 )
+from arbutuscleat.execution.machine_controller import (
+    BLOCKED_DRAIN_SECONDS,
+    BLOCKED_PAUSE_SECONDS,
+)
+from arbutuscleat.jobs import TaskKey
 from arbutuscleat.wire.gen_jobs.ttypes import OrderMachines, WaveRecord
 from tests.fakes import ManualClock
-from tests.fakes.jobs import OTHER_JOB, JobTableHarness, job, run, step, worker
+from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, step, worker
 from tests.fakes.machines import FakeExecutor, FakeReplica
 from tests.fakes.provider import FakeProvider
 
@@ -131,6 +136,43 @@
         self.reconcile(1.0)
         self.assertEqual({"w-k3"}, self.executor.draining)
 
+    def test_a_drain_whose_tasks_cannot_be_moved_ends(self):
+        """Guards against a worker drained for good although nothing can leave it."""
+        self.run_spread_job()
+        self.start_wave_of_k3()
+        self.reconcile(BLOCKED_DRAIN_SECONDS)
+        self.assertEqual({"w-k3"}, self.executor.draining)
+        self.reconcile(2 * POLL_SECONDS)
+        self.assertEqual(set(), self.executor.draining)
+        self.reconcile(BLOCKED_PAUSE_SECONDS)
+        self.assertEqual({"w-k3"}, self.executor.draining)
+
+    def test_a_wave_goes_on_beside_a_machine_that_cannot_be_drained(self):
+        """Guards against a wave that waits for one machine and leaves the others."""
+        self.run_spread_job()
+        self.start_wave_of_k3(others=["k0"])
+        drained = set()
+        for _ in range(int(2 * BLOCKED_DRAIN_SECONDS / POLL_SECONDS)):
+            self.reconcile(POLL_SECONDS)
+            drained |= self.executor.draining
+        self.assertEqual({"w-k0", "w-k3"}, drained)
+
+    def test_a_drain_goes_on_while_finite_tasks_run(self):
+        self.run_spread_job()
+        self.harness.accept(job(OTHER_JOB))
+        self.harness.start(run(OTHER_JOB, worker_id="w-k3"))
+        self.start_wave_of_k3()
+        self.reconcile(3 * BLOCKED_DRAIN_SECONDS)
+        self.assertEqual({"w-k3"}, self.executor.draining)
+
+    def test_a_drain_goes_on_while_tasks_can_be_moved(self):
+        self.run_spread_job()
+        self.start_wave_of_k3()
+        self.executor.movable_tasks = lambda worker_id: [(TaskKey(JOB, 0, 0, 3), 1)]
+        self.executor.order_stop = lambda *args: None
+        self.reconcile(3 * BLOCKED_DRAIN_SECONDS)
+        self.assertEqual({"w-k3"}, self.executor.draining)
+
     # ---- gauges ----
 
     def test_tasks_without_a_machine_are_logged_and_counted(self):
