Upkeep that does not end is logged and counted

A wave could stand still for a machine that never returned from its upkeep, and nothing said so: the machine keeps its place under the cap, and neither log nor metrics named it.

So the wait gets an owner, not a bound: logged after twice the duration of an upkeep and each time the age has doubled, and served as machines_in_upkeep and machines_in_upkeep_oldest_seconds.

--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -282,6 +282,7 @@
                 if not self._tracker.is_in_service(item.machine)
             ],
             self._drainer.drain_seconds(),
+            self._tracker.upkeep_seconds(),
             self._clock.monotonic(),
         )
 
--- a/arbutuscleat/execution/machine_tracker.py
+++ b/arbutuscleat/execution/machine_tracker.py
@@ -24,6 +24,10 @@
 """Time without a usable worker after which a machine provides no capacity. It is longer
 than a move and the first answer of the new worker, and than most network failures."""
 
+LONG_UPKEEP_FACTOR = 2.0
+"""Multiple of the duration of an upkeep after which one that has not ended is logged
+first, and again each time it has doubled."""
+
 
 class MachineTracker:
     """Tracks which machines are under upkeep and how long machines are idle.
@@ -49,6 +53,9 @@
         self._upkeep = upkeep
         self._under_upkeep: dict[str, float] = {}
         self._seen_down: set[str] = set()
+        self._log_at: dict[str, float] = {}
+        """When each upkeep that has not ended is logged next, in monotonic seconds."""
+
         self._idle_since: dict[str, float] = {}
         self._unusable_since: dict[str, tuple[str, float]] = {}
         """Service of each machine without a usable worker, and since when."""
@@ -59,6 +66,7 @@
         """Discard all observations, after this process gained or lost leadership."""
         self._under_upkeep = {}
         self._seen_down = set()
+        self._log_at = {}
         self._idle_since = {}
         self._unusable_since = {}
         self._out_of_service = set()
@@ -96,11 +104,17 @@
     def record_upkeep(self, machine: str) -> None:
         """Record that the upkeep of a machine has been ordered."""
         self._under_upkeep[machine] = self._clock.monotonic()
+        self._log_at.pop(machine, None)
 
     def under_upkeep(self) -> set[str]:
         """Return the machines that are under upkeep."""
         return set(self._under_upkeep)
 
+    def upkeep_seconds(self) -> list[float]:
+        """Return for how long each machine has been under upkeep, in seconds."""
+        now = self._clock.monotonic()
+        return [now - since for since in self._under_upkeep.values()]
+
     def is_under_upkeep(self, machine: str) -> bool:
         """Return whether a machine is under upkeep."""
         return machine in self._under_upkeep
@@ -160,6 +174,20 @@
             if has_ended:
                 del self._under_upkeep[machine]
                 self._seen_down.discard(machine)
+                self._log_at.pop(machine, None)
+            else:
+                self._log_long_upkeep(machine, now - since, now)
+
+    def _log_long_upkeep(self, machine: str, age: float, now: float) -> None:
+        """Log a machine that keeps a place of its wave's cap for too long.
+
+        It keeps the place: the provider may still be at work on it.
+        """
+        if age < LONG_UPKEEP_FACTOR * self._upkeep:
+            return
+        if now >= self._log_at.get(machine, 0.0):
+            self._log_at[machine] = now + age
+            logging.info("machine %s: still under upkeep after %.1f s", machine, age)
 
     def _update_idle(self, machines: Iterable[MachineState]) -> None:
         now = self._clock.monotonic()
--- a/arbutuscleat/execution/machine_waits.py
+++ b/arbutuscleat/execution/machine_waits.py
@@ -43,6 +43,7 @@
         moves: Iterable[MachineMove],
         out_of_service: Iterable[str],
         drain_seconds: Sequence[float],
+        upkeep_seconds: Sequence[float],
         now: float,
     ) -> None:
         """Update the gauges, and log the waits that last.
@@ -57,6 +58,8 @@
             Service of each machine without a usable worker.
         drain_seconds : sequence of float
             For how long each draining worker has been draining, in seconds.
+        upkeep_seconds : sequence of float
+            For how long each machine under upkeep has been so, in seconds.
         now : float
             Monotonic time in seconds.
         """
@@ -67,6 +70,8 @@
         gauges: dict[str, float] = {
             "workers_draining": len(drain_seconds),
             "workers_draining_oldest_seconds": max(drain_seconds, default=0.0),
+            "machines_in_upkeep": len(upkeep_seconds),
+            "machines_in_upkeep_oldest_seconds": max(upkeep_seconds, default=0.0),
         }
         for service_name, tasks in unmet:
             age = now - self._since[tasks.group]
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -186,6 +186,19 @@
         self.reconcile(8)
         self.assertEqual(CAP, len(self.provider.upkeeps))
 
+    def test_a_machine_that_does_not_return_from_its_upkeep_is_logged_and_counted(self):
+        """Guards against a wave that stands still for a machine, unnoticed."""
+        self.add_wave()
+        self.replica.lead()
+        with self.assertLogs("absl", "INFO") as logs:
+            self.reconcile(100)
+        lines = [line for line in logs.output if "still under upkeep" in line]
+        self.assertEqual(3 * CAP, len(lines), lines)
+        gauges = self.controller.waits.gauges
+        self.assertEqual(CAP, gauges["machines_in_upkeep"])
+        self.assertEqual(24.75, gauges["machines_in_upkeep_oldest_seconds"])
+        self.assertEqual(CAP, len(self.provider.upkeeps))
+
     def test_a_machine_held_by_a_former_leader_is_ordered_after_its_lease(self):
         self.add_wave()
         self.order_as_former_leader(MACHINES[0], finished=False)
