The leader brings former members back that know no group

The leader now calls, one a second, the hosts that it has known as members or has as seeds, but whose log entry is gone. One that answers with neither a leader nor members is part of no group: the leader lists it with the incarnation of its handshake, through the path of a node that asks to join. One that knows a group, its own included, is left alone.

--- a/arbutuscleat/access/__init__.py
+++ b/arbutuscleat/access/__init__.py
@@ -1,8 +1,16 @@
 """Access to the leading control instance: clients that find it, and its service."""
 
 from .admission_controller import AdmissionController
+from .former_members import FormerMembers
 from .job_service import JobService
 from .joiner import Joiner
 from .leader_client import CallOutcome, LeaderClient
 
-__all__ = ["AdmissionController", "CallOutcome", "JobService", "Joiner", "LeaderClient"]
+__all__ = [
+    "AdmissionController",
+    "CallOutcome",
+    "FormerMembers",
+    "JobService",
+    "Joiner",
+    "LeaderClient",
+]
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -8,7 +8,13 @@
 
 from absl import logging
 
-from arbutuscleat.access import AdmissionController, JobService, Joiner, LeaderClient
+from arbutuscleat.access import (
+    AdmissionController,
+    FormerMembers,
+    JobService,
+    Joiner,
+    LeaderClient,
+)
 from arbutuscleat.consensus import (
     FOUNDER_INCARNATION,
     FolderDisk,
@@ -201,6 +207,9 @@
             credentials,
             clock,
         )
+        self._former_members = FormerMembers(
+            self._replica, cfg.read_seeds, cfg.peer_port, credentials, clock
+        )
         self._http = HttpServer(
             cfg.listen,
             make_application(self._leader_client),
@@ -230,6 +239,7 @@
         if self._machine_controller is not None:
             self._machine_controller.start()
         self._joiner.start()
+        self._former_members.start()
         self._http.start()
         self._metrics_server.start()
         logging.info(
@@ -242,6 +252,7 @@
     def stop(self) -> None:
         """Transfer the leadership, finish requests in progress and stop."""
         self._joiner.stop()
+        self._former_members.stop()
         if self._machine_controller is not None:
             self._machine_controller.stop()
         self._replica.transfer_leadership()
--- a/arbutuscleat/wire/channel.py
+++ b/arbutuscleat/wire/channel.py
@@ -52,6 +52,8 @@
         self._ids = itertools.count(1)
         self._socket: TSocket | None = None
         self._client: Any = None
+        self.peer_incarnation = ""
+        """Incarnation that the peer presented in the latest handshake."""
 
     @property
     def address(self) -> Address:
@@ -125,6 +127,7 @@
             socket.close()
             detail = f"{self._address} refused the connection: {answer.reason}"
             return CallError(CallErrorKind.REFUSED, detail)
+        self.peer_incarnation = answer.incarnation or ""
         self._socket = socket
         self._client = self._client_class(protocol)
         return None
