Runs of ended jobs are due to be stopped after a restore

Found by reading; nobody has seen it.

`restore` now builds it from the running tasks of ended jobs.

Before, test_runs_of_ended_jobs_are_due_to_be_stopped_after_a_restore found the entry of the former state, and not that of the cancelled job.

--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -119,6 +119,7 @@
             self.jobs = {}
             self.active = {}
             self.runs = {}
+            self.stops_due = set()
             for item in table.jobs:
                 job = JobState.from_image(item)
                 self.jobs[job.job_id] = job
@@ -127,6 +128,8 @@
                 for task in job.all_tasks():
                     if task.status is TaskStatus.RUNNING:
                         self.runs.setdefault(task.incarnation, {})[task.key] = task
+                        if job.is_over():
+                            self.stops_due.add(task.key)
             self.changed.notify_all()
 
     # ---- queries; `lock` must be held ----
--- a/tests/jobs/test_job_table.py
+++ b/tests/jobs/test_job_table.py
@@ -220,6 +220,19 @@
 
 
 class SnapshotTest(TestCase):
+    def test_runs_of_ended_jobs_are_due_to_be_stopped_after_a_restore(self):
+        """Guards against a cancelled task that runs on after a change of leader."""
+        harness = JobTableHarness()
+        harness.apply(worker=worker())
+        harness.accept(job())
+        harness.accept(job(OTHER_JOB))
+        harness.start(run(), run(OTHER_JOB))
+        harness.cancel()
+        restored = JobTable(decode_config)
+        restored.stops_due.add(TaskKey(OTHER_JOB, 0, 0, 0))
+        restored.restore(harness.table.image())
+        self.assertEqual({TaskKey(JOB, 0, 0, 0)}, restored.stops_due)
+
     def test_a_restored_table_behaves_like_the_original(self):
         harness = JobTableHarness()
         harness.apply(worker=worker())
