The job service reads the configuration with the table's lock

Found by reading; nobody has seen it. `config` is replaced as a whole, and the verdict that a queue is unknown is confirmed with a quorum only after it was read, so a caller could be told 404 from a table that was being replaced.

`_find_queue` takes the table's lock for the reading. It holds no other lock.

Before, test_the_configuration_is_read_with_the_lock_of_the_table found the lock not held.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -277,7 +277,8 @@
     ) -> tuple[Queue | None, str, Any]:
         if not self.leads():
             return None, "", self._job_answer(request, Verdict.NOT_LEADER)
-        config = self._table.config
+        with self._table.lock:
+            config = self._table.config
         if config is None:
             return None, "", self._confirmed_answer(request, Verdict.NO_CONFIG)
         queue = config.find(request.host, request.path)
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -50,6 +50,24 @@
         )
         return self.service.submit(request)
 
+    def test_the_configuration_is_read_with_the_lock_of_the_table(self):
+        """Guards against an answer from a table that is half restored."""
+        table = self.service._table
+        held = []
+
+        class LockedTable:
+            lock = table.lock
+            jobs = table.jobs
+
+            @property
+            def config(self):
+                held.append(table.lock._is_owned())
+                return table.config
+
+        self.service._table = LockedTable()
+        self.submit(JOB)
+        self.assertEqual([True], held)
+
     def test_a_job_is_accepted_while_there_is_capacity(self):
         self.assertEqual(Verdict.DONE, self.submit(JOB).verdict)
         self.assertIn(JOB, self.harness.table.jobs)
