A node that has stopped ends without finalising the interpreter

Finalising also waits for threads of the HTTP server and for machine orders whose answers are awaited.

A node that has stopped has nothing else to release: the replica's files are synced when they are written. Standard output is not flushed, because the log's writer does so, and a stalled reader would block it.

Before, test_a_process_that_has_stopped_does_not_wait_for_the_interpreter saw the interpreter's exit handler run.

--- a/arbutuscleat/nodes/running.py
+++ b/arbutuscleat/nodes/running.py
@@ -5,7 +5,7 @@
 import signal
 import threading
 from queue import Empty, SimpleQueue
-from typing import Protocol
+from typing import NoReturn, Protocol
 
 from absl import logging
 
@@ -54,8 +54,7 @@
     except Exception:
         logging.exception("graceful stop failed")
         # Threads of the HTTP server may still run and would keep the process alive.
-        standard_logging.shutdown()
-        os._exit(EXIT_FAILED)
+        exit_process(EXIT_FAILED)
     logging.info("stopped")
     return EXIT_OK
 
@@ -83,5 +82,14 @@
     name = failure.thread.name if failure.thread is not None else ""
     logging.error("thread %s failed", name, exc_info=failure.exc_value)
     if issubclass(failure.exc_type, InvariantError):
-        standard_logging.shutdown()
-        os._exit(EXIT_INVARIANT)
+        exit_process(EXIT_INVARIANT)
+
+
+def exit_process(code: int) -> NoReturn:
+    """Close the logs and end the process without finalising the interpreter.
+
+    A node that has stopped has nothing left to release, while the last garbage
+    collection takes seconds on a machine that is short of processor time.
+    """
+    standard_logging.shutdown()
+    os._exit(code)
--- a/tests/platform/test_run.py
+++ b/tests/platform/test_run.py
@@ -13,6 +13,14 @@
 ROOT = Path(__file__).resolve().parents[2]
 WAIT_SECONDS = 60.0
 
+PROGRAM = """
+import atexit, os, runpy, sys
+atexit.register(print, "interpreter is finalised", flush=True)
+print("starts", flush=True)
+sys.path.insert(0, os.path.dirname(sys.argv[1]))
+runpy.run_path(sys.argv.pop(1), run_name="__main__")
+"""
+
 
 class RunTest(TestCase):
     def run_entry(self, *options, settings="/nowhere"):
@@ -30,6 +38,18 @@
         self.assertIn("ARBUTUSCLEAT_BOOT", result.stderr)
         self.assertEqual(1, len(result.stderr.splitlines()))
 
+    def test_a_process_that_has_stopped_does_not_wait_for_the_interpreter(self):
+        """Guards against seconds of garbage collection after the node has stopped."""
+        result = subprocess.run(
+            [sys.executable, "-c", PROGRAM, str(ROOT / "platform/run.py"), "entry"],
+            env={**os.environ, "ARBUTUSCLEAT_BOOT": "/nowhere"},
+            capture_output=True,
+            text=True,
+            timeout=WAIT_SECONDS,
+        )
+        self.assertEqual((2, "starts\n"), (result.returncode, result.stdout))
+        self.assertIn("ARBUTUSCLEAT_BOOT", result.stderr)
+
     def test_an_invalid_metrics_option_is_reported(self):
         settings = Path(self.make_folder()) / "node.toml"
         settings.write_text(
