--- a/arbutuscleat/consensus/replica_threads.py
+++ b/arbutuscleat/consensus/replica_threads.py
@@ -9,6 +9,8 @@
 
 from returns.result import Success
 
+from arbutuscleat.core import FAILURE_PAUSE_SECONDS, run_loop, run_step
+
 from .peer import Peer, PeerAnswer, PeerRequest
 from .replica_state import ReplicaState
 from .role import Role
@@ -96,31 +98,37 @@
 
     def _run_timers(self) -> None:
         state = self._state
-        while not state.clock.sleep(state.stopping, state.cfg.tick_seconds):
-            self._tick()
+        run_loop(self._tick, state.stopping, state.clock, state.cfg.tick_seconds)
 
     def _run_writer(self) -> None:
+        run_loop(self._write_or_wait, self._state.stopping, self._state.clock)
+
+    def _write_or_wait(self) -> None:
         state = self._state
-        while not state.stopping.is_set():
-            if self._write_unsynced():
-                continue
-            with state.lock:
-                waiting = state.log.unsynced() is not None and state.role is Role.LEADER
-                if not waiting and not state.stopping.is_set():
-                    state.clock.wait(state.write_ready, WRITER_IDLE_SECONDS)
+        if self._write_unsynced():
+            return
+        with state.lock:
+            waiting = state.log.unsynced() is not None and state.role is Role.LEADER
+            if not waiting and not state.stopping.is_set():
+                state.clock.wait(state.write_ready, WRITER_IDLE_SECONDS)
 
     def _run_peer(self, peer: Peer) -> None:
         state = self._state
         while not state.stopping.is_set() and self._peers.get(peer.node_id) is peer:
-            with state.lock:
-                request = self._next_request(peer.node_id)
-                if request is None:
-                    self._wait_for_request(peer.node_id)
-                    continue
-                sent_at = state.clock.monotonic()
-            answer = peer.send(request, state.cfg.call_seconds)
-            if isinstance(answer, Success):
-                self._handle_answer(peer.node_id, request, answer.unwrap(), sent_at)
+            if not run_step(lambda: self._send_or_wait(peer)):
+                state.clock.sleep(state.stopping, FAILURE_PAUSE_SECONDS)
+
+    def _send_or_wait(self, peer: Peer) -> None:
+        state = self._state
+        with state.lock:
+            request = self._next_request(peer.node_id)
+            if request is None:
+                self._wait_for_request(peer.node_id)
+                return
+            sent_at = state.clock.monotonic()
+        answer = peer.send(request, state.cfg.call_seconds)
+        if isinstance(answer, Success):
+            self._handle_answer(peer.node_id, request, answer.unwrap(), sent_at)
 
     def _wait_for_request(self, peer: str) -> None:
         """Wait until there may be a request for a peer; the caller holds `lock`."""
--- a/arbutuscleat/core/__init__.py
+++ b/arbutuscleat/core/__init__.py
@@ -10,7 +10,7 @@
 from .idempotency_key import UNTIMED, key_time_ms
 from .instance import Assignment, AssignmentPhase, Instance, InstanceState
 from .labels import Labels, is_name, parse_labels, validate_labels
-from .loops import run_loop, run_step
+from .loops import FAILURE_PAUSE_SECONDS, run_loop, run_step
 from .maintenance import PHASE_TRANSITIONS, Maintenance, MaintenancePhase
 from .outcome import Outcome
 from .pool import Pool, validate_pool
@@ -20,6 +20,7 @@
 from .selector_rule import SelectorPurpose, SelectorRule, validate_selector_rule
 
 __all__ = [
+    "FAILURE_PAUSE_SECONDS",
     "Assignment",
     "AssignmentPhase",
     "Clock",
--- a/tests/access/test_joiner.py
+++ b/tests/access/test_joiner.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from arbutuscleat.access import Joiner
+from arbutuscleat.consensus import Role
 from arbutuscleat.wire import Credentials
 from tests.fakes import ManualClock
 
@@ -14,6 +15,7 @@
         return self
 
     leader = ""
+    role = Role.FOLLOWER
 
     def members(self):
         return ()
@@ -36,3 +38,14 @@
         with self.assertLogs("absl", "ERROR"):
             joiner._run()
         self.assertEqual([], errors)
+
+    def test_a_replica_whose_disk_refuses_writes_does_not_ask_to_join(self):
+        replica = FakeReplica()
+        replica.role = Role.FAILED
+        asked = []
+        credentials = Credentials("test", "", "10.0.0.9", "x")
+        joiner = Joiner(
+            replica, "x", lambda: asked.append(1) or (), 1, credentials, ManualClock()
+        )
+        joiner._check()
+        self.assertEqual([], asked)
