--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -190,7 +190,7 @@
             entry = state.append(EntryKind.COMMAND, payload)
             pending = PendingProposal(entry.term)
             state.pending_proposals[entry.index] = pending
-        self._write_or_notify_writer()
+            state.write_ready.notify()
         if not state.clock.sleep(pending.done, timeout):
             with state.lock:
                 if state.pending_proposals.get(entry.index) is pending:
@@ -397,22 +397,6 @@
             self._threads.add_peer(self._make_peer(node_id))
         return progress
 
-    def _write_or_notify_writer(self) -> None:
-        """Write at once if no other thread does, otherwise leave it to the writer.
-
-        This spares a single proposer two thread switches.  Under load, one sync of
-        the writer covers all the entries appended in the meantime.
-        """
-        state = self._state
-        if state.disk_lock.acquire(blocking=False):
-            try:
-                self._replication.write_unsynced_locked()
-            finally:
-                state.disk_lock.release()
-        with state.lock:
-            if state.log.synced_index < state.log.last_index:
-                state.write_ready.notify()
-
     def _next_request(self, peer: str) -> PeerRequest | None:
         state = self._state
         if state.role is not Role.LEADER:
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -30,6 +30,17 @@
             self.assertEqual([harness.state.led_since], found)
 
 
+class HangingDiskTest(TestCase):
+    def test_a_proposer_does_not_wait_for_the_disk_of_the_leader(self):
+        """Guards against a leader that schedules nothing while its disk hangs."""
+        harness = ReplicaHarness().lead()
+        harness.acknowledge("b")
+        writes = harness.disk.writes
+        harness.replica.propose(b"1", 0.0)
+        self.assertEqual(writes, harness.disk.writes)
+        self.assertEqual(harness.state.log.synced_index + 1, harness.propose("2") - 1)
+
+
 class SuspensionTest(TestCase):
     """Guards against orders of a leader that was suspended for a change of leader.
 
