--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -240,3 +240,32 @@
         server, calls = self.serve()
         server.listener.close()
         self.assertFalse(self.call(calls).sent)
+
+    def test_an_answer_that_is_nested_too_deeply_is_empty(self):
+        """Guards against the end of the calling thread by a `RecursionError`."""
+        for body in (b"[" * 200_000, b'{"machines":' * 200_000):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            _, calls = self.serve([head + body])
+            result = self.call(calls)
+            self.assertEqual((200, {}), (result.status, result.tree))
+
+    def test_an_answer_that_is_too_long_is_none(self):
+        """Guards against an answer that takes up all memory."""
+        rest = b'{"a": "' + b"a" * 100 + b'"}'
+        lines = [
+            b"Content-Length: %d\r\n\r\n%b" % (len(rest), rest),
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+            % (len(rest), rest),
+            b"\r\n" + rest,
+        ]
+        for line in lines:
+            _, calls = self.serve([b"HTTP/1.1 200 OK\r\n" + line])
+            with mock.patch("berthline.http_calls.MAX_ANSWER_BYTES", len(rest) - 1):
+                result = self.call(calls)
+            self.assertEqual((0, {}, True), (result.status, result.tree, result.sent))
+
+    def test_an_answer_of_the_largest_length_is_read(self):
+        _, calls = self.serve([CHUNKED_ANSWER, ANSWER, LAST_ANSWER])
+        with mock.patch("berthline.http_calls.MAX_ANSWER_BYTES", 9):
+            trees = [self.call(calls).tree for _ in range(3)]
+        self.assertEqual([{"ok": 2}, {"ok": 1}, {"ok": 1}], trees)
