Answers of workers: an odd row costs that row only

A row that names a step which its job does not have ended the hold thread with IndexError. A second row of a task hid the sound one, whose run was stopped.

Listed runs are compared by task and number. A task that the job does not have is stopped like any other run that should not be there.

--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -333,13 +333,13 @@
         if not self._record_ends(answer):
             return
         ended = {(end.key, end.number) for end in answer.finished}
-        listed = {task.key: task.number for task in answer.running}
-        self._stop_unwanted(listed)
+        listed = {(task.key, task.number) for task in answer.running}
+        self._stop_unwanted(answer.running)
         self._stop_stalled(answer)
         lost = []
         self._has_missing_runs = False
         for key, number in expected_runs.items():
-            if listed.get(key) == number or (key, number) in ended:
+            if (key, number) in listed or (key, number) in ended:
                 continue
             if stopped.get(key) == number:
                 lost.append((key, number))
@@ -353,6 +353,9 @@
     def _record_ends(self, answer: HoldAnswer) -> bool:
         new_ends = [end for end in answer.finished if end.position > self._acknowledged]
         if not new_ends:
+            if answer.skipped_ends:
+                # It cannot be acknowledged, so the worker will answer at once.
+                self._clock.sleep(self._closed, RETRY_SECONDS)
             return True
         if not self._end_recorder.record_reported(new_ends):
             return False
@@ -372,12 +375,12 @@
                 self.worker_id,
             )
 
-    def _stop_unwanted(self, listed: dict[TaskKey, int]) -> None:
+    def _stop_unwanted(self, listed: tuple[RunningTask, ...]) -> None:
         with self._table.lock:
             unwanted = [
-                (key, number)
-                for key, number in listed.items()
-                if not self._table.is_current_run(key, number)
+                (item.key, item.number)
+                for item in listed
+                if not self._table.is_current_run(item.key, item.number)
             ]
         for key, number in self._not_stopped(unwanted):
             self.order_stop(key, number)
@@ -393,8 +396,10 @@
         with self._table.lock:
             for item in answer.running:
                 job = self._table.jobs.get(item.key.job_id)
-                step = None if job is None else job.steps[item.key.step]
-                if step is not None and not step.long_running and not step.gang:
+                if job is None or job.task(item.key) is None:
+                    continue
+                step = job.steps[item.key.step]
+                if not step.long_running and not step.gang:
                     progressing.append((item, step.estimated_ms))
         stalled = self._stall_detector.find_stalled(
             progressing, self._clock.monotonic()
--- a/arbutuscleat/execution/worker_client.py
+++ b/arbutuscleat/execution/worker_client.py
@@ -195,6 +195,8 @@
         The tasks that are running.
     finished : tuple of FinishedRun
         The ended runs that have not been acknowledged.
+    skipped_ends : int
+        Number of listed ends that are invalid, and not in `finished`.
     """
 
     outcome: OrderOutcome
@@ -202,6 +204,7 @@
     born_ms: int = 0
     running: tuple[RunningTask, ...] = ()
     finished: tuple[FinishedRun, ...] = ()
+    skipped_ends: int = 0
 
 
 class WorkerClient(ABC):
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -1,6 +1,7 @@
 """Tests of sessions with responsive, unresponsive, slow and replaced workers."""
 
 from dataclasses import replace
+from unittest import mock
 
 from testtools import TestCase
 
@@ -8,12 +9,13 @@
 from arbutuscleat.execution import (
     ExecutionLimits,
     HoldAnswer,
+    HoldOrder,
     OrderAnswer,
     OrderOutcome,
     RunningTask,
     WorkerClient,
 )
-from arbutuscleat.execution.session import RECHECK_SECONDS, WorkerSession
+from arbutuscleat.execution.session import RECHECK_SECONDS, RETRY_SECONDS, WorkerSession
 from arbutuscleat.execution.worker_status import (
     IDLE_HOLD_SECONDS,
     MAX_UNANSWERED_ORDERS,
@@ -118,6 +120,39 @@
             self.session.hold_once()
             self.session.send_queued_orders()
 
+    def hold_with(self, **fields):
+        """Send one hold whose answer has some fields replaced."""
+        answer = replace(self.model.hold(HoldOrder(7, 0, None, 0), 1.0), **fields)
+        with mock.patch.object(self.link, "hold", lambda order, timeout: answer):
+            self.session.hold_once()
+        self.session.send_queued_orders()
+
+    def test_a_listed_run_of_a_task_that_its_job_does_not_have(self):
+        """Guards against the end of the hold thread by an `IndexError`."""
+        self.start()
+        sound = self.model.hold(HoldOrder(7, 0, None, 0), 1.0).running
+        odd = [
+            RunningTask(KEY._replace(**{name: 99}), 1, 0, 0)
+            for name in ("occurrence", "step", "task_index")
+        ]
+        self.hold_with(running=(*odd, *sound))
+        self.assertEqual(TaskStatus.RUNNING, self.status())
+        self.assertEqual(3, sum(name == "stop" for name, _ in self.link.calls))
+
+    def test_a_second_row_of_a_task_does_not_hide_its_run(self):
+        """Guards against the stop of a sound run because of an odd row."""
+        self.start()
+        sound = self.model.hold(HoldOrder(7, 0, None, 0), 1.0).running
+        self.hold_with(running=(*sound, RunningTask(KEY, 2**31 - 1, 0, 0)))
+        stops = [order.number for name, order in self.link.calls if name == "stop"]
+        self.assertEqual([2**31 - 1], stops)
+
+    def test_an_end_that_cannot_be_read_does_not_cause_holds_without_a_pause(self):
+        self.start()
+        before = self.clock.monotonic()
+        self.hold_with(skipped_ends=1)
+        self.assertAlmostEqual(RETRY_SECONDS, self.clock.monotonic() - before)
+
     def test_an_end_is_logged_before_it_is_acknowledged(self):
         self.start()
         self.clock.advance(DONE_AFTER)
