Announcements: only what the log can hold, and no number that blocks its worker

What could be seen: a port with a digit of another script raised ValueError that is no FormatError, so the front answered 500. Text with a lone surrogate was accepted, and the encoder of the message to the leader raised, in the middle of a frame. An id with a line break or a space was stored, and no call to such a worker could be written. `born` of 2^61 hid all later announcements of that id, and `sequence` of 2^61 all later changes of that incarnation, such as its draining.

Cause: str.isdigit and int() disagree about digits; the checks of `fields` did not know what thrift can encode; start times and sequence numbers only ever rise.

The rule is applied by every replica, so all of them should run the same version while such an entry exists; without one, both versions decide the same.

Changed test: `SubmitTest.setUp` is shared with the new class; its checks stay.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -21,6 +21,7 @@
 )
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import AcceptResult, JobTable, Queue
+from arbutuscleat.jobs.worker_announcement import is_outdated
 from arbutuscleat.scheduling import Rejection
 from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
@@ -51,6 +52,11 @@
 BARRIER_SECONDS = 1.0
 """Timeout for a quorum to confirm the leadership."""
 
+MAX_BORN_AHEAD_MS = 24 * 3600 * 1000
+"""How far the start time of a worker may be ahead of this process's clock. Clocks
+differ by seconds, and by hours at most if one is set wrongly; a time further ahead is
+no start time, and would hide all later incarnations of that worker."""
+
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 _VERDICTS = {
@@ -184,6 +190,14 @@
         if not self.leads():
             return self._control_answer(request, Verdict.NOT_LEADER)
         record = request.worker
+        latest_ms = self._clock.now_ms() + MAX_BORN_AHEAD_MS
+        if record.born_ms > latest_ms:
+            logging.warning(
+                "worker %s refused: its start at %d ms is more than a day ahead",
+                record.worker_id,
+                record.born_ms,
+            )
+            return self._control_answer(request, Verdict.INVALID)
         with self._table.lock:
             stored = self._table.workers.get(record.worker_id)
         if request.leaving:
@@ -194,9 +208,14 @@
                 remove_worker=RemoveWorker(worker_id=record.worker_id, born_ms=born_ms)
             )
             logging.info("worker %s is leaving", record.worker_id)
-        elif stored is not None and _needs_no_commit(stored, record):
+        elif (
+            stored is not None
+            and stored.born_ms <= latest_ms
+            and _needs_no_commit(stored, record)
+        ):
             return self._control_answer(request, Verdict.DONE)
         else:
+            self._remove_implausible(record, latest_ms)
             command = JobCommand(worker=record)
             logging.info(
                 "worker %s of service %s at %s:%d, started at %d ms%s",
@@ -258,6 +277,26 @@
 
     # ---- helpers ----
 
+    def _remove_implausible(self, record: WorkerRecord, latest_ms: int) -> None:
+        """Remove workers that block an announcement with a start far in the future.
+
+        A leader that did not check the start times may have stored them.
+        """
+        address = (record.host, record.port)
+        with self._table.lock:
+            found = [
+                item
+                for item in self._table.workers.values()
+                if item.born_ms > latest_ms
+                and (
+                    item.worker_id == record.worker_id
+                    or (item.host, item.port) == address
+                )
+            ]
+        for item in found:
+            command = RemoveWorker(worker_id=item.worker_id, born_ms=item.born_ms)
+            self._propose(JobCommand(remove_worker=command))
+
     def _reject(
         self, request: SubmitRequest, job_id: str, queue: Queue, rejection: Rejection
     ) -> JobAnswer:
@@ -349,10 +388,11 @@
 
     That is the case if it is outdated or only its sequence number has changed.
     """
-    if stored.born_ms != record.born_ms or record.sequence < stored.sequence:
-        return record.born_ms <= stored.born_ms
+    if is_outdated(record, stored):
+        return True
     return (
-        stored.service_name == record.service_name
+        stored.born_ms == record.born_ms
+        and stored.service_name == record.service_name
         and (stored.host, stored.port) == (record.host, record.port)
         and (stored.cpu, stored.mem_mb, stored.gpu)
         == (record.cpu, record.mem_mb, record.gpu)
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -35,6 +35,7 @@
 from .run_outcome import RunOutcome
 from .task import TaskKey, TaskState, TaskStatus, WorkerIncarnation
 from .wave import Wave
+from .worker_announcement import is_outdated
 
 ENDED_JOBS_KEPT_MS = 150_000
 """How long the state of an ended job can be read; callers are promised 120 s."""
@@ -338,7 +339,7 @@
         """
         stored = self.workers.get(record.worker_id)
         if stored is not None:
-            if (record.born_ms, record.sequence) < (stored.born_ms, stored.sequence):
+            if is_outdated(record, stored):
                 return False
             if stored.born_ms != record.born_ms:
                 self._end_runs_as_lost((stored.worker_id, stored.born_ms))
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -6,8 +6,14 @@
 from testtools import TestCase
 
 from arbutuscleat.access import AdmissionController, JobService
+from arbutuscleat.access.job_service import MAX_BORN_AHEAD_MS
+from arbutuscleat.jobs.worker_announcement import MAX_SEQUENCE_LAG
 from arbutuscleat.scheduling import FleetCapacity
-from arbutuscleat.wire.gen_jobs.ttypes import SubmitRequest, Verdict
+from arbutuscleat.wire.gen_jobs.ttypes import (
+    AnnounceRequest,
+    SubmitRequest,
+    Verdict,
+)
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JOB, JobTableHarness, job, step, worker
 
@@ -15,6 +21,12 @@
 LONG = [step(500, cpu=64_000, estimated_ms=10_000)]
 
 
+class ReplicaStatus:
+    """What is read of the status of a leader."""
+
+    leader = "a"
+
+
 class FakeReplica:
     """A leader that applies proposed commands to the table at once."""
 
@@ -24,16 +36,18 @@
     def leads(self):
         return True
 
+    def status(self):
+        return ReplicaStatus
+
     def propose(self, payload, timeout):
         self.harness.index += 1
         return Success(self.harness.table.apply(self.harness.index, payload))
 
 
-class SubmitTest(TestCase):
+class ServiceTest(TestCase):
     def setUp(self):
         super().setUp()
         self.harness = JobTableHarness()
-        self.harness.apply(worker=worker())
         self.clock = ManualClock()
         table = self.harness.table
         self.admission = AdmissionController(
@@ -44,6 +58,12 @@
         )
         self.service._leader = lambda: ""
 
+
+class SubmitTest(ServiceTest):
+    def setUp(self):
+        super().setUp()
+        self.harness.apply(worker=worker())
+
     def submit(self, job_id, steps=None):
         request = SubmitRequest(
             host="berth.example", path=f"/approvals/{job_id}", job=job(steps=steps)
@@ -96,3 +116,49 @@
         answer = self.submit(JOB, [step(cpu=64_001)])
         self.assertEqual(Verdict.REFUSED, answer.verdict)
         self.assertIn("largest machine", answer.detail)
+
+
+class AnnounceTest(ServiceTest):
+    def announce(self, **fields):
+        """Announce a worker and return the verdict."""
+        request = AnnounceRequest(worker=worker(**fields), leaving=False)
+        return self.service.announce(request).verdict
+
+    def stored(self):
+        return self.harness.table.workers["w1"]
+
+    def test_a_start_time_far_ahead_does_not_block_later_announcements(self):
+        """Guards against an id under which no worker is ever known again."""
+        for ahead_ms in (MAX_BORN_AHEAD_MS + 1, 1 << 61):
+            born_ms = self.clock.now_ms() + ahead_ms
+            self.assertEqual(Verdict.INVALID, self.announce(born_ms=born_ms))
+        self.assertEqual({}, self.harness.table.workers)
+        now_ms = self.clock.now_ms()
+        self.assertEqual(Verdict.DONE, self.announce(born_ms=now_ms))
+        self.assertEqual(now_ms, self.stored().born_ms)
+
+    def test_the_clock_of_a_worker_may_be_ahead_by_some_hours(self):
+        born_ms = self.clock.now_ms() + MAX_BORN_AHEAD_MS
+        self.assertEqual(Verdict.DONE, self.announce(born_ms=born_ms))
+        self.assertEqual(born_ms, self.stored().born_ms)
+
+    def test_a_start_time_far_ahead_in_the_log_is_replaced(self):
+        """Guards against entries of logs written before the check."""
+        for stored in ("w1", "w2"):
+            self.harness.apply(worker=worker(stored, born_ms=1 << 61, port=7))
+            self.assertEqual(Verdict.DONE, self.announce(born_ms=5, port=7))
+            self.assertEqual(["w1"], list(self.harness.table.workers))
+            self.assertEqual(5, self.stored().born_ms)
+
+    def test_a_sequence_number_far_ahead_does_not_block_later_announcements(self):
+        """Guards against a worker that can never report that it drains."""
+        self.announce(sequence=1 << 61)
+        self.assertEqual(Verdict.DONE, self.announce(sequence=4, draining=True))
+        self.assertTrue(self.stored().draining)
+        self.assertEqual(4, self.stored().sequence)
+
+    def test_a_delayed_announcement_changes_nothing(self):
+        self.announce(sequence=MAX_SEQUENCE_LAG + 1, draining=True)
+        for sequence in (1, MAX_SEQUENCE_LAG):
+            self.assertEqual(Verdict.DONE, self.announce(sequence=sequence))
+            self.assertTrue(self.stored().draining)
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -27,6 +27,8 @@
 }
 JOB = {"spec": "text", "steps": [{"count": 2, "cpu": 500}, {"count": 1, "after": [0]}]}
 MISSING = object()
+LONE_SURROGATE = "a\ud800"
+NESTED = json.loads("[" * 100 + "]" * 100)
 
 
 def changed(tree, path, value):
@@ -72,11 +74,40 @@
             (["sequence"], True),
             (["sequence"], 1.5),
             (["born"], "now"),
+            (["address"], "10.0.0.3:\u00b2"),
+            (["address"], "10.0.0.3:8\u0660"),
+            (["address"], "10.0.0.\u0663:80"),
+            (["address"], "10.0.0.3:65536"),
+            (["address"], "10.0.0.3:" + "9" * 5_000),
+            (["address"], "10.0.0.3:80\n"),
+            (["service"], LONE_SURROGATE),
+            (["zone"], LONE_SURROGATE),
+            (["machine"], LONE_SURROGATE),
+            (["labels"], ["a", LONE_SURROGATE]),
+            (["labels"], ["a"] * 1_000),
+            (["machine"], ["m-1"]),
+            (["zone"], "z" * 100_000),
+            (["capacity", "cpu"], True),
+            (["capacity", "mem-mb"], 10**30),
+            (["capacity", "gpu"], {}),
+            (["capacity", "gpu"], float("inf")),
+            (["sequence"], 1 << 62),
+            (["sequence"], float("nan")),
+            (["born"], 1 << 64),
+            (["born"], -1),
+            (["version"], NESTED),
         ]
         self.assert_rejected(
             lambda body: parse_announcement("i-1", body), ANNOUNCEMENT, cases
         )
 
+    def test_ids_of_workers(self):
+        """Guards against an id that cannot be sent in a header of the calls."""
+        body = json.dumps(ANNOUNCEMENT).encode()
+        for name in ("", "i\r\nX: y", "i 1", "\u00e4", "\ud800", "i" * 1_000, "i\x00"):
+            self.assertRaises(FormatError, parse_announcement, name, body)
+        self.assertEqual("i-1:a_b", parse_announcement("i-1:a_b", body).worker_id)
+
     def test_configurations(self):
         route = ["routes", 0]
         cases = [
