Submissions, configuration and waves: values that can be sent, logged and planned

What could be seen: text with a lone surrogate in a job raised UnicodeEncodeError in the entry node (in `spec` at once, elsewhere in the encoder of the message to the leader). Integers beyond i32 raised there as well. A `stretch` of NaN, Infinity or 1e308 was accepted, logged, and raised in int() in each plan of each leader: the executor's thread ended, on one leader after another. A job with 2**31 occurrences that began in 1970 made the leader go over all of them in each plan, with the table locked. The estimated wait of a rejected job could exceed the i32 of the answer. A wave whose duration is NaN, or whose number or cap is beyond i32, raised in the front; so did wave-get of '²' and a deadline of 400 digits. A body that breaks off was logged with its traceback. The metric of the callers' requests had one series for each method that somebody made up.

Cause: numbers were only bounded by 2**62, and JSON's NaN and Infinity were read.

A rejected caller is asked to come back after an hour at most.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -57,6 +57,10 @@
 differ by seconds, and by hours at most if one is set wrongly; a time further ahead is
 no start time, and would hide all later incarnations of that worker."""
 
+MAX_RETRY_MS = 3600 * 1000
+"""Longest time after which a rejected caller is asked to try again; the message holds
+24 days at most, and the wait that is estimated has no bound."""
+
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 _VERDICTS = {
@@ -308,7 +312,7 @@
             rejection.retry_after_ms,
         )
         answer = self._job_answer(request, Verdict.REFUSED, detail=rejection.reason)
-        answer.retry_after_ms = rejection.retry_after_ms
+        answer.retry_after_ms = min(rejection.retry_after_ms, MAX_RETRY_MS)
         return answer
 
     def _find_queue(
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -9,8 +9,10 @@
 from arbutuscleat.access.job_service import MAX_BORN_AHEAD_MS
 from arbutuscleat.jobs.worker_announcement import MAX_SEQUENCE_LAG
 from arbutuscleat.scheduling import FleetCapacity
+from arbutuscleat.wire import decode, encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
+    JobAnswer,
     SubmitRequest,
     Verdict,
 )
@@ -112,6 +114,18 @@
         with self.admission.submitting(JOB):
             self.assertEqual(Verdict.DONE, self.submit(JOB).verdict)
 
+    def test_the_answer_to_a_job_behind_an_endless_backlog_can_be_sent(self):
+        """Guards against a wait that the message to the entry instance cannot hold."""
+        most = 2**31 - 1
+        large = step(10_000, cpu=64_000, estimated_ms=most)
+        for number in range(1, 4):
+            with self.admission.submitting(str(number) * 16):
+                self.submit(str(number) * 16, [large])
+        self.clock.advance(1.0)
+        answer = self.submit(JOB)
+        self.assertEqual(Verdict.REFUSED, answer.verdict)
+        self.assertEqual(answer, decode(JobAnswer, encode(answer)))
+
     def test_a_task_larger_than_any_machine_is_refused(self):
         answer = self.submit(JOB, [step(cpu=64_001)])
         self.assertEqual(Verdict.REFUSED, answer.verdict)
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -5,10 +5,12 @@
 
 from berthline.config_format import parse_config
 from berthline.fields import FormatError
-from berthline.job_format import MAX_SPEC_BYTES, parse_job
+from berthline.job_format import MAX_OCCURRENCE_TASKS, MAX_SPEC_BYTES, parse_job
 from berthline.worker_format import parse_announcement
 from testtools import TestCase
 
+from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire.gen_jobs.ttypes import JobRecord
 from examples.berthline import CONFIG
 
 ANNOUNCEMENT = {
@@ -125,6 +127,26 @@
             (["routes"], CONFIG["routes"] * 2),
             (["services"], CONFIG["services"] * 2),
             (["limits"], 3),
+            (["version"], 1 << 62),
+            (["version"], True),
+            ([*route, "stretch"], float("nan")),
+            ([*route, "stretch"], float("inf")),
+            ([*route, "stretch"], 1e300),
+            ([*route, "stretch"], 10**400),
+            ([*route, "stretch"], -1),
+            ([*route, "stretch"], True),
+            ([*route, "priority"], 10**30),
+            ([*route, "max-attempts"], 10**30),
+            ([*route, "target-latency-ms"], 1 << 40),
+            ([*route, "name"], LONE_SURROGATE),
+            ([*route, "name"], ["a"]),
+            ([*route, "host"], LONE_SURROGATE),
+            ([*route, "path-prefix"], LONE_SURROGATE),
+            ([*route, "service"], {"name": "karachi"}),
+            (["services", 0, "name"], LONE_SURROGATE),
+            (["services", 0, "standby"], 1),
+            (["routes"], [CONFIG["routes"]]),
+            (["limits", "other"], NESTED),
         ]
         self.assert_rejected(parse_config, CONFIG, cases)
 
@@ -148,5 +170,48 @@
             (["steps", 1, "after"], [5]),
             (["steps", 0, "gang"], "yes"),
             (["repeat-count"], "twice"),
+            (["spec"], LONE_SURROGATE),
+            (["spec"], 10**30),
+            (["steps", 0], [["count", 1]]),
+            (["steps", 0, "count"], True),
+            (["steps", 0, "count"], 10**30),
+            (["steps", 0, "count"], float("inf")),
+            (["steps", 0, "cpu"], 1 << 31),
+            (["steps", 0, "mem-mb"], 1 << 31),
+            (["steps", 0, "gpu"], 1 << 31),
+            (["steps", 0, "estimated-ms"], 1 << 31),
+            (["steps", 0, "estimated-ms"], float("nan")),
+            (["steps", 0, "anti-affinity"], 1 << 31),
+            (["steps", 0, "target-ms"], 1 << 31),
+            (["steps", 0, "may-miss"], 1 << 31),
+            (["steps", 0, "requirements"], LONE_SURROGATE),
+            (["steps", 0, "data-rack"], LONE_SURROGATE),
+            (["steps", 0, "image"], LONE_SURROGATE),
+            (["steps", 0, "image"], ["a"]),
+            (["steps", 0, "other"], NESTED),
+            (["steps", 1, "after"], [False]),
+            (["steps", 1, "after"], [0.5]),
+            (["steps", 1, "after"], [[0]]),
+            (["steps", 1, "after"], {"0": 0}),
+            (["repeat-count"], 1 << 31),
+            (["repeat-count"], True),
+            (["repeat-count"], MAX_OCCURRENCE_TASKS),
+            (["start-at-ms"], 1 << 62),
+            (["interval-ms"], 10**30),
+            (["interval-ms"], -1),
         ]
         self.assert_rejected(parse_job, {**JOB, "repeat-count": 0}, cases)
+
+    def test_the_largest_values_of_a_job_can_be_logged(self):
+        """Guards against a job that is accepted and ends the process that logs it."""
+        names = ("cpu", "mem-mb", "gpu", "estimated-ms", "anti-affinity", "may-miss")
+        largest = dict.fromkeys((*names, "target-ms"), (1 << 31) - 1)
+        tree = {
+            "spec": "x" * MAX_SPEC_BYTES,
+            "steps": [{"count": 10, **largest}, {"count": 1, "after": [0, 0]}],
+            "repeat-count": MAX_OCCURRENCE_TASKS // 11,
+            "start-at-ms": (1 << 62) - 1,
+            "interval-ms": (1 << 62) - 1,
+        }
+        record = parse_job(json.dumps(tree).encode())
+        self.assertEqual(record, decode(JobRecord, encode(record)))
--- /dev/null
+++ b/tests/platform/test_fronts.py
@@ -0,0 +1,137 @@
+"""Requests to the HTTP fronts that are malformed or break off."""
+
+import io
+import json
+from types import SimpleNamespace
+
+from berthline.caller_front import CALL_SECONDS, CallerFront
+from berthline.control_front import ControlFront
+from testtools import TestCase
+
+from arbutuscleat.access import CallOutcome
+from arbutuscleat.metrics import Metrics
+from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire.gen_jobs.ttypes import Verdict, WaveRequest
+from tests.platform.test_bad_input import ANNOUNCEMENT, JOB, LONE_SURROGATE, changed
+
+WAVE = {"wave": 1, "machines": ["m-1", "m-2"], "duration-s": 20, "cap": 1}
+
+
+class FakeLeader:
+    """Records the calls and answers all of them with one verdict."""
+
+    def __init__(self):
+        self.calls = []
+        self.verdict = Verdict.DONE
+
+    def call(self, method, request, seconds):
+        self.calls.append((method, request, seconds))
+        answer = SimpleNamespace(
+            verdict=self.verdict,
+            state="",
+            pending=0,
+            finished=True,
+            detail="",
+            retry_after_ms=0,
+        )
+        return CallOutcome(answer, True)
+
+
+class FrontTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.leader = FakeLeader()
+        self.metrics = Metrics()
+        self.control = ControlFront(self.leader, lambda: 1_000)
+        self.callers = CallerFront(self.leader, lambda: False, self.metrics)
+
+    def send(self, front, method, path, body=b"", missing=0, **headers):
+        """Send a request and return the status; `missing` bytes never arrive."""
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "CONTENT_LENGTH": str(len(body) + missing),
+            "wsgi.input": io.BytesIO(body),
+            **headers,
+        }
+        found = []
+        front(environ, lambda status, headers: found.append(int(status[:3])))
+        return found[0]
+
+
+class WaveTest(FrontTest):
+    def test_a_wave_is_passed_on(self):
+        body = json.dumps(WAVE).encode()
+        self.assertEqual(200, self.send(self.control, "POST", "/v1/wave-start", body))
+        ((_, request, _),) = self.leader.calls
+        self.assertEqual(21_000, request.wave.due_at_ms)
+        self.assertEqual(request, decode(WaveRequest, encode(request)))
+
+    def test_an_odd_wave_is_refused(self):
+        """Guards against a wave that no instance can send or log."""
+        cases = [
+            ("wave", 1 << 31),
+            ("wave", True),
+            ("cap", 1 << 31),
+            ("cap", 0),
+            ("duration-s", float("nan")),
+            ("duration-s", float("inf")),
+            ("duration-s", 10**30),
+            ("duration-s", 10**400),
+            ("duration-s", -1),
+            ("machines", [{"machine": "m-1"}]),
+            ("machines", [["m-1"]]),
+            ("machines", [LONE_SURROGATE]),
+            ("machines", ["m"] * 60_000),
+        ]
+        for name, value in cases:
+            body = changed(WAVE, [name], value)
+            status = self.send(self.control, "POST", "/v1/wave-start", body)
+            self.assertEqual(400, status, (name, str(value)[:40]))
+        self.assertEqual([], self.leader.calls)
+
+    def test_the_number_of_a_wave_that_is_no_number(self):
+        for number in ("\u00b2", "9" * 10, "9" * 5_000, "-1", "1.0", "x"):
+            status = self.send(self.control, "GET", f"/v1/wave-get/{number}")
+            self.assertEqual(404, status)
+        self.assertEqual([], self.leader.calls)
+        self.assertEqual(200, self.send(self.control, "GET", "/v1/wave-get/12"))
+
+
+class AnnouncementTest(FrontTest):
+    def test_an_announcement_that_the_leader_finds_invalid_is_refused(self):
+        self.leader.verdict = Verdict.INVALID
+        body = json.dumps(ANNOUNCEMENT).encode()
+        path = "/v1/instances/i-1"
+        self.assertEqual(400, self.send(self.control, "PUT", path, body))
+
+    def test_an_odd_id_is_refused(self):
+        body = json.dumps(ANNOUNCEMENT).encode()
+        for method in ("PUT", "DELETE"):
+            path = "/v1/instances/i%0d%0aX:%20y"
+            self.assertEqual(400, self.send(self.control, method, path, body))
+        self.assertEqual([], self.leader.calls)
+
+
+class RequestTest(FrontTest):
+    def test_a_body_that_breaks_off_is_refused(self):
+        """Guards against a traceback in the log for each such request."""
+        body = json.dumps(JOB).encode()
+        for front, method in ((self.control, "PUT"), (self.callers, "POST")):
+            path = "/v1/configuration"
+            self.assertEqual(400, self.send(front, method, path, body, missing=1))
+        self.assertEqual([], self.leader.calls)
+
+    def test_an_odd_deadline(self):
+        for text in ("", "x", "-1", "1.5", "\u00b2", "9" * 400, "9" * 5_000, "nan"):
+            headers = {"HTTP_X_ARBUTUSCLEAT_DEADLINE_MS": text}
+            self.assertEqual(200, self.send(self.callers, "DELETE", "/a/1", **headers))
+            seconds = self.leader.calls[-1][2]
+            self.assertTrue(0.0 < seconds <= CALL_SECONDS, (text[:9], seconds))
+
+    def test_the_methods_of_callers_do_not_fill_the_metrics(self):
+        for number in range(50):
+            self.assertEqual(405, self.send(self.callers, f"M{number}", "/a/1"))
+        self.assertEqual(
+            50, self.metrics.counter("calls", method="other", status="405")
+        )
