Job table: an invalid entry of the log does not end the replicas

What could happen: an exception out of `JobTable.apply` ends the thread that commits on the leader, or breaks off the leader's call on a follower. The index had already moved on, so that replica skipped the entry; after a restart it read the entry again and failed again, as did every other replica. A batch of ends holds those of several workers: one invalid end cost all those behind it, which were acknowledged to their workers and then known to nobody.

Cause: whatever is committed was taken for valid, which an entry of a former version, or one that passed a check that was missing, is not.

An entry that cannot be decoded or applied is logged and has no result; an invalid start or end costs only itself. A job without steps or tasks is not added, a cancellation without a time does not leave half of itself. MemoryError is passed on: it concerns one process, while the replicas must do the same. A proposer that gets no result answers INVALID.

How the tests failed before: EOFError and TypeError out of `apply`, ValueError for the outcome 99 and out of `restore`, and ACCEPTED for a job without steps, on which each plan would have failed.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -142,6 +142,8 @@
             result = self._propose(JobCommand(accept=record))
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
+        if result.unwrap() is None:
+            return self._job_answer(request, Verdict.INVALID, detail="not a job")
         if result.unwrap() is AcceptResult.CONFLICT:
             return self._job_answer(
                 request,
@@ -245,6 +247,8 @@
         result = self._propose(JobCommand(config=command))
         if isinstance(result, Failure):
             return self._control_answer(request, _VERDICTS[result.failure().kind])
+        if result.unwrap() is None:
+            return self._control_answer(request, Verdict.INVALID)
         logging.info(
             "configuration version %d: %s",
             request.version,
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -17,6 +17,7 @@
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
     CancelJob,
+    EndRecord,
     JobCommand,
     JobRecord,
     JobTableImage,
@@ -82,10 +83,16 @@
     # ---- state machine ----
 
     def apply(self, index: int, payload: bytes) -> Any:
-        """Apply one committed command and return its result to the proposer."""
-        command = decode(JobCommand, payload)
+        """Apply one committed command and return its result to the proposer.
+
+        A command that is invalid has no result, and as little effect as possible: every
+        replica applies the same entries, and would end again after each restart.
+        """
+        command = _attempt(f"log entry {index}", decode, JobCommand, payload)
+        if command is None:
+            return None
         with self.lock:
-            result = self._apply(index, command)
+            result = _attempt(f"log entry {index}", self._apply, index, command)
             self.changed.notify_all()
             return result
 
@@ -111,7 +118,11 @@
         table = decode(JobTableImage, image)
         with self.lock:
             self.config_content = table.config
-            self.config = self._decode_config(table.config) if table.config else None
+            self.config = None
+            if table.config:
+                self.config = _attempt(
+                    "configuration", self._decode_config, table.config
+                )
             self.workers = {item.worker_id: item for item in table.workers}
             self.waves = {item.wave: Wave(item) for item in table.waves}
             self.machine_holders = {
@@ -201,6 +212,8 @@
         if existing is not None:
             same = existing.record.queue == record.queue
             return AcceptResult.EXISTS if same else AcceptResult.CONFLICT
+        if not record.steps or not all(step.count for step in record.steps):
+            raise ValueError(f"job {record.job_id} has no steps, or one without tasks")
         self._evict_ended_jobs(record.accepted_at_ms)
         job = JobState(record)
         self.jobs[job.job_id] = job
@@ -224,8 +237,8 @@
         if job is None:
             return False
         if not job.is_over():
-            job.cancelled = True
             self._close_job(job, command.at_ms)
+            job.cancelled = True
         return True
 
     def _close_job(self, job: JobState, now_ms: int) -> None:
@@ -236,7 +249,10 @@
                 self.stops_due.add(task.key)
 
     def _start(self, command: RunStarts) -> list[bool]:
-        return [self._start_one(run) for run in command.runs]
+        return [
+            bool(_attempt("start of a run", self._start_one, run))
+            for run in command.runs
+        ]
 
     def _start_one(self, run: Any) -> bool:
         """Mark one task as running, unless its start is no longer valid."""
@@ -260,13 +276,16 @@
 
     def _end(self, command: RunEnds) -> None:
         for end in command.ends:
-            run = end.run
-            key = TaskKey.of(run)
-            outcome = RunOutcome(end.outcome)
-            self._end_one(key, run.number, outcome, end.checkpoint)
-            job = self.jobs.get(run.job_id)
-            if job is not None and not job.is_over():
-                self._close_if_ended(job, key, command.at_ms)
+            _attempt("end of a run", self._end_reported, end, command.at_ms)
+
+    def _end_reported(self, end: EndRecord, at_ms: int) -> None:
+        run = end.run
+        key = TaskKey.of(run)
+        outcome = RunOutcome(end.outcome)
+        self._end_one(key, run.number, outcome, end.checkpoint)
+        job = self.jobs.get(run.job_id)
+        if job is not None and not job.is_over():
+            self._close_if_ended(job, key, at_ms)
 
     def _end_one(
         self,
@@ -386,3 +405,18 @@
         else:
             wave.ordered.add(command.machine)
         return True
+
+
+def _attempt(what: str, apply: Callable[..., Any], *args: Any) -> Any:
+    """Return the result of a step; None if it fails, which is logged.
+
+    All replicas fail in the same way, so they keep the same state. A lack of memory is
+    passed on, because it concerns one process only.
+    """
+    try:
+        return apply(*args)
+    except MemoryError:
+        raise
+    except Exception:
+        logging.exception("%s is invalid, it is ignored", what)
+        return None
--- a/tests/jobs/test_job_table.py
+++ b/tests/jobs/test_job_table.py
@@ -1,12 +1,27 @@
 """Commands applied to the job table: jobs, runs, gangs, workers and snapshots."""
 
+from unittest import mock
+
 from testtools import TestCase
 
-from arbutuscleat.jobs import AcceptResult, JobPhase, JobTable, RunOutcome, TaskKey
+from arbutuscleat.jobs import (
+    AcceptResult,
+    JobPhase,
+    JobTable,
+    RunOutcome,
+    TaskKey,
+    TaskStatus,
+)
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
+    CancelJob,
+    EndRecord,
+    JobRecord,
     OrderMachines,
     RemoveWorker,
+    RunEnds,
+    RunRecord,
+    RunStarts,
     SetConfig,
     WaveRecord,
 )
@@ -253,3 +268,72 @@
             each.end(run(step=1), RunOutcome.DONE)
         self.assertEqual(JobPhase.COMPLETED, restored.phase())
         self.assertEqual(harness.table.image(), restored.table.image())
+
+
+class InvalidCommandTest(TestCase):
+    """Entries that a former version, or a fault, has committed to the log."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = self.make_harness()
+
+    def make_harness(self):
+        harness = JobTableHarness()
+        harness.apply(worker=worker())
+        harness.accept(job(steps=[step(2)]))
+        harness.start(run(), run(index=1))
+        return harness
+
+    def test_an_invalid_entry_does_not_end_the_replica(self):
+        """Guards against replicas that fail again after each restart."""
+        nothing = WaveRecord(wave=2, cap=1, due_at_ms=9)
+        invalid = [
+            {"accept": job(OTHER_JOB, steps=None)},
+            {"accept": JobRecord(job_id=OTHER_JOB, accepted_at_ms=1)},
+            {"accept": job(OTHER_JOB, steps=[step(None)])},
+            {"cancel": CancelJob(job_id=JOB)},
+            {"starts": RunStarts()},
+            {"ends": RunEnds()},
+            {"worker": worker(born_ms=None)},
+            {"worker": worker(sequence=None)},
+            {"wave": nothing},
+            {"order_machines": OrderMachines(holder="a")},
+            {"config": SetConfig(content=b"7")},
+            {"config": SetConfig(version=7, content=b"no number")},
+        ]
+        invalid[0]["accept"].steps = None
+        with mock.patch("absl.logging.exception") as log:
+            for command in invalid:
+                self.assertIsNone(self.harness.apply(**command), command)
+        self.assertEqual(len(invalid), log.call_count)
+        self.assertEqual({JOB}, set(self.harness.table.jobs))
+        self.assertEqual(JobPhase.ACTIVE, self.harness.phase())
+        self.assertEqual(1, self.harness.table.config.version)
+
+    def test_bytes_that_are_no_entry_do_not_end_the_replica(self):
+        for payload in (b"", b"\xff" * 40, b"\x0c\x00\x01\x0b\x00\x01\x7f\xff\xff\xff"):
+            self.assertIsNone(self.harness.table.apply(9, payload))
+
+    def test_one_invalid_end_or_start_does_not_cost_the_others(self):
+        """Guards against ends that are acknowledged and yet are not in the table."""
+        sound = EndRecord(run=run(index=1), outcome=int(RunOutcome.DONE), checkpoint="")
+        for odd in (
+            EndRecord(run=run(), outcome=99, checkpoint=""),
+            EndRecord(outcome=1, checkpoint=""),
+            EndRecord(run=RunRecord(job_id=JOB), outcome=1, checkpoint=""),
+        ):
+            harness = self.make_harness()
+            harness.apply(ends=RunEnds(ends=[odd, sound], at_ms=2000))
+            statuses = [task.status for task in harness.table.jobs[JOB].tasks(0, 0)]
+            self.assertEqual([TaskStatus.RUNNING, TaskStatus.DONE], statuses)
+        self.harness.accept(job(OTHER_JOB))
+        odd = RunRecord(job_id=OTHER_JOB, occurrence=0)
+        result = self.harness.start(odd, run(OTHER_JOB))
+        self.assertEqual([False, True], result)
+
+    def test_a_snapshot_with_a_configuration_that_is_invalid_now_is_restored(self):
+        image = self.harness.table.image()
+        restored = JobTable(lambda content: int("no number"))
+        restored.restore(image)
+        self.assertIsNone(restored.config)
+        self.assertEqual({JOB}, set(restored.jobs))
