Executor: an iteration that fails does not end its thread

What could be seen: a leader that held its workers and answered callers, but started nothing any more, until it was replaced. One value that a plan cannot compute with was enough, such as the stretch of NaN that the configuration accepted.

Cause: the machine controller goes on after an iteration that fails, the executor did not. The sessions stay open, because their runs would be lost without their holds. The command of the starts is encoded before the sessions expect them, so a failure there leaves nothing expected.

How the test failed before: the OverflowError of the plan came out of `_run`.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -287,13 +287,13 @@
 
     def _start_runs(self, runs: list[RunRecord]) -> None:
         sessions = [self._session_of(run) for run in runs]
+        payload = encode(JobCommand(starts=RunStarts(runs=runs)))
         for run, session in zip(runs, sessions, strict=True):
             if session is not None:
                 session.expect_start(run)
-        command = JobCommand(starts=RunStarts(runs=runs))
         try:
             with self._load.timed("commit of starts"):
-                result = self._replica.propose(encode(command), PROPOSE_TIMEOUT_SECONDS)
+                result = self._replica.propose(payload, PROPOSE_TIMEOUT_SECONDS)
         except Exception:
             for run, session in zip(runs, sessions, strict=True):
                 if session is not None:
@@ -301,7 +301,7 @@
             raise
         if isinstance(result, Success):
             _log_starts(runs)
-            accepted = result.unwrap()
+            accepted = result.unwrap() or [False] * len(runs)
         else:
             logging.warning("commit of %d run starts is not confirmed", len(runs))
             accepted = [False] * len(runs)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -1,3 +1,5 @@
+from unittest import mock
+
 from testtools import TestCase
 
 from arbutuscleat.emulator.worker_model import WorkerModel
@@ -79,6 +81,26 @@
         reasons.append(self.executor.worker_views()["w1"].unusable_because)
         self.assertEqual([WaitReason.DRAINING, WaitReason.UNRESPONSIVE], reasons)
 
+    def test_an_iteration_that_fails_does_not_end_the_thread(self):
+        """Guards against a leader that holds its workers and starts nothing more."""
+        self.harness.apply(worker=worker())
+        run_once(self.executor)
+        self.harness.accept(job())
+        plan, calls = self.executor._planner.plan, []
+
+        def fail_once(*args):
+            calls.append(args)
+            if len(calls) == 1:
+                raise OverflowError("cannot convert float infinity to integer")
+            self.executor._stopping.set()
+            return plan(*args)
+
+        with mock.patch.object(self.executor._planner, "plan", fail_once):
+            self.executor._run()
+        self.assertEqual(2, len(calls))
+        self.assertEqual(1, len(self.harness.table.runs))
+        self.assertEqual(["w1"], list(self.executor.sessions))
+
     def test_a_stop_that_was_never_sent_blocks_other_moves_for_a_limited_time(self):
         """Guards against a task that counts as unavailable although it runs."""
         for worker_id in ("w1", "w2", "w3"):
