Channel: a request that cannot be encoded does not break the next one

What could be seen: after an encoding error the begun message stayed in the buffer of the connection. The next call on it sent both; the server failed with "Unexpected TType for skip: 128" and closed the connection, so the next request, of another caller, counted as lost and was answered 504.

Cause: only errors of the connection closed it. Now any exception does, and is passed on. The borders refuse what cannot be encoded; this is the second line.

--- a/arbutuscleat/wire/channel.py
+++ b/arbutuscleat/wire/channel.py
@@ -101,6 +101,9 @@
             self._disconnect()
             detail = f"{method} at {self._address}: {exc}"
             return Failure(CallError(CallErrorKind.LOST, detail))
+        except Exception:
+            self._disconnect()  # A request that cannot be encoded stays in its buffer.
+            raise
         if answer.request_id != request.request_id:
             self._disconnect()
             detail = (
