Session: an end at a position far ahead is not acknowledged

What could happen: one end at position 2**31 - 1 in the list of a worker was recorded and acknowledged. All later ends of that worker were below it and counted as known: its runs were found missing, stopped, recorded as lost and started again, for as long as the worker lived.

Now positions rise by at most MAX_POSITION_STEP (a million) from the last recorded end, or from the first one that is listed to a new session. An end further ahead is neither recorded nor acknowledged, and the run that it names does not count as ended. If it is the only end in the first list that a session gets, it is taken: nothing tells it from a worker that has ended as many runs.

How the tests failed before: no pause of 0.2 s, because the end was recorded, and the status DONE where WAITING was expected.

--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -55,6 +55,11 @@
 """How long no new runs are scheduled on a worker after a task stalled there. It is
 longer than detecting the next stalled task takes."""
 
+MAX_POSITION_STEP = 1_000_000
+"""How far the position of an end can be ahead of the last recorded one. Positions rise
+by one, and a worker lists some hundred ends. To acknowledge one that is further ahead
+would hide all ends of that worker from then on."""
+
 HOLD_TIMEOUT_MARGIN_SECONDS = 0.4
 """Added to the time that a worker may keep a hold open to get the timeout of the call.
 It allows for scheduling delays of the leader's threads on a slow machine."""
@@ -332,7 +337,11 @@
         self.running = answer.running
         if not self._record_ends(answer):
             return
-        ended = {(end.key, end.number) for end in answer.finished}
+        ended = {
+            (end.key, end.number)
+            for end in answer.finished
+            if end.position <= self._acknowledged
+        }
         listed = {(task.key, task.number) for task in answer.running}
         self._stop_unwanted(answer.running)
         self._stop_stalled(answer)
@@ -351,9 +360,11 @@
             self._notify_table()
 
     def _record_ends(self, answer: HoldAnswer) -> bool:
-        new_ends = [end for end in answer.finished if end.position > self._acknowledged]
+        listed = [end for end in answer.finished if end.position > self._acknowledged]
+        first = self._acknowledged or min((end.position for end in listed), default=0)
+        new_ends = [end for end in listed if end.position <= first + MAX_POSITION_STEP]
         if not new_ends:
-            if answer.skipped_ends:
+            if listed or answer.skipped_ends:
                 # It cannot be acknowledged, so the worker will answer at once.
                 self._clock.sleep(self._closed, RETRY_SECONDS)
             return True
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -8,6 +8,7 @@
 from arbutuscleat.emulator.worker_model import WorkerModel
 from arbutuscleat.execution import (
     ExecutionLimits,
+    FinishedRun,
     HoldAnswer,
     HoldOrder,
     OrderAnswer,
@@ -147,6 +148,38 @@
         stops = [order.number for name, order in self.link.calls if name == "stop"]
         self.assertEqual([2**31 - 1], stops)
 
+    def test_an_end_at_a_position_far_ahead_is_not_acknowledged(self):
+        """Guards against a worker whose later ends all count as known."""
+        self.harness.accept(job(OTHER_JOB))
+        self.start()
+        self.clock.advance(DONE_AFTER + 0.1)
+        self.session.hold_once()
+        self.harness.start(run(OTHER_JOB))
+        self.session.order_start(run(OTHER_JOB))
+        self.session.send_queued_orders()
+        other = TaskKey(OTHER_JOB, 0, 0, 0)
+        far = FinishedRun(2**31 - 1, other, 1, RunOutcome.DONE, "")
+        before = self.clock.monotonic()
+        self.hold_with(finished=(far,))
+        self.assertAlmostEqual(RETRY_SECONDS, self.clock.monotonic() - before)
+        self.assertEqual(JobPhase.ACTIVE, self.harness.phase(OTHER_JOB))
+        self.clock.advance(DONE_AFTER + 0.1)
+        sound = self.model.hold(HoldOrder(7, 1, None, 0), 1.0).finished
+        self.hold_with(finished=(*sound, far))
+        self.assertEqual(JobPhase.COMPLETED, self.harness.phase(OTHER_JOB))
+        self.session.hold_once()
+        self.assertEqual(2, self.link.calls[-1][1].acknowledged)
+
+    def test_a_run_whose_end_is_far_ahead_is_not_taken_for_ended(self):
+        """Guards against a run that no worker lists and that nobody ends."""
+        self.step_once()
+        self.start()
+        far = FinishedRun(2**31 - 1, KEY, 1, RunOutcome.DONE, "")
+        near = FinishedRun(1, KEY, 7, RunOutcome.DONE, "")
+        for _ in range(2):
+            self.hold_with(running=(), finished=(near, far))
+        self.assertEqual(TaskStatus.WAITING, self.status())
+
     def test_an_end_that_cannot_be_read_does_not_cause_holds_without_a_pause(self):
         self.start()
         before = self.clock.monotonic()
