Settings: a file of another shape is a ValueError

What could be seen: `internal-ports = []`, an infinite port or deep nesting raised IndexError, OverflowError or RecursionError. The settings are read again by the threads that look for the leader when the file changes; they expect ValueError, keep the seeds they have, and would have ended.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,3 +48,20 @@
         for expected, text in cases.items():
             error = self.assertRaises(ValueError, self.load, text)
             self.assertIn(expected, str(error))
+
+    def test_a_file_of_another_shape_is_a_value_error(self):
+        """Guards against a changed file that ends the threads which read the seeds."""
+        ports, seeds = "internal-ports = [7060, 7075]", "[bounds]"
+        self.assertIn(ports, TEXT)
+        cases = [
+            TEXT.replace(ports, "internal-ports = []"),
+            TEXT.replace(ports, "internal-ports = {}"),
+            TEXT.replace(ports, "internal-ports = [inf]"),
+            TEXT.replace(ports, "internal-ports = [[1]]"),
+            TEXT.replace(ports, f"internal-ports = {'[' * 5_000}"),
+            TEXT.replace(seeds, "[bounds]\nmaintenance-s = []"),
+            TEXT.replace('"10.2.0.25:8623"', "7"),
+            TEXT.replace('"10.2.0.25:8623"', '"10.2.0.25:\u00b2"'),
+        ]
+        for text in cases:
+            self.assertRaises(ValueError, self.load, text)
