Capacity: one that no machine has is refused

What could happen: a worker or a machine that claims 2**31 - 1 thousandths of a core was accepted (a worker's larger claims were cut to that). As a machine it counts as room for every task and for all that waits: no job is refused for its size or for the backlog, no shortage is seen. As a worker it is offered everything first.

Beyond them the announcement is refused, and the machine is listed as not up. A test shows that such a machine stays in its wave and has its upkeep once its row is valid again.

--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from arbutuscleat.execution import ExecutionLimits, MachineOrderOutcome
+from arbutuscleat.execution import ExecutionLimits, MachineOrderOutcome, MachineState
 from arbutuscleat.execution.machine_absences import MAX_LISTS_WITHOUT_MACHINE
 from arbutuscleat.execution.machine_controller import MachineController
 from arbutuscleat.wire.gen_jobs.ttypes import (
@@ -88,6 +88,21 @@
         self.reconcile(4)
         self.assertEqual(CAP, len(self.provider.upkeeps))
 
+    def test_a_machine_whose_row_is_invalid_for_a_time_stays_in_its_wave(self):
+        """Guards against a wave that takes such a machine for one that has gone."""
+        self.add_wave()
+        sound = self.provider.states["m0"]
+        self.provider.states["m0"] = MachineState("m0", "", False, "")
+        self.replica.lead()
+        self.reconcile(4)
+        self.assertNotIn("m0", self.provider.upkeeps)
+        self.assertNotIn("m0", self.harness.table.waves[1].finished)
+        self.provider.states["m0"] = sound
+        for machine in MACHINES[1:]:
+            self.provider.set(machine, is_up=True, in_upkeep=False)
+        self.reconcile(40)
+        self.assertIn("m0", self.provider.upkeeps)
+
     def test_machines_under_upkeep_of_a_former_leader_count_towards_the_cap(self):
         """Guards against exceeding the cap: upkeep ordered by the former leader is
         still under way when the new leader sends its first orders.
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -3,6 +3,7 @@
 import copy
 import json
 
+from berthline.capacity_format import MAX_CPU, MAX_GPU, MAX_MEM_MB
 from berthline.config_format import parse_config
 from berthline.fields import FormatError
 from berthline.job_format import MAX_OCCURRENCE_TASKS, MAX_SPEC_BYTES, parse_job
@@ -90,6 +91,9 @@
             (["machine"], ["m-1"]),
             (["zone"], "z" * 100_000),
             (["capacity", "cpu"], True),
+            (["capacity", "cpu"], MAX_CPU + 1),
+            (["capacity", "mem-mb"], MAX_MEM_MB + 1),
+            (["capacity", "gpu"], MAX_GPU + 1),
             (["capacity", "mem-mb"], 10**30),
             (["capacity", "gpu"], {}),
             (["capacity", "gpu"], float("inf")),
--- a/tests/platform/test_machine_list.py
+++ b/tests/platform/test_machine_list.py
@@ -1,5 +1,6 @@
 """The provider's list of machines, with rows that another writer has left."""
 
+from berthline.capacity_format import MAX_CPU, MAX_GPU, MAX_MEM_MB
 from berthline.http_calls import CallResult
 from berthline.provider_calls import BerthlineProvider
 from testtools import TestCase
@@ -90,6 +91,9 @@
             ("capacity", {"cpu": float("nan")}),
             ("capacity", {"cpu": MANY_DIGITS}),
             ("capacity", {"cpu": -1}),
+            ("capacity", {"cpu": MAX_CPU + 1}),
+            ("capacity", {"mem-mb": MAX_MEM_MB + 1}),
+            ("capacity", {"gpu": MAX_GPU + 1}),
             ("capacity", {"mem-mb": [1]}),
             ("capacity", {"gpu": {}}),
         ]
