Announcements: a service that is not configured takes nobody's place

What could happen: an announcement with a service that the configuration does not name was stored like any other. With the address of a sound worker and a later start it removed that worker, recorded its runs as lost, and kept it away until a hold was answered 421.

Cause: the leader checked the service of a worker only when it planned.

A new worker of an unknown service is refused with 400, and the reason is in the answer. Workers that are stored already can still say that they drain or leave, and before the first configuration any service is accepted, since workers come first. A worker whose service comes with a later configuration is accepted with its next announcement after that. Refusals are logged once a second at most.

How the test failed before: verdict 1 (DONE) in place of 10 (INVALID).

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -57,6 +57,9 @@
 differ by seconds, and by hours at most if one is set wrongly; a time further ahead is
 no start time, and would hide all later incarnations of that worker."""
 
+REFUSED_LOG_SECONDS = 1.0
+"""Least time between two log lines about announcements that are refused."""
+
 MAX_RETRY_MS = 3600 * 1000
 """Longest time after which a rejected caller is asked to try again; the message holds
 24 days at most, and the wait that is estimated has no bound."""
@@ -197,15 +200,20 @@
             return self._control_answer(request, Verdict.NOT_LEADER)
         record = request.worker
         latest_ms = self._clock.now_ms() + MAX_BORN_AHEAD_MS
-        if record.born_ms > latest_ms:
-            logging.warning(
-                "worker %s refused: its start at %d ms is more than a day ahead",
-                record.worker_id,
-                record.born_ms,
-            )
-            return self._control_answer(request, Verdict.INVALID)
         with self._table.lock:
             stored = self._table.workers.get(record.worker_id)
+        problem = "" if request.leaving else self._problem(record, stored, latest_ms)
+        if problem:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "worker %s refused: %s",
+                REFUSED_LOG_SECONDS,
+                record.worker_id,
+                problem,
+            )
+            answer = self._control_answer(request, Verdict.INVALID)
+            answer.detail = problem
+            return answer
         if request.leaving:
             if stored is None:
                 return self._control_answer(request, Verdict.DONE)
@@ -285,6 +293,25 @@
 
     # ---- helpers ----
 
+    def _problem(
+        self, record: WorkerRecord, stored: WorkerRecord | None, latest_ms: int
+    ) -> str:
+        """Return why an announcement is invalid; empty if it is not.
+
+        A new worker may take the address of another one, whose runs are then lost. One
+        of a service that nobody has configured must not do so.
+        """
+        if record.born_ms > latest_ms:
+            return "born: more than a day ahead of the clock here"
+        config = self._table.config
+        is_known = stored is not None and (stored.born_ms, stored.service_name) == (
+            record.born_ms,
+            record.service_name,
+        )
+        if config is None or is_known or record.service_name in config.services:
+            return ""
+        return "service: not in the configuration"
+
     def _remove_implausible(self, record: WorkerRecord, latest_ms: int) -> None:
         """Remove workers that block an announcement with a start far in the future.
 
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -17,7 +17,7 @@
     Verdict,
 )
 from tests.fakes import ManualClock
-from tests.fakes.jobs import JOB, JobTableHarness, job, step, worker
+from tests.fakes.jobs import JOB, JobTableHarness, decode_config, job, run, step, worker
 
 FLEET = FleetCapacity(64_000, 64_000, 131_072, 0)
 LONG = [step(500, cpu=64_000, estimated_ms=10_000)]
@@ -164,6 +164,27 @@
             self.assertEqual(["w1"], list(self.harness.table.workers))
             self.assertEqual(5, self.stored().born_ms)
 
+    def test_a_service_that_is_not_configured_does_not_take_an_address(self):
+        """Guards against the loss of all runs of the sound worker at that address."""
+        self.announce()
+        self.harness.accept(job())
+        self.harness.start(run())
+        verdict = self.announce(
+            worker_id="w2", born_ms=9, service_name="nobody", port=worker().port
+        )
+        self.assertEqual(Verdict.INVALID, verdict)
+        self.assertEqual(["w1"], list(self.harness.table.workers))
+        self.assertEqual([("w1", 5)], list(self.harness.table.runs))
+
+    def test_a_worker_may_come_before_the_configuration_of_its_service(self):
+        self.harness.table.config = None
+        self.assertEqual(Verdict.DONE, self.announce(service_name="nobody"))
+        self.harness.table.config = decode_config(b"1")
+        for draining in (False, True):
+            verdict = self.announce(service_name="nobody", draining=draining)
+            self.assertEqual(Verdict.DONE, verdict)
+        self.assertTrue(self.stored().draining)
+
     def test_a_sequence_number_far_ahead_does_not_block_later_announcements(self):
         """Guards against a worker that can never report that it drains."""
         self.announce(sequence=1 << 61)
