Log line for a worker that ends with runs on it

When an incarnation of a worker ended, its runs were lost without a line: which tasks were on it, and whether the same ones were on the one before, could only be read off the lines of their starts. Every control node writes the line, when it applies the log entry.

--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -45,6 +45,10 @@
 """Applies to jobs whose queue is no longer configured."""
 
 
+MAX_LOGGED = 20
+"""Number of runs that one log line names."""
+
+
 class AcceptResult(Enum):
     """Result of submitting a job."""
 
@@ -382,7 +386,16 @@
         return True
 
     def _end_runs_as_lost(self, incarnation: WorkerIncarnation) -> None:
-        for task in list(self.runs.get(incarnation, {}).values()):
+        tasks = list(self.runs.get(incarnation, {}).values())
+        if tasks:
+            logging.info(
+                "worker %s, started at %d ms, has ended with %d runs: %s%s",
+                *incarnation,
+                len(tasks),
+                " ".join(f"{task.key}#{task.number}" for task in tasks[:MAX_LOGGED]),
+                " ..." if len(tasks) > MAX_LOGGED else "",
+            )
+        for task in tasks:
             self._end_one(task.key, task.number, RunOutcome.LOST)
 
     def _add_wave(self, record: WaveRecord) -> bool:
