--- a/tests/execution/simulation.py
+++ b/tests/execution/simulation.py
@@ -254,6 +254,8 @@
 class Simulation:
     """Workers, jobs, leaders and faults of one seed."""
 
+    calm_seconds = CALM_SECONDS
+
     def __init__(self, seed):
         self.seed = seed
         self.rng = random.Random(seed)
@@ -605,7 +607,7 @@
             self.clock.spawn(self.inject_faults)
             self.clock.run(FAULTY_SECONDS)
             self.faults = False
-            self.clock.run(CALM_SECONDS)
+            self.clock.run(self.calm_seconds)
         finally:
             self.clock.stop()
 
