Give up tasks that crash their workers; try suspects apart from other jobs

Callers saw jobs lose their workers again and again: a task under which each worker crashes was started for ever, and the tasks beside it lost their runs as often. The end of a worker incarnation makes its runs LOST, and only FAILED counts towards max_attempts, so nothing counted these ends.

The log now counts, for each task, the workers that crashed under it: an incarnation that ends although it was not draining, did not leave and was not taken down on order.

Many jobs share a worker, so tasks with two crashes start apart from other jobs (scheduling/crash_trials.py), and a job is given up, shown as failed, after three crashes, the last with its own runs only; after five in any case, so that no task has a third start after three crashes. One crash changes nothing but the choice among workers that accept the task.

--- a/arbutuscleat/execution/run_end_recorder.py
+++ b/arbutuscleat/execution/run_end_recorder.py
@@ -58,8 +58,24 @@
                 )
         return True
 
-    def record_lost(self, lost: Sequence[tuple[TaskKey, int]], reason: str) -> None:
-        """Record runs as lost that ended, or never began, without a reported end."""
+    def record_lost(
+        self,
+        lost: Sequence[tuple[TaskKey, int]],
+        reason: str,
+        unresponsive: bool = False,
+    ) -> None:
+        """Record runs as lost that ended, or never began, without a reported end.
+
+        Parameters
+        ----------
+        lost : sequence of tuple of TaskKey and int
+            The tasks and the numbers of their runs.
+        reason : str
+            The reason, for the log message.
+        unresponsive : bool, default=False
+            Whether their lease has expired on a worker that does not respond, and that
+            may have crashed.
+        """
         for key, number in lost:
             logging.info(
                 "run %d of %s on worker %s is lost: %s",
@@ -68,9 +84,10 @@
                 self._incarnation[0],
                 reason,
             )
-        self._propose_ends(
-            [self._record(key, number, RunOutcome.LOST, "") for key, number in lost]
-        )
+        records = [self._record(key, n, RunOutcome.LOST, "") for key, n in lost]
+        for record in records:
+            record.unresponsive = unresponsive or None
+        self._propose_ends(records)
 
     def _record(
         self, key: TaskKey, number: int, outcome: RunOutcome, checkpoint: str
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -451,21 +451,26 @@
         with self._table.lock:
             runs = self._table.runs.get(self.incarnation, {})
             lost = [(key, task.number) for key, task in runs.items()]
-        self._record_lost(lost, "the lease of its unresponsive worker has expired")
+        self._record_lost(
+            lost, "the lease of its unresponsive worker has expired", True
+        )
 
     def _remove_worker(self) -> None:
         command = RemoveWorker(
-            worker_id=self.incarnation[0], born_ms=self.incarnation[1]
+            worker_id=self.incarnation[0], born_ms=self.incarnation[1], unplanned=True
         )
-        if self._propose(JobCommand(remove_worker=command)):
+        now_ms = self._clock.now_ms()
+        if self._propose(JobCommand(remove_worker=command, at_ms=now_ms)):
             self._closed.set()
         else:
             self._clock.sleep(self._closed, RETRY_SECONDS)
 
-    def _record_lost(self, lost: list[Run], reason: str) -> None:
+    def _record_lost(
+        self, lost: list[Run], reason: str, unresponsive: bool = False
+    ) -> None:
         if not lost:
             return
-        self._end_recorder.record_lost(lost, reason)
+        self._end_recorder.record_lost(lost, reason, unresponsive)
         for key, number in lost:
             self._sender.clear_stop(key, number)
 
--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs that callers submit, and the replicated table of jobs, runs and workers."""
 
+from .crash_counts import MIN_CRASHES, SUSPECT_CRASHES, CrashCounts
 from .job_state import JobPhase, JobState
 from .job_table import AcceptResult, JobTable
 from .queue_config import Queue, QueueConfig, Service
@@ -8,7 +9,10 @@
 from .wave import Wave
 
 __all__ = [
+    "MIN_CRASHES",
+    "SUSPECT_CRASHES",
     "AcceptResult",
+    "CrashCounts",
     "JobPhase",
     "JobState",
     "JobTable",
--- /dev/null
+++ b/arbutuscleat/jobs/crash_counts.py
@@ -0,0 +1,186 @@
+"""Crash counts: under which tasks workers have crashed, and when a task is given up.
+
+A task may crash each worker that starts it. Its runs do not fail, they are lost with
+their worker, so it would be started for ever. A worker that crashes usually runs tasks
+of many jobs, and only one of them is to blame. So a crash counts for every task on the
+worker, a task with several is a suspect, which the planner starts apart from other
+jobs, and its job is given up after a lone crash: of a worker that ran nothing of other
+jobs.
+
+A crash is the end of a worker incarnation that nobody announced or ordered. A lease
+that expires is none: the worker may be cut off. Only if that incarnation is never heard
+of again and another one takes its place have the runs ended in a crash after all. Until
+that is known, such a run of a suspect counts towards the last limit.
+
+A long-running run that has lasted for some time is settled: it did not crash its
+worker, so later crashes are not counted for it, and earlier ones are forgotten.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from absl import logging
+
+from arbutuscleat.wire.gen_jobs.ttypes import RunRecord
+
+from .job_state import JobState
+from .task import TaskKey, TaskState, TaskStatus, WorkerIncarnation
+
+SUSPECT_CRASHES = 2
+"""Number of crashes from which on a task is a suspect."""
+
+MIN_CRASHES = 3
+"""Number of crashes after which a job is given up, if the last ones were lone ones."""
+
+LONE_CRASHES = 1
+"""Number of lone crashes that show that a task which ends by itself is to blame."""
+
+LONG_RUNNING_LONE_CRASHES = 2
+"""Same as `LONE_CRASHES` for a long-running task: it is on a worker for longer, so that
+the worker is more likely to crash for another reason."""
+
+MAX_CRASHES = 5
+"""Number of crashes after which a job is given up, whatever else the workers ran. Two
+starts after the third crash are the most that the platform allows."""
+
+
+class CrashCounts:
+    """Tasks under which workers have crashed; part of the job table.
+
+    Attributes
+    ----------
+    tasks : dict of TaskKey to TaskState
+        Tasks of active jobs that are not done and have crashes.
+    """
+
+    def __init__(self) -> None:
+        self.tasks: dict[TaskKey, TaskState] = {}
+        self._unresolved: dict[WorkerIncarnation, dict[TaskKey, int]] = {}
+        """Numbers of the runs whose lease expired on a worker that did not respond,
+        and that is not known to have responded since or to have ended."""
+
+    def record_unresponsive(self, task: TaskState) -> bool:
+        """Record that the lease of a task's run has expired on an unresponsive worker.
+
+        Returns
+        -------
+        bool
+            Whether the job of the task is to be given up.
+        """
+        if task.settled:
+            return False
+        runs = self._unresolved.setdefault(task.incarnation, {})
+        runs[task.key] = task.number
+        unresolved = sum(task.key in runs for runs in self._unresolved.values())
+        if task.crashes < SUSPECT_CRASHES or task.crashes + unresolved < MAX_CRASHES:
+            return False
+        logging.warning(
+            "job %s is given up: %d workers have crashed under task %s, and %d more do "
+            "not respond",
+            task.key.job_id,
+            task.crashes,
+            task.key,
+            unresolved,
+        )
+        return True
+
+    def record_responsive(self, incarnation: WorkerIncarnation) -> None:
+        """Record that a worker has not crashed: a run starts on it, or it left."""
+        self._unresolved.pop(incarnation, None)
+
+    def record_crash(
+        self,
+        incarnation: WorkerIncarnation,
+        running: Iterable[TaskState],
+        active: Mapping[str, JobState],
+    ) -> list[JobState]:
+        """Count the crash of a worker, and return the jobs that are to be given up.
+
+        Parameters
+        ----------
+        incarnation : WorkerIncarnation
+            The worker incarnation that has ended.
+        running : iterable of TaskState
+            The tasks with a current run on it.
+        active : mapping of str to JobState
+            The active jobs by id.
+        """
+        keys = {task.key for task in running if not task.settled}
+        keys.update(self._unresolved.pop(incarnation, ()))
+        is_only_job = len({key.job_id for key in keys}) == 1
+        given_up: dict[str, JobState] = {}
+        for key in sorted(keys):
+            job = active.get(key.job_id)
+            task = None if job is None else job.task(key)
+            if job is None or task is None or task.status is TaskStatus.DONE:
+                continue
+            task.crashes += 1
+            task.lone_crashes = task.lone_crashes + 1 if is_only_job else 0
+            self.tasks[key] = task
+            long_running = bool(job.steps[key.step].long_running)
+            if key.job_id not in given_up and _is_to_blame(task, long_running):
+                given_up[key.job_id] = job
+                logging.warning(
+                    "job %s is given up: %d workers have crashed under task %s, the "
+                    "last one, %s, with runs of %s",
+                    key.job_id,
+                    task.crashes,
+                    key,
+                    incarnation[0],
+                    "this job only" if is_only_job else "other jobs too",
+                )
+        return list(given_up.values())
+
+    def settle(self, task: TaskState) -> None:
+        """Record that the current run of a task has lasted, so it crashes no worker."""
+        task.settled = True
+        task.crashes = 0
+        task.lone_crashes = 0
+        self.discard(task)
+
+    def discard(self, task: TaskState) -> None:
+        """Forget a task that is done, or whose job is over."""
+        self.tasks.pop(task.key, None)
+        for incarnation, runs in list(self._unresolved.items()):
+            runs.pop(task.key, None)
+            if not runs:
+                del self._unresolved[incarnation]
+
+    # ---- snapshots ----
+
+    def unresolved_runs(self) -> list[RunRecord]:
+        """Return the unresolved runs in their snapshot format."""
+        return [
+            key.run_record(number, incarnation)
+            for incarnation, runs in self._unresolved.items()
+            for key, number in runs.items()
+        ]
+
+    def restore(
+        self, tasks: Iterable[TaskState], unresolved: Iterable[RunRecord]
+    ) -> None:
+        """Replace the state by that of a snapshot.
+
+        Parameters
+        ----------
+        tasks : iterable of TaskState
+            The tasks of all active jobs.
+        unresolved : iterable of RunRecord
+            The unresolved runs.
+        """
+        self.tasks = {
+            task.key: task
+            for task in tasks
+            if task.crashes and task.status is not TaskStatus.DONE
+        }
+        self._unresolved = {}
+        for run in unresolved:
+            incarnation = (run.worker_id, run.born_ms)
+            runs = self._unresolved.setdefault(incarnation, {})
+            runs[TaskKey.of(run)] = run.number
+
+
+def _is_to_blame(task: TaskState, long_running: bool) -> bool:
+    lone = LONG_RUNNING_LONE_CRASHES if long_running else LONE_CRASHES
+    if task.crashes >= MIN_CRASHES and task.lone_crashes >= lone:
+        return True
+    return task.crashes >= MAX_CRASHES
--- a/arbutuscleat/jobs/job_state.py
+++ b/arbutuscleat/jobs/job_state.py
@@ -42,7 +42,7 @@
     cancelled : bool
         Whether a caller has cancelled the job.
     failed : bool
-        Whether a task has used up its attempts.
+        Whether a task has used up its attempts, or crashes its workers.
     started : bool
         Whether any task has ever been started.
     ended_at_ms : int
@@ -185,6 +185,9 @@
                     task.failures = item.failures
                     task.incarnation = (item.worker_id, item.born_ms)
                     task.checkpoint = item.checkpoint
+                    task.crashes = item.crashes or 0
+                    task.lone_crashes = item.lone_crashes or 0
+                    task.settled = bool(item.settled)
                     task.status = TaskStatus(item.status)
                     if task.status is TaskStatus.DONE:
                         job._remaining[part.occurrence][step] -= 1
@@ -214,4 +217,7 @@
         worker_id=task.incarnation[0],
         born_ms=task.incarnation[1],
         checkpoint=task.checkpoint,
+        crashes=task.crashes or None,
+        lone_crashes=task.lone_crashes or None,
+        settled=task.settled or None,
     )
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -27,10 +27,12 @@
     RunEnds,
     RunStarts,
     SetConfig,
+    SettleRuns,
     WaveRecord,
     WorkerRecord,
 )
 
+from .crash_counts import CrashCounts
 from .job_state import JobState
 from .queue_config import QueueConfig
 from .run_outcome import RunOutcome
@@ -84,6 +86,8 @@
         self.stops_due: set[TaskKey] = set()
         """Tasks of ended jobs that are still running; the leader stops their runs."""
 
+        self.crash_counts = CrashCounts()
+
     # ---- state machine ----
 
     def apply(self, index: int, payload: bytes) -> Any:
@@ -114,6 +118,7 @@
                         MachineHolder(machine=machine, holder=holder)
                         for machine, (holder, _) in self.machine_holders.items()
                     ],
+                    unresolved_runs=self.crash_counts.unresolved_runs(),
                 )
             )
 
@@ -146,6 +151,10 @@
                         self.runs.setdefault(task.incarnation, {})[task.key] = task
                         if job.is_over():
                             self.stops_due.add(task.key)
+            self.crash_counts.restore(
+                (task for job in self.active.values() for task in job.all_tasks()),
+                table.unresolved_runs or (),
+            )
             self.changed.notify_all()
 
     # ---- queries; `lock` must be held ----
@@ -189,9 +198,11 @@
         if command.cancel is not None:
             return self._cancel(command.cancel)
         if command.worker is not None:
-            return self._register_worker(command.worker)
+            return self._register_worker(command.worker, command.at_ms)
         if command.remove_worker is not None:
-            return self._remove_worker(command.remove_worker)
+            return self._remove_worker(command.remove_worker, command.at_ms)
+        if command.settle is not None:
+            return self._settle(command.settle)
         if command.config is not None:
             return self._set_config(command.config)
         if command.wave is not None:
@@ -245,10 +256,15 @@
             job.cancelled = True
         return True
 
+    def _fail_job(self, job: JobState, now_ms: int) -> None:
+        self._close_job(job, now_ms)
+        job.failed = True
+
     def _close_job(self, job: JobState, now_ms: int) -> None:
         job.ended_at_ms = max(1, now_ms)
         self.active.pop(job.job_id, None)
         for task in job.all_tasks():
+            self.crash_counts.discard(task)
             if task.status is TaskStatus.RUNNING:
                 self.stops_due.add(task.key)
 
@@ -274,6 +290,8 @@
         task.status = TaskStatus.RUNNING
         task.number = run.number
         task.incarnation = incarnation
+        task.settled = False
+        self.crash_counts.record_responsive(incarnation)
         job.started = True
         self.runs.setdefault(incarnation, {})[key] = task
         return True
@@ -286,8 +304,10 @@
         run = end.run
         key = TaskKey.of(run)
         outcome = RunOutcome(end.outcome)
-        self._end_one(key, run.number, outcome, end.checkpoint)
         job = self.jobs.get(run.job_id)
+        if end.unresponsive and self.is_current_run(key, run.number):
+            self._record_unresponsive(key, at_ms)
+        self._end_one(key, run.number, outcome, end.checkpoint)
         if job is not None and not job.is_over():
             self._close_if_ended(job, key, at_ms)
 
@@ -308,6 +328,7 @@
         step = job.steps[key.step]
         if outcome is RunOutcome.DONE and not step.long_running:
             job.mark_done(task)
+            self.crash_counts.discard(task)
             if step.gang:
                 self._end_gang(job, key)
             return
@@ -327,6 +348,7 @@
             if member.status is TaskStatus.RUNNING:
                 self._remove_run(member)
             job.mark_done(member)
+            self.crash_counts.discard(member)
 
     def _remove_run(self, task: TaskState) -> None:
         self.stops_due.discard(task.key)
@@ -348,24 +370,23 @@
                 failures >= self.max_attempts_of(job)
                 and tasks[key.task_index].status is not TaskStatus.DONE
             ):
-                job.failed = True
-                self._close_job(job, now_ms)
+                self._fail_job(job, now_ms)
                 return
         if job.is_complete():
             self._close_job(job, now_ms)
 
-    def _register_worker(self, record: WorkerRecord) -> bool:
+    def _register_worker(self, record: WorkerRecord, now_ms: int | None) -> bool:
         """Store a worker's announcement unless a newer one is already stored.
 
         A new incarnation of a worker, or another worker at the same address, means that
-        the runs of the previous one are lost.
+        the runs of the previous one are lost. It has crashed, unless it was draining.
         """
         stored = self.workers.get(record.worker_id)
         if stored is not None:
             if is_outdated(record, stored):
                 return False
             if stored.born_ms != record.born_ms:
-                self._end_runs_as_lost((stored.worker_id, stored.born_ms))
+                self._end_incarnation(stored, not stored.draining, now_ms)
         for other in list(self.workers.values()):
             if other.worker_id == record.worker_id:
                 continue
@@ -373,30 +394,59 @@
                 if other.born_ms > record.born_ms:
                     return False
                 del self.workers[other.worker_id]
-                self._end_runs_as_lost((other.worker_id, other.born_ms))
+                self._end_incarnation(other, not other.draining, now_ms)
         self.workers[record.worker_id] = record
         return True
 
-    def _remove_worker(self, command: RemoveWorker) -> bool:
+    def _remove_worker(self, command: RemoveWorker, now_ms: int | None) -> bool:
         stored = self.workers.get(command.worker_id)
         if stored is None or stored.born_ms != command.born_ms:
             return False
         del self.workers[command.worker_id]
-        self._end_runs_as_lost((command.worker_id, command.born_ms))
+        crashed = bool(command.unplanned) and not stored.draining
+        self._end_incarnation(stored, crashed, now_ms)
         return True
 
-    def _end_runs_as_lost(self, incarnation: WorkerIncarnation) -> None:
+    def _end_incarnation(
+        self, record: WorkerRecord, crashed: bool, now_ms: int | None
+    ) -> None:
+        """End the runs of a worker incarnation as lost; count them if it crashed."""
+        incarnation = (record.worker_id, record.born_ms)
         tasks = list(self.runs.get(incarnation, {}).values())
         if tasks:
             logging.info(
-                "worker %s, started at %d ms, has ended with %d runs: %s%s",
+                "worker %s, started at %d ms, has %s with %d runs: %s%s",
                 *incarnation,
+                "crashed" if crashed else "ended",
                 len(tasks),
                 " ".join(f"{task.key}#{task.number}" for task in tasks[:MAX_LOGGED]),
                 " ..." if len(tasks) > MAX_LOGGED else "",
             )
+        given_up: list[JobState] = []
+        if crashed:
+            counts = self.crash_counts
+            given_up = counts.record_crash(incarnation, tasks, self.active)
+        else:
+            self.crash_counts.record_responsive(incarnation)
         for task in tasks:
             self._end_one(task.key, task.number, RunOutcome.LOST)
+        for job in given_up:
+            self._fail_job(job, now_ms or job.record.accepted_at_ms)
+
+    def _active_task(self, key: TaskKey) -> TaskState | None:
+        job = self.active.get(key.job_id)
+        return None if job is None else job.task(key)
+
+    def _record_unresponsive(self, key: TaskKey, now_ms: int) -> None:
+        task = self._active_task(key)
+        if task is not None and self.crash_counts.record_unresponsive(task):
+            self._fail_job(self.active[key.job_id], now_ms)
+
+    def _settle(self, command: SettleRuns) -> None:
+        for run in command.runs:
+            task = self._active_task(TaskKey.of(run))
+            if task is not None and self.is_current_run(task.key, run.number):
+                self.crash_counts.settle(task)
 
     def _add_wave(self, record: WaveRecord) -> bool:
         if record.wave in self.waves:
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -77,6 +77,12 @@
         The worker incarnation that the latest run was assigned to.
     checkpoint : str
         Checkpoint from which the next run resumes; empty to start afresh.
+    crashes : int
+        Number of workers that have crashed while they ran the task.
+    lone_crashes : int
+        Number of them, up to the last, that ran nothing of other jobs but settled runs.
+    settled : bool
+        Whether the latest run has lasted for so long that it crashes no worker.
     """
 
     __slots__ = (
@@ -87,6 +93,9 @@
         "failed_number",
         "incarnation",
         "checkpoint",
+        "crashes",
+        "lone_crashes",
+        "settled",
     )
 
     def __init__(self, key: TaskKey):
@@ -97,6 +106,9 @@
         self.failed_number = 0
         self.incarnation = NO_WORKER
         self.checkpoint = ""
+        self.crashes = 0
+        self.lone_crashes = 0
+        self.settled = False
 
     def failed_on(self, worker_id: str) -> bool:
         """Return whether the task has failed and its latest run was on this worker."""
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -6,7 +6,8 @@
 tasks that do not delay it may use it meanwhile. A gang that does not fit reserves
 capacity in the same way when its turn comes. Jobs that can still meet their
 objective come next, by the priority of their queue and then by the latest time at which
-they have to start. Jobs that are already late use the remaining capacity.
+they have to start. Jobs that are already late use the remaining capacity. Tasks under
+which workers have crashed start apart from other jobs (see `CrashTrials`).
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -16,6 +17,7 @@
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, StepRecord
 
 from .backfill import ExpectedEnd, reserve_capacity
+from .crash_trials import CrashTrials, is_suspect
 from .failed_tasks import FailedTasks
 from .objective import critical_path_ms, objective_at_ms
 from .run_times import RunTimes
@@ -75,6 +77,11 @@
     def __init__(self) -> None:
         self._failed_tasks = FailedTasks()
         self._run_times = RunTimes()
+        self._crash_trials = CrashTrials()
+
+    def seconds_running(self, key: TaskKey, number: int, now: float) -> float:
+        """Return for how long a run has been running, as far as this planner knows."""
+        return self._run_times.elapsed(key, number, now)
 
     def plan(
         self,
@@ -103,6 +110,7 @@
         """
         self._failed_tasks.prune(table, now)
         self._run_times.prune(table, now)
+        self._crash_trials.observe(table, views, self._run_times, now)
         by_service: dict[str, list[WorkerView]] = {}
         for view in views.values():
             if view.usable:
@@ -225,18 +233,34 @@
                 waiting = [t for t in waiting if not self._is_delayed(t, now)]
             if not waiting:
                 continue
+            suspects = [task for task in waiting if is_suspect(task)]
+            trial_workers = workers
+            if suspects:
+                trial_workers = self._crash_trials.workers_for(
+                    table,
+                    step,
+                    waiting if step.gang else suspects,
+                    workers,
+                    lambda view: self._seconds_until_idle(view, table, now),
+                    now,
+                )
             if step.gang:
                 if len(waiting) == len(tasks):
-                    found = self._place_gang(step, waiting, workers, max_attempts, now)
+                    found = self._place_gang(
+                        step, waiting, trial_workers, max_attempts, now
+                    )
                     runs.extend(found)
                     if not found:
                         blocked.append((step, waiting))
-            else:
-                found, left = self._place_each(
-                    step, waiting, workers, max_attempts, now
-                )
-                runs.extend(found)
-                blocked.extend(left)
+                continue
+            found, _ = self._place_each(
+                step, suspects, trial_workers, max_attempts, now
+            )
+            runs.extend(found)
+            others = [task for task in waiting if not is_suspect(task)]
+            found, left = self._place_each(step, others, workers, max_attempts, now)
+            runs.extend(found)
+            blocked.extend(left)
         return runs, blocked
 
     def _place_each(
@@ -255,6 +279,7 @@
             if view is not None:
                 view.reserve(step, task.key[:3])
                 self._failed_tasks.record_start(task.key, now)
+                self._crash_trials.record_start(task, view, is_suspect(task))
                 runs.append(task.key.run_record(task.number + 1, view.incarnation))
                 continue
             blocked.append((step, [task]))
@@ -307,6 +332,12 @@
             found.append(ExpectedEnd(in_ms, step))
         return found
 
+    def _seconds_until_idle(
+        self, view: WorkerView, table: JobTable, now: float
+    ) -> float:
+        ends = self._expected_ends(view, table, now)
+        return max((end.in_ms for end in ends), default=0) / 1000.0
+
     def _place_gang(
         self,
         step: StepRecord,
@@ -334,8 +365,10 @@
                 view.reserve(step, task.key[:3])
                 taken.append((task, view))
             if len(taken) == len(waiting):
-                for task, _ in taken:
+                is_trial = any(is_suspect(task) for task in waiting)
+                for task, view in taken:
                     self._failed_tasks.record_start(task.key, now)
+                    self._crash_trials.record_start(task, view, is_trial)
                 return [
                     task.key.run_record(number, view.incarnation)
                     for task, view in taken
@@ -357,7 +390,7 @@
         `is_last` is whether the job fails if this attempt fails.
         """
         best = None
-        best_rank: tuple[bool, int, bool, int] | None = None
+        best_rank: tuple[bool, int, int, bool, int] | None = None
         group = task.key[:3]
         rack = step.data_rack or ""
         for view in workers:
@@ -366,6 +399,7 @@
             rank = (
                 task.failed_on(view.record.worker_id),
                 view.grade,
+                view.crashed_beside(group[0]) if task.crashes else 0,
                 bool(rack) and view.rack != rack,
                 view.cpu,
             )
--- a/arbutuscleat/scheduling/step_waits.py
+++ b/arbutuscleat/scheduling/step_waits.py
@@ -12,7 +12,14 @@
 
 from absl import logging
 
-from arbutuscleat.jobs import JobState, JobTable, TaskKey, TaskState, TaskStatus
+from arbutuscleat.jobs import (
+    SUSPECT_CRASHES,
+    JobState,
+    JobTable,
+    TaskKey,
+    TaskState,
+    TaskStatus,
+)
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
 
 from .wait_reason import WaitReason
@@ -209,6 +216,8 @@
     limit = view.limit(step, task.key[:3])
     if limit is not None:
         return limit
+    if task.crashes >= SUSPECT_CRASHES:
+        return WaitReason.CRASHES
     if task.failed_on(view.record.worker_id):
         return WaitReason.FAILED_RUN
     return WaitReason.GANG if step.gang else WaitReason.NOT_PLANNED
--- a/arbutuscleat/scheduling/wait_reason.py
+++ b/arbutuscleat/scheduling/wait_reason.py
@@ -35,16 +35,22 @@
     RESERVED = 11
     """The worker has room for the task, but keeps it for one that waits for more."""
 
-    GANG = 12
+    ISOLATED = 12
+    """The worker runs, or is kept free for, a task that may crash its workers."""
+
+    CRASHES = 13
+    """Workers have crashed under the task, so it waits for one without other jobs."""
+
+    GANG = 14
     """The worker accepts the task, but not all tasks of its gang find one."""
 
-    FAILED_RUN = 13
+    FAILED_RUN = 15
     """The worker accepts the task, whose latest run failed there."""
 
-    NOT_PLANNED = 14
+    NOT_PLANNED = 16
     """The worker accepts the task, which no plan has reached yet."""
 
-    NOT_LISTED = 15
+    NOT_LISTED = 17
     """A run of the task is in the log, but its worker does not list it."""
 
     def __str__(self) -> str:
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -44,6 +44,12 @@
         Capacity that is kept for tasks that wait for it.
     rejects_starts : bool
         Whether the worker has rejected several starts in a row just now.
+    isolated_for : str
+        The only job whose finite tasks may start on the worker; empty if any may.
+    keeps_out_long_running : bool
+        Whether this applies to long-running tasks too.
+    crashed_runs : dict of str to int
+        Number of runs of tasks under which workers have crashed, by job.
     unusable_because : WaitReason
         Why new runs may not be scheduled on a worker that is not usable.
     """
@@ -64,6 +70,9 @@
         "admits_long_running",
         "reservation",
         "rejects_starts",
+        "isolated_for",
+        "keeps_out_long_running",
+        "crashed_runs",
         "unusable_because",
     )
 
@@ -83,6 +92,9 @@
         self.admits_long_running = False
         self.reservation: Reservation | None = None
         self.rejects_starts = False
+        self.isolated_for = ""
+        self.keeps_out_long_running = False
+        self.crashed_runs: dict[str, int] = {}
         self.unusable_because = WaitReason.UNRESPONSIVE
 
     @property
@@ -120,8 +132,20 @@
             return WaitReason.CPU
         if self.reservation is not None and not self.reservation.permits(step, group):
             return WaitReason.RESERVED
+        if self.isolated_for and group[0] != self.isolated_for:
+            if self.keeps_out_long_running or not step.long_running:
+                return WaitReason.ISOLATED
         return None
 
+    def isolate(self, job_id: str, keeps_out_long_running: bool) -> None:
+        """Start no further tasks of other jobs, or only long-running ones."""
+        self.isolated_for = job_id
+        self.keeps_out_long_running = keeps_out_long_running
+
+    def crashed_beside(self, job_id: str) -> int:
+        """Return how many runs of other jobs have crashed workers before."""
+        return sum(self.crashed_runs.values()) - self.crashed_runs.get(job_id, 0)
+
     def fits_if_idle(self, step: StepRecord) -> bool:
         """Return whether the worker could run a task of `step` if it was idle."""
         return self._fits(step, self.record.cpu, self.record.mem_mb, self.record.gpu)
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -655,6 +655,7 @@
      - run
      - outcome
      - checkpoint
+     - unresponsive
 
     """
 
@@ -662,13 +663,15 @@
         'run',
         'outcome',
         'checkpoint',
+        'unresponsive',
     )
 
 
-    def __init__(self, run=None, outcome=None, checkpoint=None,):
+    def __init__(self, run=None, outcome=None, checkpoint=None, unresponsive=None,):
         self.run = run
         self.outcome = outcome
         self.checkpoint = checkpoint
+        self.unresponsive = unresponsive
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -695,6 +698,11 @@
                     self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.unresponsive = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -717,6 +725,10 @@
             oprot.writeFieldBegin('checkpoint', TType.STRING, 3)
             oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
             oprot.writeFieldEnd()
+        if self.unresponsive is not None:
+            oprot.writeFieldBegin('unresponsive', TType.BOOL, 4)
+            oprot.writeBool(self.unresponsive)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1445,18 +1457,21 @@
     Attributes:
      - worker_id
      - born_ms
+     - unplanned
 
     """
 
     __slots__ = (
         'worker_id',
         'born_ms',
+        'unplanned',
     )
 
 
-    def __init__(self, worker_id=None, born_ms=None,):
+    def __init__(self, worker_id=None, born_ms=None, unplanned=None,):
         self.worker_id = worker_id
         self.born_ms = born_ms
+        self.unplanned = unplanned
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1477,6 +1492,11 @@
                     self.born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.unplanned = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1495,6 +1515,87 @@
             oprot.writeFieldBegin('born_ms', TType.I64, 2)
             oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
+        if self.unplanned is not None:
+            oprot.writeFieldBegin('unplanned', TType.BOOL, 3)
+            oprot.writeBool(self.unplanned)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SettleRuns(object):
+    """
+    Attributes:
+     - runs
+
+    """
+
+    __slots__ = (
+        'runs',
+    )
+
+
+    def __init__(self, runs=None,):
+        self.runs = runs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RunRecord()
+                        _elem61.read(iprot)
+                        self.runs.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SettleRuns')
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.runs))
+            for iter62 in self.runs:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1642,10 +1743,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.machines = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.machines.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.machines.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1667,8 +1768,8 @@
         if self.machines is not None:
             oprot.writeFieldBegin('machines', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.machines))
-            for iter62 in self.machines:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.machines:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.holder is not None:
@@ -1793,6 +1894,8 @@
      - wave
      - advance_wave
      - order_machines
+     - settle
+     - at_ms
 
     """
 
@@ -1807,10 +1910,12 @@
         'wave',
         'advance_wave',
         'order_machines',
+        'settle',
+        'at_ms',
     )
 
 
-    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None,):
+    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None, settle=None, at_ms=None,):
         self.accept = accept
         self.cancel = cancel
         self.starts = starts
@@ -1821,6 +1926,8 @@
         self.wave = wave
         self.advance_wave = advance_wave
         self.order_machines = order_machines
+        self.settle = settle
+        self.at_ms = at_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1891,6 +1998,17 @@
                     self.order_machines.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.settle = SettleRuns()
+                    self.settle.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1941,6 +2059,14 @@
             oprot.writeFieldBegin('order_machines', TType.STRUCT, 10)
             self.order_machines.write(oprot)
             oprot.writeFieldEnd()
+        if self.settle is not None:
+            oprot.writeFieldBegin('settle', TType.STRUCT, 11)
+            self.settle.write(oprot)
+            oprot.writeFieldEnd()
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.I64, 12)
+            oprot.writeI64(self.at_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1975,6 +2101,9 @@
      - worker_id
      - born_ms
      - checkpoint
+     - crashes
+     - lone_crashes
+     - settled
 
     """
 
@@ -1985,16 +2114,22 @@
         'worker_id',
         'born_ms',
         'checkpoint',
+        'crashes',
+        'lone_crashes',
+        'settled',
     )
 
 
-    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None,):
+    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None,):
         self.status = status
         self.number = number
         self.failures = failures
         self.worker_id = worker_id
         self.born_ms = born_ms
         self.checkpoint = checkpoint
+        self.crashes = crashes
+        self.lone_crashes = lone_crashes
+        self.settled = settled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2035,6 +2170,21 @@
                     self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.lone_crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2069,6 +2219,18 @@
             oprot.writeFieldBegin('checkpoint', TType.STRING, 6)
             oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I32, 7)
+            oprot.writeI32(self.crashes)
+            oprot.writeFieldEnd()
+        if self.lone_crashes is not None:
+            oprot.writeFieldBegin('lone_crashes', TType.I32, 8)
+            oprot.writeI32(self.lone_crashes)
+            oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 9)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2129,16 +2291,16 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = []
-                        (_etype72, _size69) = iprot.readListBegin()
-                        for _i73 in range(_size69):
-                            _elem74 = TaskImage()
-                            _elem74.read(iprot)
-                            _elem68.append(_elem74)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = []
+                        (_etype79, _size76) = iprot.readListBegin()
+                        for _i80 in range(_size76):
+                            _elem81 = TaskImage()
+                            _elem81.read(iprot)
+                            _elem75.append(_elem81)
                         iprot.readListEnd()
-                        self.steps.append(_elem68)
+                        self.steps.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2159,10 +2321,10 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 2)
             oprot.writeListBegin(TType.LIST, len(self.steps))
-            for iter75 in self.steps:
-                oprot.writeListBegin(TType.STRUCT, len(iter75))
-                for iter76 in iter75:
-                    iter76.write(oprot)
+            for iter82 in self.steps:
+                oprot.writeListBegin(TType.STRUCT, len(iter82))
+                for iter83 in iter82:
+                    iter83.write(oprot)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -2251,11 +2413,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.occurrences = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = OccurrenceImage()
-                        _elem82.read(iprot)
-                        self.occurrences.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = OccurrenceImage()
+                        _elem89.read(iprot)
+                        self.occurrences.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2288,8 +2450,8 @@
         if self.occurrences is not None:
             oprot.writeFieldBegin('occurrences', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.occurrences))
-            for iter83 in self.occurrences:
-                iter83.write(oprot)
+            for iter90 in self.occurrences:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2326,6 +2488,7 @@
      - config
      - waves
      - machine_holders
+     - unresolved_runs
 
     """
 
@@ -2336,16 +2499,18 @@
         'config',
         'waves',
         'machine_holders',
+        'unresolved_runs',
     )
 
 
-    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None, machine_holders=None,):
+    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None, machine_holders=None, unresolved_runs=None,):
         self.jobs = jobs
         self.workers = workers
         self.config_version = config_version
         self.config = config
         self.waves = waves
         self.machine_holders = machine_holders
+        self.unresolved_runs = unresolved_runs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2359,22 +2524,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = JobImage()
-                        _elem89.read(iprot)
-                        self.jobs.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = JobImage()
+                        _elem96.read(iprot)
+                        self.jobs.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = WorkerRecord()
-                        _elem95.read(iprot)
-                        self.workers.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = WorkerRecord()
+                        _elem102.read(iprot)
+                        self.workers.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2391,22 +2556,33 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.waves = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = WaveRecord()
-                        _elem101.read(iprot)
-                        self.waves.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = WaveRecord()
+                        _elem108.read(iprot)
+                        self.waves.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.machine_holders = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = MachineHolder()
-                        _elem107.read(iprot)
-                        self.machine_holders.append(_elem107)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = MachineHolder()
+                        _elem114.read(iprot)
+                        self.machine_holders.append(_elem114)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.unresolved_runs = []
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = RunRecord()
+                        _elem120.read(iprot)
+                        self.unresolved_runs.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2423,15 +2599,15 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter108 in self.jobs:
-                iter108.write(oprot)
+            for iter121 in self.jobs:
+                iter121.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter109 in self.workers:
-                iter109.write(oprot)
+            for iter122 in self.workers:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -2445,15 +2621,22 @@
         if self.waves is not None:
             oprot.writeFieldBegin('waves', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.waves))
-            for iter110 in self.waves:
-                iter110.write(oprot)
+            for iter123 in self.waves:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.machine_holders is not None:
             oprot.writeFieldBegin('machine_holders', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.machine_holders))
-            for iter111 in self.machine_holders:
-                iter111.write(oprot)
+            for iter124 in self.machine_holders:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unresolved_runs is not None:
+            oprot.writeFieldBegin('unresolved_runs', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.unresolved_runs))
+            for iter125 in self.unresolved_runs:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2592,10 +2775,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2620,8 +2803,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter118 in self.members:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter132 in self.members:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3638,6 +3821,7 @@
     (1, TType.STRUCT, 'run', [RunRecord, None], None, ),  # 1
     (2, TType.I32, 'outcome', None, None, ),  # 2
     (3, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'unresponsive', None, None, ),  # 4
 )
 all_structs.append(WorkerRecord)
 WorkerRecord.thrift_spec = (
@@ -3694,6 +3878,12 @@
     None,  # 0
     (1, TType.STRING, 'worker_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'unplanned', None, None, ),  # 3
+)
+all_structs.append(SettleRuns)
+SettleRuns.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'runs', (TType.STRUCT, [RunRecord, None], False), None, ),  # 1
 )
 all_structs.append(AdvanceWave)
 AdvanceWave.thrift_spec = (
@@ -3727,6 +3917,8 @@
     (8, TType.STRUCT, 'wave', [WaveRecord, None], None, ),  # 8
     (9, TType.STRUCT, 'advance_wave', [AdvanceWave, None], None, ),  # 9
     (10, TType.STRUCT, 'order_machines', [OrderMachines, None], None, ),  # 10
+    (11, TType.STRUCT, 'settle', [SettleRuns, None], None, ),  # 11
+    (12, TType.I64, 'at_ms', None, None, ),  # 12
 )
 all_structs.append(TaskImage)
 TaskImage.thrift_spec = (
@@ -3737,6 +3929,9 @@
     (4, TType.STRING, 'worker_id', 'UTF8', None, ),  # 4
     (5, TType.I64, 'born_ms', None, None, ),  # 5
     (6, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'crashes', None, None, ),  # 7
+    (8, TType.I32, 'lone_crashes', None, None, ),  # 8
+    (9, TType.BOOL, 'settled', None, None, ),  # 9
 )
 all_structs.append(OccurrenceImage)
 OccurrenceImage.thrift_spec = (
@@ -3762,6 +3957,7 @@
     (4, TType.STRING, 'config', 'BINARY', None, ),  # 4
     (5, TType.LIST, 'waves', (TType.STRUCT, [WaveRecord, None], False), None, ),  # 5
     (6, TType.LIST, 'machine_holders', (TType.STRUCT, [MachineHolder, None], False), None, ),  # 6
+    (7, TType.LIST, 'unresolved_runs', (TType.STRUCT, [RunRecord, None], False), None, ),  # 7
 )
 all_structs.append(LocateRequest)
 LocateRequest.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -52,10 +52,12 @@
   7: i64 born_ms
 }
 
+// `unresponsive`: the lease of the worker expired while it did not respond.
 struct EndRecord {
   1: RunRecord run
   2: i32 outcome
   3: string checkpoint
+  4: optional bool unresponsive
 }
 
 struct WorkerRecord {
@@ -102,9 +104,16 @@
   2: i64 at_ms
 }
 
+// `unplanned`: the incarnation has ended although nobody announced or ordered it.
 struct RemoveWorker {
   1: string worker_id
   2: i64 born_ms
+  3: optional bool unplanned
+}
+
+// Long-running runs that have outlasted the time in which a task crashes its worker.
+struct SettleRuns {
+  1: list<RunRecord> runs
 }
 
 // A machine of a wave: its upkeep is about to be ordered, or it is over.
@@ -136,6 +145,8 @@
   8: optional WaveRecord wave
   9: optional AdvanceWave advance_wave
   10: optional OrderMachines order_machines
+  11: optional SettleRuns settle
+  12: optional i64 at_ms
 }
 
 struct TaskImage {
@@ -145,6 +156,9 @@
   4: string worker_id
   5: i64 born_ms
   6: string checkpoint
+  7: optional i32 crashes
+  8: optional i32 lone_crashes
+  9: optional bool settled
 }
 
 struct OccurrenceImage {
@@ -167,6 +181,7 @@
   4: binary config
   5: list<WaveRecord> waves
   6: list<MachineHolder> machine_holders
+  7: optional list<RunRecord> unresolved_runs
 }
 
 // ---- between entry and control instances -----------------------------------
