Tests: workers whose capacity shrinks and grows while they run tasks

What is started within the beat before the announcement is not covered, and the pools and the refusals by size go by the provider's list.

--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -131,6 +131,19 @@
         self.assertEqual(Verdict.REFUSED, answer.verdict)
         self.assertIn("largest machine", answer.detail)
 
+    def test_an_announced_change_of_capacity_is_in_force_at_once(self):
+        """Guards against starts on a worker whose capacity has shrunk."""
+        for number, capacity in enumerate(
+            ({"cpu": 1_000}, {"mem_mb": 50}, {"gpu": 1}, {"cpu": 64_000}), start=2
+        ):
+            record = worker(sequence=number, **capacity)
+            self.service.announce(AnnounceRequest(worker=record))
+            self.assertEqual(record, self.harness.table.workers["w1"])
+            index = self.harness.index
+            repeated = worker(sequence=number + 1, **capacity)
+            self.service.announce(AnnounceRequest(worker=repeated))
+            self.assertEqual(index, self.harness.index)
+
 
 class AnnounceTest(ServiceTest):
     def announce(self, **fields):
