Control nodes: as many voters as the losses to be borne need

Cause: three voters at most, whatever the deployment was to bear. An entry had two copies, and with two of the three disks lost the third replica is no quorum; learners do not vote.

Now the group has 2f + 1 voters, f being the losses that the deployment is to bear at the same time (`ControlNodeConfig.tolerated_losses`, from the platform's `fault-tolerance.machines`; 1 without it, and at least 1). With five voters an entry has three copies, and the three replicas left elect a leader. Three voters stay where one loss is to be borne, so what these deployments can bear does not change. The change of the replica set needed none itself: it goes from three to five one voter at a time, and each change adds the vote of a replica that answers or removes that of one that does not.

--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -3,7 +3,7 @@
 import random
 import uuid
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from absl import logging
@@ -52,9 +52,6 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Enough for a configuration with thousands of queues."""
 
-MAX_VOTERS = 3
-"""An odd number: if a partition splits the group in two, one side has a majority."""
-
 REPLICA_CONFIG = ReplicaConfig(
     heartbeat_seconds=0.2,
     election_seconds=0.7,
@@ -62,7 +59,6 @@
     call_seconds=0.8,
     tick_seconds=0.05,
     snapshot_entries=3000,
-    max_voters=MAX_VOTERS,
 )
 
 MakeApplication = Callable[[LeaderClient], Callable]
@@ -90,6 +86,8 @@
         Name shared by all processes of the installation.
     limits : ExecutionLimits
         Time limits of leases and orders.
+    tolerated_losses : int, default=1
+        Number of control nodes that may be lost at the same time, at least 1.
     metrics : Address, optional
         Address that serves the metrics; None disables them.
     metrics_path : str
@@ -104,10 +102,20 @@
     read_seeds: Callable[[], Sequence[str]]
     cluster: str
     limits: ExecutionLimits
+    tolerated_losses: int = 1
     metrics: Address | None = None
     metrics_path: str = ""
 
 
+def replica_config(tolerated_losses: int) -> ReplicaConfig:
+    """Return the limits of a replica whose group tolerates so many losses at once.
+
+    With twice as many voters and one more, a majority is left.  The number is odd: if
+    a partition splits the group in two, one side has a majority.
+    """
+    return replace(REPLICA_CONFIG, max_voters=2 * max(1, tolerated_losses) + 1)
+
+
 class ControlNode:
     """Creates and connects the components of a control node.
 
@@ -151,7 +159,7 @@
 
         self._replica = Replica(
             identity,
-            REPLICA_CONFIG,
+            replica_config(cfg.tolerated_losses),
             disk,
             [],
             self._table,
--- a/tests/consensus/test_joining.py
+++ b/tests/consensus/test_joining.py
@@ -76,6 +76,8 @@
 
     def test_a_group_of_five_recovers_from_the_loss_of_two_disks(self):
         """Guards against a lost quorum although three of five disks remain."""
+        self.group = Group(replace(CONFIG, max_voters=5))
+        self.group.run(4.0)
         for name in ("d", "e"):
             self.group.add(name)
             self.group.join(name)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -19,6 +19,8 @@
 [bounds]
 max-hold-ms = 8000
 lease-ms = 2500
+[fault-tolerance]
+machines = 2
 """
 
 
@@ -35,8 +37,13 @@
         self.assertEqual(("10.1.0.12", "10.2.0.25"), cfg.seeds)
         self.assertEqual((7060, True), (cfg.peer_port, cfg.first_start))
         self.assertEqual((8.0, 2.5), (cfg.limits.max_lease, cfg.limits.machine_lease))
+        self.assertEqual(2, cfg.tolerated_losses)
         self.assertIsNone(cfg.callers)
 
+    def test_one_loss_is_tolerated_where_no_number_is_set(self):
+        text = TEXT.replace("machines = 2", "")
+        self.assertEqual(1, self.load(text).tolerated_losses)
+
     def test_errors_name_the_key_or_value(self):
         cases = {
             "node-name": TEXT.replace("node-name", "name"),
