A group does not stay with four voters

If there are more voters than wanted, an even number, and all of them answer, the latest one is demoted to a learner.

--- a/arbutuscleat/consensus/reconfiguration.py
+++ b/arbutuscleat/consensus/reconfiguration.py
@@ -5,10 +5,11 @@
 incarnation.  A learner that has caught up is promoted to voter.  Each change is a
 log entry, and none is proposed while an earlier one is not committed.
 
-Each change adds the vote of a replica that answers or removes that of one that does
-not, so none makes a quorum depend on more of the replicas that answer.  While the
-group has at most `max_voters` voters, silence alone takes no vote: the silent replica
-may return, and with fewer voters an entry would be committed with fewer copies.
+Each change adds the vote of a replica that answers, removes that of one that does not,
+or makes an even number of voters odd, so none makes a quorum depend on more of the
+replicas that answer.  While the group has at most `max_voters` voters, silence alone
+takes no vote: the silent replica may return, and with fewer voters an entry would be
+committed with fewer copies.
 """
 
 from absl import logging
@@ -75,7 +76,7 @@
         return state.log.term_at(state.commit_index) == state.term
 
     def _next_record(self) -> ReplicaRecord | None:
-        """Return the record of a new learner or of a learner to promote, if any."""
+        """Return the record of a learner to add or promote, or a voter to demote."""
         state = self._state
         for node_id, progress in state.progress.items():
             incarnation = progress.unlisted_incarnation
@@ -88,6 +89,28 @@
                 return ReplicaRecord(
                     node_id=record.node_id, incarnation=record.incarnation, voter=True
                 )
+        surplus = self._surplus_voter()
+        if surplus is not None:
+            return ReplicaRecord(
+                node_id=surplus.node_id, incarnation=surplus.incarnation, voter=False
+            )
+        return None
+
+    def _surplus_voter(self) -> ReplicaRecord | None:
+        """Return the voter to demote if their number is even and all of them answer.
+
+        This happens if a silent voter returns after another has been promoted. With an
+        even number, a cut in two halves leaves no majority.
+        """
+        state = self._state
+        voters = [item for item in state.membership.current.replicas if item.voter]
+        too_many = len(voters) > state.cfg.max_voters > 0
+        if not too_many or len(voters) % 2:
+            return None
+        others = [item for item in voters if item.node_id != state.node_id]
+        progresses = [state.progress.get(item.node_id) for item in others]
+        if all(p is not None and state.is_responsive(p) for p in progresses):
+            return others[-1]  # The latest one, so that the earlier ones stay.
         return None
 
     def _restart_progress(self, node_id: str) -> None:
--- a/tests/consensus/test_disk_failures.py
+++ b/tests/consensus/test_disk_failures.py
@@ -97,6 +97,21 @@
             self.group.run(0.1)
         self.assertLess(sum(sent), 100)
 
+    def test_a_group_does_not_stay_with_four_voters(self):
+        """Guards against an even number of voters, which a cut in two halves stops."""
+        name = self.follower()
+        self.refuse_writes(name)
+        self.propose("1")
+        while len(self.group.voters()) < 4:
+            self.group.run(0.1)
+        self.accept_writes(name)
+        replica = self.group.replicas[name]
+        self.group.clock.advance(RETRY_SECONDS)
+        replica.tick()
+        self.group.exchange(self.group.leader(), name)
+        self.group.run(4.0)
+        self.assertEqual(3, len(self.group.voters()))
+
     def test_a_learner_replaces_a_voter_whose_disk_refuses_writes(self):
         """Guards against refusals that count as signs of a working voter."""
         name = self.follower()
