--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -5,7 +5,7 @@
 from arbutuscleat.consensus import Replica, Role
 from arbutuscleat.core import Clock
 from arbutuscleat.execution import Executor, MachineWaits
-from arbutuscleat.jobs import JobTable
+from arbutuscleat.jobs import SUSPECT_CRASHES, JobTable
 from arbutuscleat.metrics import labelled
 
 
@@ -69,6 +69,11 @@
             "jobs_held": len(table.jobs),
             "jobs_active": len(table.active),
             "workers": len(table.workers),
+            "tasks_crashed": len(table.crash_counts.tasks),
+            "tasks_suspected": sum(
+                task.crashes >= SUSPECT_CRASHES
+                for task in table.crash_counts.tasks.values()
+            ),
         }
         queues = table.config.queues if table.config else {}
         waiting: Counter[str] = Counter({name: 0 for name in queues})
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -17,7 +17,11 @@
         harness.apply(worker=worker())
         harness.accept(job(steps=[step(2)]))
         harness.accept(job(OTHER_JOB))
-        harness.start(run())
+        harness.start(run(), run(index=1))
+        harness.apply(worker=worker(born_ms=6))
+        harness.start(run(number=2, born_ms=6))
+        harness.apply(worker=worker(born_ms=7))
+        harness.start(run(number=3, born_ms=7))
         clock = ManualClock()
         status = SimpleNamespace(role=Role.LEADER, term=4, commit_index=9)
         replica = SimpleNamespace(status=lambda: status)
@@ -42,6 +46,8 @@
             "jobs_held": 2,
             "jobs_active": 2,
             "workers": 1,
+            "tasks_crashed": 2,
+            "tasks_suspected": 1,
             'jobs_waiting{queue="approvals"}': 1,
             'oldest_wait_seconds{queue="approvals"}': wait_ms / 1000,
             'tasks_running{service="karachi"}': 1,
