A leader whose disk hangs gives up the leadership

If the disk of one more voter fails, nothing is committed any more although the leader leads.

A leader whose write has taken 4 s hands the leadership over, which needs no disk; its successor then finds it silent and replaces it.

--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -40,6 +40,10 @@
     voter_silence_seconds : float
         Time without an answer after which a learner may replace a voter; used with
         `max_voters` only.
+    disk_hang_seconds : float
+        Duration of a write after which a leader gives up the leadership. It is longer
+        than `voter_silence_seconds`, because followers go on committing meanwhile, and
+        an election costs about a second.
     """
 
     heartbeat_seconds: float = 0.5
@@ -56,3 +60,4 @@
     snapshot_chunk_bytes: int = 256 * 1024
     max_voters: int = 0
     voter_silence_seconds: float = 2.0
+    disk_hang_seconds: float = 4.0
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from arbutuscleat.core import Clock, Deadline, InvariantError
@@ -314,7 +315,7 @@
     def tick(self) -> None:
         """Check the timers once and do what is due."""
         self._update_peers()
-        self._step_down_without_quorum()
+        self._step_down_if_unfit()
         self._elections.tick()
         self._reconfiguration.tick()
         self._disk_recovery.tick()
@@ -413,11 +414,22 @@
             progress.send_at = progress.sent_at + state.cfg.heartbeat_seconds
         return request
 
-    def _step_down_without_quorum(self) -> None:
+    def _step_down_if_unfit(self) -> None:
+        """Give up the leadership without a quorum, or with a disk that hangs.
+
+        With that disk a leader would keep its vote, as it is never silent to itself.
+        """
         state = self._state
         with state.lock:
-            if state.role is Role.LEADER and not state.leads():
+            if state.role is not Role.LEADER:
+                return
+            if not state.leads():
                 state.become_follower("")
+                return
+            hangs = state.does_disk_hang()
+        if hangs:
+            logging.warning("replica %s: the disk hangs", state.node_id)
+            self.transfer_leadership()
 
     def _has_committed_in_term(self) -> bool:
         """Return whether an entry of the current term is committed."""
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -88,6 +88,8 @@
         self.was_leader = False
         # Whether it has won the election of the latest term.
         self.has_led = False
+        # When the write of entries in progress began; None if there is none.
+        self.write_began_at: float | None = None
         self._load()
         if self.log.load_error is not None:
             with self.lock:
@@ -175,6 +177,13 @@
         since = self.clock.monotonic() - self.cfg.election_seconds
         return self.quorum_heard_since(since)
 
+    def does_disk_hang(self) -> bool:
+        """Return whether a write of entries has taken `disk_hang_seconds`."""
+        began_at = self.write_began_at
+        if began_at is None:
+            return False
+        return self.clock.monotonic() - began_at >= self.cfg.disk_hang_seconds
+
     # ---- changes; the caller holds `lock` ----
 
     def fail(self, exc: OSError) -> None:
--- a/arbutuscleat/consensus/replication.py
+++ b/arbutuscleat/consensus/replication.py
@@ -246,12 +246,15 @@
 
     def _write(self, batch: LogBatch) -> bool:
         state = self._state
+        state.write_began_at = state.clock.monotonic()
         try:
             state.log.write(batch)
         except OSError as exc:
             with state.lock:
                 state.fail(exc)
             return False
+        finally:
+            state.write_began_at = None
         return True
 
     def _answer(
--- a/arbutuscleat/consensus/snapshots.py
+++ b/arbutuscleat/consensus/snapshots.py
@@ -40,27 +40,36 @@
     def write(self) -> None:
         """Write a snapshot of the applied state and compact the log."""
         state = self._state
-        with state.disk_lock:
-            with state.lock:
-                if not self.is_due():
-                    return
-                record = self._capture()
-            try:
-                save_snapshot(state.disk, record)
-                with state.lock:
-                    state.snapshot = record
-                    kept_from = record.last_index - state.cfg.kept_entries
-                    batch = state.log.compact(max(state.log.base_index, kept_from))
-                state.log.rewrite(batch)
-            except OSError as exc:
-                with state.lock:
-                    state.fail(exc)
+        # The timers call this, and must not wait for a disk that hangs.
+        if not state.disk_lock.acquire(timeout=state.cfg.tick_seconds):
+            return
+        try:
+            self._write_locked()
+        finally:
+            state.disk_lock.release()
+
+    def _write_locked(self) -> None:
+        state = self._state
+        with state.lock:
+            if not self.is_due():
                 return
+            record = self._capture()
+        try:
+            save_snapshot(state.disk, record)
+            with state.lock:
+                state.snapshot = record
+                kept_from = record.last_index - state.cfg.kept_entries
+                batch = state.log.compact(max(state.log.base_index, kept_from))
+            state.log.rewrite(batch)
+        except OSError as exc:
             with state.lock:
-                # The rewritten file also holds entries that were not synced before.
-                state.log.mark_synced(batch)
-                if state.role is Role.LEADER:
-                    state.advance_commit()
+                state.fail(exc)
+            return
+        with state.lock:
+            # The rewritten file also holds entries that were not synced before.
+            state.log.mark_synced(batch)
+            if state.role is Role.LEADER:
+                state.advance_commit()
 
     def next_request(self, peer: str) -> SnapshotChunk:
         """Return the next chunk for `peer`; the caller holds `lock`."""
--- a/arbutuscleat/scheduling/crash_trials.py
+++ b/arbutuscleat/scheduling/crash_trials.py
@@ -1,7 +1,7 @@
 """Crash trials: start tasks that may crash their workers apart from other jobs.
 
 Several tasks are on a worker when it crashes, and the table counts the crash for each
-of them. What follows tells the one to blame from the others (see `CrashCounts`):
+of them. These rules find the one to blame (see `CrashCounts`):
 
 - After one crash the tasks are placed anew on different workers, as far as they accept
   them, so that few of them meet a second crash together.
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from arbutuscleat.consensus import FOUNDER_INCARNATION
+from arbutuscleat.consensus import FOUNDER_INCARNATION, Role
 from arbutuscleat.wire.gen.ttypes import AppendAnswer
 from tests.consensus.harness import ReplicaHarness
 
@@ -40,6 +40,23 @@
         self.assertEqual(writes, harness.disk.writes)
         self.assertEqual(harness.state.log.synced_index + 1, harness.propose("2") - 1)
 
+    def test_a_leader_whose_disk_hangs_gives_up_the_leadership(self):
+        """Guards against a voter that keeps its vote for as long as its disk hangs."""
+        for seconds, leads in ((3.0, True), (4.0, False)):
+            harness = ReplicaHarness().lead()
+            append = harness.disk.append
+
+            def hang(name, data, harness=harness, append=append, seconds=seconds):
+                harness.clock.advance(seconds)
+                harness.acknowledge("b")
+                harness.replica.tick()
+                append(name, data)
+
+            harness.disk.append = hang
+            harness.propose("1")
+            harness.replica.write_unsynced()
+            self.assertEqual(leads, harness.replica.status().role is Role.LEADER)
+
 
 class SuspensionTest(TestCase):
     """Guards against orders of a leader that was suspended for a change of leader.
