--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -253,10 +253,11 @@
                     if not found:
                         blocked.append((step, waiting))
                 continue
-            found, _ = self._place_each(
+            found, left = self._place_each(
                 step, suspects, trial_workers, max_attempts, now
             )
             runs.extend(found)
+            blocked.extend(left)
             others = [task for task in waiting if not is_suspect(task)]
             found, left = self._place_each(step, others, workers, max_attempts, now)
             runs.extend(found)
--- a/tests/scheduling/test_crash_trials.py
+++ b/tests/scheduling/test_crash_trials.py
@@ -134,6 +134,18 @@
                 self.now += 0.1
                 self.assertEqual(1, len(self.plan()), crashes)
 
+    def test_capacity_is_reserved_for_a_long_running_suspect(self):
+        """Guards against small tasks that take all capacity a suspect waits for."""
+        for name in ("w2", "w3"):
+            self.harness.apply(worker=worker(name, cpu=1_000, sequence=2))
+        self.run_elsewhere("w1", cpu=2_000, estimated_ms=2_000)
+        self.accept(OTHER_JOB, crashes=2, long_running=True)
+        ((_, trial),) = self.plan()  # No other worker may be isolated.
+        self.accept(crashes=3, cpu=4_000, long_running=True)
+        self.accept("1" * 16, 2, estimated_ms=9_000)
+        (left,) = {"w2", "w3"} - {trial}
+        self.assertEqual([("1" * 16, left)], self.plan())
+
     def test_at_most_half_of_the_workers_are_isolated(self):
         """Guards against suspects that stop all other work of a service."""
         for number in range(3):
