A control node with an empty folder waits for its disk

Its disk had been lost, and refused writes when the node started again. An OSError from writing its identity ended the process, which its supervisor would start again in vain for as long as the disk refuses.

The start now tries again each second. A node that has an identity starts at once, as before.

--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -22,10 +22,7 @@
     Replica,
     ReplicaConfig,
     ThriftPeer,
-    initialise,
-    open_identity,
 )
-from arbutuscleat.consensus.stores import load_identity
 from arbutuscleat.core import SystemClock
 from arbutuscleat.execution import (
     ExecutionLimits,
@@ -43,6 +40,7 @@
 from arbutuscleat.wire.gen_jobs import JobControl
 
 from .control_metrics import ControlMetrics
+from .data_folder import wait_for_identity
 from .metrics_server import MetricsServer
 
 HTTP_THREADS = 12
@@ -144,12 +142,10 @@
         self._cfg = cfg
         clock = SystemClock()
         disk = FolderDisk(cfg.data_folder)
-        if load_identity(disk) is None and cfg.first_start:
-            founders = cfg.read_seeds()
-            if cfg.host in founders:
-                initialise(disk, cfg.host, list(founders))
-                logging.info("created a consensus group of %s", ", ".join(founders))
-        identity = open_identity(disk, cfg.host, uuid.uuid4().hex)
+        founders = list(cfg.read_seeds()) if cfg.first_start else []
+        identity = wait_for_identity(
+            disk, cfg.host, lambda: uuid.uuid4().hex, founders, clock
+        )
         credentials = Credentials(cfg.cluster, "", cfg.host, identity.incarnation)
         self._table = JobTable(decode_config)
 
