--- a/arbutuscleat/jobs/crash_counts.py
+++ b/arbutuscleat/jobs/crash_counts.py
@@ -10,7 +10,8 @@
 A crash is the end of a worker incarnation that nobody announced or ordered. A lease
 that expires is none: the worker may be cut off. Only if that incarnation is never heard
 of again and another one takes its place have the runs ended in a crash after all. Until
-that is known, such a run of a suspect counts towards the last limit.
+that is known, such a run of a suspect counts towards the last limit. So does the end of
+a worker that was draining: it may have crashed, or been taken away with its runs.
 
 A long-running run that has lasted for some time is settled: it did not crash its
 worker, so later crashes are not counted for it, and earlier ones are forgotten.
@@ -56,7 +57,8 @@
         self.tasks: dict[TaskKey, TaskState] = {}
         self._unresolved: dict[WorkerIncarnation, dict[TaskKey, int]] = {}
         """Numbers of the runs whose lease expired on a worker that did not respond,
-        and that is not known to have responded since or to have ended."""
+        and that is not known to have responded since or to have ended; 0 for a task
+        that is over or settled elsewhere, whose run was beside the others."""
 
     def record_unresponsive(self, task: TaskState) -> bool:
         """Record that the lease of a task's run has expired on an unresponsive worker.
@@ -68,18 +70,52 @@
         """
         if task.settled:
             return False
-        runs = self._unresolved.setdefault(task.incarnation, {})
-        runs[task.key] = task.number
-        unresolved = sum(task.key in runs for runs in self._unresolved.values())
-        if task.crashes < SUSPECT_CRASHES or task.crashes + unresolved < MAX_CRASHES:
+        self._unresolved.setdefault(task.incarnation, {})[task.key] = task.number
+        return self._is_at_limit(task)
+
+    def record_end_of_drained(
+        self,
+        incarnation: WorkerIncarnation,
+        running: Iterable[TaskState],
+        active: Mapping[str, JobState],
+    ) -> list[JobState]:
+        """Record the end of a draining worker; return the jobs that are to be given up.
+
+        Parameters
+        ----------
+        incarnation : WorkerIncarnation
+            The worker incarnation that has ended.
+        running : iterable of TaskState
+            The tasks with a current run on it.
+        active : mapping of str to JobState
+            The active jobs by id.
+        """
+        self.record_responsive(incarnation)
+        given_up = {}
+        for task in running:
+            job = active.get(task.key.job_id)
+            if job is None or task.settled:
+                continue
+            task.uncertain_crashes += 1
+            if self._is_at_limit(task):
+                given_up[job.job_id] = job
+        return list(given_up.values())
+
+    def _is_at_limit(self, task: TaskState) -> bool:
+        """Return whether a suspect is at the last limit, with what is uncertain."""
+        unresolved = sum(
+            runs.get(task.key, 0) > 0 for runs in self._unresolved.values()
+        )
+        uncertain = task.uncertain_crashes + unresolved
+        if task.crashes < SUSPECT_CRASHES or task.crashes + uncertain < MAX_CRASHES:
             return False
         logging.warning(
-            "job %s is given up: %d workers have crashed under task %s, and %d more do "
-            "not respond",
+            "job %s is given up: %d workers have crashed under task %s, %d more were "
+            "draining or do not respond",
             task.key.job_id,
             task.crashes,
             task.key,
-            unresolved,
+            uncertain,
         )
         return True
 
@@ -104,9 +140,10 @@
         active : mapping of str to JobState
             The active jobs by id.
         """
+        lapsed = self._unresolved.pop(incarnation, {})
         keys = {task.key for task in running if not task.settled}
-        keys.update(self._unresolved.pop(incarnation, ()))
-        is_only_job = len({key.job_id for key in keys}) == 1
+        is_only_job = len({key.job_id for key in [*keys, *lapsed]}) == 1
+        keys.update(key for key, number in lapsed.items() if number)
         given_up: dict[str, JobState] = {}
         for key in sorted(keys):
             job = active.get(key.job_id)
@@ -117,7 +154,11 @@
             task.lone_crashes = task.lone_crashes + 1 if is_only_job else 0
             self.tasks[key] = task
             long_running = bool(job.steps[key.step].long_running)
-            if key.job_id not in given_up and _is_to_blame(task, long_running):
+            if key.job_id in given_up:
+                continue
+            if self._is_at_limit(task):
+                given_up[key.job_id] = job
+            elif _is_to_blame(task, long_running):
                 given_up[key.job_id] = job
                 logging.warning(
                     "job %s is given up: %d workers have crashed under task %s, the "
@@ -135,14 +176,16 @@
         task.settled = True
         task.crashes = 0
         task.lone_crashes = 0
+        task.uncertain_crashes = 0
         self.discard(task)
 
     def discard(self, task: TaskState) -> None:
         """Forget a task that is done, or whose job is over."""
         self.tasks.pop(task.key, None)
         for incarnation, runs in list(self._unresolved.items()):
-            runs.pop(task.key, None)
-            if not runs:
+            if task.key in runs:
+                runs[task.key] = 0
+            if not any(runs.values()):
                 del self._unresolved[incarnation]
 
     # ---- snapshots ----
@@ -181,6 +224,4 @@
 
 def _is_to_blame(task: TaskState, long_running: bool) -> bool:
     lone = LONG_RUNNING_LONE_CRASHES if long_running else LONE_CRASHES
-    if task.crashes >= MIN_CRASHES and task.lone_crashes >= lone:
-        return True
-    return task.crashes >= MAX_CRASHES
+    return task.crashes >= MIN_CRASHES and task.lone_crashes >= lone
--- a/arbutuscleat/jobs/job_state.py
+++ b/arbutuscleat/jobs/job_state.py
@@ -187,6 +187,7 @@
                     task.checkpoint = item.checkpoint
                     task.crashes = item.crashes or 0
                     task.lone_crashes = item.lone_crashes or 0
+                    task.uncertain_crashes = item.uncertain_crashes or 0
                     task.settled = bool(item.settled)
                     task.status = TaskStatus(item.status)
                     if task.status is TaskStatus.DONE:
@@ -219,5 +220,6 @@
         checkpoint=task.checkpoint,
         crashes=task.crashes or None,
         lone_crashes=task.lone_crashes or None,
+        uncertain_crashes=task.uncertain_crashes or None,
         settled=task.settled or None,
     )
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -386,7 +386,7 @@
             if is_outdated(record, stored):
                 return False
             if stored.born_ms != record.born_ms:
-                self._end_incarnation(stored, not stored.draining, now_ms)
+                self._end_incarnation(stored, True, now_ms)
         for other in list(self.workers.values()):
             if other.worker_id == record.worker_id:
                 continue
@@ -394,7 +394,7 @@
                 if other.born_ms > record.born_ms:
                     return False
                 del self.workers[other.worker_id]
-                self._end_incarnation(other, not other.draining, now_ms)
+                self._end_incarnation(other, True, now_ms)
         self.workers[record.worker_id] = record
         return True
 
@@ -403,35 +403,40 @@
         if stored is None or stored.born_ms != command.born_ms:
             return False
         del self.workers[command.worker_id]
-        crashed = bool(command.unplanned) and not stored.draining
-        self._end_incarnation(stored, crashed, now_ms)
+        self._end_incarnation(stored, bool(command.unplanned), now_ms)
         return True
 
     def _end_incarnation(
-        self, record: WorkerRecord, crashed: bool, now_ms: int | None
+        self, record: WorkerRecord, unplanned: bool, now_ms: int | None
     ) -> None:
-        """End the runs of a worker incarnation as lost; count them if it crashed."""
+        """End the runs of a worker incarnation as lost; count them if it crashed.
+
+        Entries of a version that counted no crashes have no time; they count none.
+        """
         incarnation = (record.worker_id, record.born_ms)
+        unplanned = unplanned and now_ms is not None
         tasks = list(self.runs.get(incarnation, {}).values())
         if tasks:
             logging.info(
                 "worker %s, started at %d ms, has %s with %d runs: %s%s",
                 *incarnation,
-                "crashed" if crashed else "ended",
+                "crashed" if unplanned and not record.draining else "ended",
                 len(tasks),
                 " ".join(f"{task.key}#{task.number}" for task in tasks[:MAX_LOGGED]),
                 " ..." if len(tasks) > MAX_LOGGED else "",
             )
         given_up: list[JobState] = []
-        if crashed:
-            counts = self.crash_counts
-            given_up = counts.record_crash(incarnation, tasks, self.active)
+        counts = self.crash_counts
+        if not unplanned:
+            counts.record_responsive(incarnation)
+        elif record.draining:
+            given_up = counts.record_end_of_drained(incarnation, tasks, self.active)
         else:
-            self.crash_counts.record_responsive(incarnation)
+            given_up = counts.record_crash(incarnation, tasks, self.active)
         for task in tasks:
             self._end_one(task.key, task.number, RunOutcome.LOST)
         for job in given_up:
-            self._fail_job(job, now_ms or job.record.accepted_at_ms)
+            self._fail_job(job, now_ms or 0)
 
     def _active_task(self, key: TaskKey) -> TaskState | None:
         job = self.active.get(key.job_id)
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -81,6 +81,8 @@
         Number of workers that have crashed while they ran the task.
     lone_crashes : int
         Number of them, up to the last, that ran nothing of other jobs but settled runs.
+    uncertain_crashes : int
+        Number of workers that ended while they were draining and ran the task.
     settled : bool
         Whether the latest run has lasted for so long that it crashes no worker.
     """
@@ -95,6 +97,7 @@
         "checkpoint",
         "crashes",
         "lone_crashes",
+        "uncertain_crashes",
         "settled",
     )
 
@@ -108,6 +111,7 @@
         self.checkpoint = ""
         self.crashes = 0
         self.lone_crashes = 0
+        self.uncertain_crashes = 0
         self.settled = False
 
     def failed_on(self, worker_id: str) -> bool:
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -2104,6 +2104,7 @@
      - crashes
      - lone_crashes
      - settled
+     - uncertain_crashes
 
     """
 
@@ -2117,10 +2118,11 @@
         'crashes',
         'lone_crashes',
         'settled',
+        'uncertain_crashes',
     )
 
 
-    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None,):
+    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None, uncertain_crashes=None,):
         self.status = status
         self.number = number
         self.failures = failures
@@ -2130,6 +2132,7 @@
         self.crashes = crashes
         self.lone_crashes = lone_crashes
         self.settled = settled
+        self.uncertain_crashes = uncertain_crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2185,6 +2188,11 @@
                     self.settled = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.uncertain_crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2231,6 +2239,10 @@
             oprot.writeFieldBegin('settled', TType.BOOL, 9)
             oprot.writeBool(self.settled)
             oprot.writeFieldEnd()
+        if self.uncertain_crashes is not None:
+            oprot.writeFieldBegin('uncertain_crashes', TType.I32, 10)
+            oprot.writeI32(self.uncertain_crashes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3932,6 +3944,7 @@
     (7, TType.I32, 'crashes', None, None, ),  # 7
     (8, TType.I32, 'lone_crashes', None, None, ),  # 8
     (9, TType.BOOL, 'settled', None, None, ),  # 9
+    (10, TType.I32, 'uncertain_crashes', None, None, ),  # 10
 )
 all_structs.append(OccurrenceImage)
 OccurrenceImage.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -159,6 +159,7 @@
   7: optional i32 crashes
   8: optional i32 lone_crashes
   9: optional bool settled
+  10: optional i32 uncertain_crashes
 }
 
 struct OccurrenceImage {
--- a/tests/execution/simulation.py
+++ b/tests/execution/simulation.py
@@ -386,7 +386,7 @@
     def register(self, worker_id):
         record = self.records[worker_id]
         if self.harness.table.workers.get(worker_id) != record:
-            self.harness.apply(worker=record)
+            self.harness.apply(worker=record, at_ms=self.clock.now_ms())
 
     def ping(self):
         while True:
--- a/tests/jobs/test_crash_counts.py
+++ b/tests/jobs/test_crash_counts.py
@@ -109,7 +109,7 @@
             self.accept()
             self.start(JOB)
             for change in changes:
-                self.harness.apply(**change)
+                self.harness.apply(at_ms=3000, **change)
             self.assertEqual(count, self.crashes(), name)
 
     def test_a_task_beside_the_one_to_blame_is_not_given_up(self):
@@ -147,9 +147,45 @@
         self.start(JOB)
         self.expire_lease(JOB)
         self.restore()
-        self.harness.apply(worker=worker(born_ms=99))
+        self.harness.apply(worker=worker(born_ms=99), at_ms=3000)
         self.assertEqual(1, self.crashes())
 
+    def test_a_draining_worker_that_ends_counts_towards_the_last_limit_only(self):
+        """Guards against a third start after three crashes, one while draining."""
+        self.accept(JOB, OTHER_JOB)
+        for number in range(5):
+            self.assertIs(False, self.harness.table.jobs[JOB].failed)
+            self.start(JOB, OTHER_JOB)
+            if number == 2:
+                leaving = worker(born_ms=self.born_ms, draining=True, sequence=9)
+                self.harness.apply(worker=leaving)
+            self.remove()
+            self.restore()
+        self.assertEqual(4, self.crashes())
+        self.assertIs(JobPhase.FAILED, self.harness.phase())
+
+    def test_a_crash_known_late_is_lone_only_if_nothing_ran_beside_it(self):
+        """Guards against an innocent job whose neighbours are over by then."""
+        self.accept(JOB, OTHER_JOB)
+        for _ in range(2):
+            self.start(JOB, OTHER_JOB)
+            self.remove()
+        self.start(JOB, OTHER_JOB)
+        self.expire_lease(JOB, OTHER_JOB)
+        self.harness.cancel(OTHER_JOB)
+        self.restore()
+        self.harness.apply(worker=worker(born_ms=99), at_ms=3000)
+        self.assertEqual(3, self.crashes())
+        self.assertIs(JobPhase.ACTIVE, self.harness.phase(JOB))
+
+    def test_log_entries_of_a_version_without_counts_count_no_crashes(self):
+        """Guards against replicas that differ after an update, by what they replay."""
+        self.accept()
+        for _ in range(3):
+            self.start(JOB)
+            self.harness.apply(worker=worker(born_ms=self.born_ms + 1))
+        self.assertEqual(0, self.crashes())
+
     def test_unresolved_runs_of_a_suspect_count_towards_the_last_limit(self):
         """Guards against further starts while crashes are not known to be ones."""
         self.accept(JOB, OTHER_JOB)
