--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -15,7 +15,7 @@
 
 from arbutuscleat.consensus import Replica
 from arbutuscleat.core import Clock, run_loop
-from arbutuscleat.jobs import JobTable, TaskKey, TaskState
+from arbutuscleat.jobs import JobTable, TaskKey
 from arbutuscleat.jobs.task import WorkerIncarnation
 from arbutuscleat.scheduling import (
     Demand,
@@ -31,13 +31,13 @@
     JobCommand,
     RunRecord,
     RunStarts,
-    SettleRuns,
     WorkerRecord,
 )
 
 from .end_batcher import EndBatcher
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
+from .run_settler import RunSettler
 from .session import WorkerSession
 from .worker_client import WorkerClient
 
@@ -61,12 +61,6 @@
 """How long a run that is to be stopped counts as unavailable although its worker lists
 it. An unanswered order may take effect 12 s later; after that, it was never sent."""
 
-SETTLE_SECONDS = 3.0
-"""Duration after which a long-running run is settled: it did not crash its worker."""
-
-SETTLE_CHECK_SECONDS = 1.0
-"""Interval between checks for such runs; those found share a log entry."""
-
 SESSIONS_PER_TERM = 1_000_000
 """Number of fencing tokens available in each term; a process opens far fewer sessions
 in its lifetime."""
@@ -135,10 +129,10 @@
         self._moved: dict[TaskKey, tuple[int, float]] = {}
         """Runs stopped for a move, by task, and when their stops were ordered."""
 
-        self._settled_at = float("-inf")
         self.plan_count = 0
         self.step_waits = StepWaits()
         self._end_batcher = EndBatcher(self.propose, clock)
+        self._run_settler = RunSettler(table, planner, self.propose, clock)
         self.sessions: dict[str, WorkerSession] = {}
         self._thread = threading.Thread(target=self._run, name="executor", daemon=True)
 
@@ -245,7 +239,7 @@
             self._close_sessions()
             self._term = self._replica.term()
             logging.info("leading term %d: sessions begin", self._term)
-        self._settle_runs()
+        self._run_settler.settle_if_due(self.sessions.values())
         self._plan_once()
         self._load.log_if_due()
 
@@ -272,37 +266,6 @@
         if plan.runs:
             self._start_runs(plan.runs)
 
-    def _settle_runs(self) -> None:
-        """Record in the log which long-running runs have settled, if a check is due."""
-        now = self._clock.monotonic()
-        if now - self._settled_at < SETTLE_CHECK_SECONDS:
-            return
-        self._settled_at = now
-        with self._table.lock:
-            runs = [
-                task.key.run_record(task.number, session.incarnation)
-                for session in self.sessions.values()
-                if session.is_responsive()
-                for task in self._long_running(session)
-                if not task.settled
-                and self._planner.seconds_running(task.key, task.number, now)
-                >= SETTLE_SECONDS
-            ]
-        if runs:
-            self.propose(JobCommand(settle=SettleRuns(runs=runs)))
-
-    def _long_running(self, session: WorkerSession) -> list[TaskState]:
-        """Return the tasks with a long-running run that their worker lists."""
-        runs = self._table.runs.get(session.incarnation, {})
-        found = []
-        for item in session.running:
-            task = runs.get(item.key)
-            job = self._table.active.get(item.key.job_id)
-            if task is not None and job is not None and task.number == item.number:
-                if job.steps[item.key.step].long_running:
-                    found.append(task)
-        return found
-
     def _check_waits(self, views: Mapping[str, WorkerView]) -> None:
         """Observe the tasks that the plan has left waiting, if a check is due."""
         now = self._clock.monotonic()
