--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -213,10 +213,10 @@
         with self.world.disturbances.during(node.scope + UNPLANNED):
             self.report.event(f"{node.name}: no writes for {seconds:.2f} s")
             with contextlib.suppress(ProcessLookupError):
-                limits = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
-                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, limits[1]))
+                _, largest = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, largest))
                 sleep(seconds)
-                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limits)
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (largest, largest))
 
     def change_settings(self, node: Node, rng: random.Random, signals: bool) -> None:
         """Write other seeds into the settings of a node."""
