--- a/arbutuscleat/jobs/crash_counts.py
+++ b/arbutuscleat/jobs/crash_counts.py
@@ -90,15 +90,18 @@
         active : mapping of str to JobState
             The active jobs by id.
         """
-        self.record_responsive(incarnation)
+        lapsed = self._unresolved.pop(incarnation, {})
+        keys = {task.key for task in running if not task.settled}
+        keys.update(key for key, number in lapsed.items() if number)
         given_up = {}
-        for task in running:
-            job = active.get(task.key.job_id)
-            if job is None or task.settled:
+        for key in sorted(keys):
+            job = active.get(key.job_id)
+            task = None if job is None else job.task(key)
+            if job is None or task is None or task.status is TaskStatus.DONE:
                 continue
             task.uncertain_crashes += 1
             if self._is_at_limit(task):
-                given_up[job.job_id] = job
+                given_up[key.job_id] = job
         return list(given_up.values())
 
     def _is_at_limit(self, task: TaskState) -> bool:
--- a/tests/jobs/test_crash_counts.py
+++ b/tests/jobs/test_crash_counts.py
@@ -164,6 +164,19 @@
         self.assertEqual(4, self.crashes())
         self.assertIs(JobPhase.FAILED, self.harness.phase())
 
+    def test_a_lapsed_lease_on_a_draining_worker_stays_uncertain_when_it_ends(self):
+        """Guards against a crash that is forgotten because the worker was draining."""
+        self.accept(JOB, OTHER_JOB)
+        for number in range(5):
+            self.assertIs(False, self.harness.table.jobs[JOB].failed)
+            self.start(JOB, OTHER_JOB)
+            if number == 3:
+                leaving = worker(born_ms=self.born_ms, draining=True, sequence=9)
+                self.harness.apply(worker=leaving)
+                self.expire_lease(JOB, OTHER_JOB)
+            self.remove()
+        self.assertIs(JobPhase.FAILED, self.harness.phase(JOB))
+
     def test_a_crash_known_late_is_lone_only_if_nothing_ran_beside_it(self):
         """Guards against an innocent job whose neighbours are over by then."""
         self.accept(JOB, OTHER_JOB)
