--- a/arbutuscleat/jobs/crash_counts.py
+++ b/arbutuscleat/jobs/crash_counts.py
@@ -165,12 +165,11 @@
                 given_up[key.job_id] = job
                 logging.warning(
                     "job %s is given up: %d workers have crashed under task %s, the "
-                    "last one, %s, with runs of %s",
+                    "last one, %s, with runs of this job only",
                     key.job_id,
                     task.crashes,
                     key,
                     incarnation[0],
-                    "this job only" if is_only_job else "other jobs too",
                 )
         return list(given_up.values())
 
--- a/tests/execution/crash_simulation.py
+++ b/tests/execution/crash_simulation.py
@@ -29,8 +29,8 @@
         self.random_crashes = set()
         super().__init__(seed)
         self.failure_share = 0.0
-        self.culprits = set()
-        self.unlucky = set()
+        self.crashing_tasks = set()
+        self.hit_by_chance = set()
         """Jobs on workers that have crashed for no reason of their tasks."""
 
         self.crash_delay = self.rng.choice([0.01, 0.01, 0.5])
@@ -39,14 +39,14 @@
     def start_worker(self, worker_id):
         for incarnation in self.random_crashes:
             runs = self.harness.table.runs.get(incarnation, {})
-            self.unlucky |= {key.job_id for key in runs}
+            self.hit_by_chance |= {key.job_id for key in runs}
         super().start_worker(worker_id)
 
     def submit_small_jobs(self):
-        self.clock.spawn(self.submit_culprits)
+        self.clock.spawn(self.submit_crashing_jobs)
         super().submit_small_jobs()
 
-    def submit_culprits(self):
+    def submit_crashing_jobs(self):
         rng = random.Random(self.seed + 3_000_000)
         for number in range(rng.randint(1, 4)):
             self.clock.pause(rng.uniform(0.5, 4.0))
@@ -61,15 +61,15 @@
                 long_running=kind == "long-running",
             )
             indexes = range(count) if kind == "all" else [0]
-            self.culprits |= {(job_id, 0, 0, index) for index in indexes}
+            self.crashing_tasks |= {(job_id, 0, 0, index) for index in indexes}
             self.log(f"{job_id} has {count} tasks, {kind}")
             self.accept(job_id, [asked])
 
     def work(self, model, order):
         key = tuple(order.key)
-        if self.crashes[key] >= MAX_CRASHES and key in self.culprits:
+        if self.crashes[key] >= MAX_CRASHES and key in self.crashing_tasks:
             self.further_starts[key] += 1
-        if key in self.culprits:
+        if key in self.crashing_tasks:
             self.clock.spawn(lambda: self.crash_later(model))
             return None, RunOutcome.DONE
         if self.step_of(order.key).gang:
@@ -127,7 +127,7 @@
         link = self.links[worker_id]
         chance, length = rng.random(), rng.uniform(0.5, 9.0)
         if chance < 0.02 and link.model is not None:
-            self.unlucky |= {key.job_id for key in link.model.running()}
+            self.hit_by_chance |= {key.job_id for key in link.model.running()}
             self.random_crashes.add((worker_id, link.model.born_ms))
             self.crash(worker_id)
         elif chance < 0.04:
@@ -137,7 +137,7 @@
             self.change_leader(rng.random() < 0.5)
 
     def report(self, task):
-        if task.key.job_id not in {key[0] for key in self.culprits}:
+        if task.key.job_id not in {key[0] for key in self.crashing_tasks}:
             super().report(task)
 
     def run(self):
@@ -145,10 +145,10 @@
         for key, count in self.further_starts.items():
             if count > MAX_FURTHER_STARTS:
                 self.violations.append(f"{key} was started {count} times more")
-        culprits = {key[0] for key in self.culprits}
+        crashing = {key[0] for key in self.crashing_tasks}
         for job_id, state in self.harness.table.jobs.items():
             failed = state.phase() is JobPhase.FAILED
-            if failed and job_id not in culprits | self.unlucky:
+            if failed and job_id not in crashing | self.hit_by_chance:
                 self.violations.append(f"{job_id} crashes no worker and is given up")
-            elif job_id in culprits and not failed and not self.long_outages:
+            elif job_id in crashing and not failed and not self.long_outages:
                 self.violations.append(f"{job_id} is not given up")
--- a/tests/execution/test_machine_controller.py
+++ b/tests/execution/test_machine_controller.py
@@ -202,7 +202,7 @@
         self.assertEqual(CAP, len(self.provider.upkeeps))
 
     def test_a_machine_that_does_not_return_from_its_upkeep_is_logged_and_counted(self):
-        """Guards against a wave that stands still for a machine, unnoticed."""
+        """Guards against a wave that waits for a machine, unnoticed."""
         self.add_wave()
         self.replica.lead()
         with self.assertLogs("absl", "INFO") as logs:
--- a/tests/jobs/test_crash_counts.py
+++ b/tests/jobs/test_crash_counts.py
@@ -113,7 +113,7 @@
             self.assertEqual(count, self.crashes(), name)
 
     def test_a_task_beside_the_one_to_blame_is_not_given_up(self):
-        """Guards against innocent jobs that are shown as failed."""
+        """Guards against jobs that are shown as failed for a task beside theirs."""
         self.accept(JOB, OTHER_JOB)
         for _ in range(2):
             self.start(JOB, OTHER_JOB)
@@ -178,7 +178,7 @@
         self.assertIs(JobPhase.FAILED, self.harness.phase(JOB))
 
     def test_a_crash_known_late_is_lone_only_if_nothing_ran_beside_it(self):
-        """Guards against an innocent job whose neighbours are over by then."""
+        """Guards against a job that is failed because the ones beside it are over."""
         self.accept(JOB, OTHER_JOB)
         for _ in range(2):
             self.start(JOB, OTHER_JOB)
