--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -151,14 +151,14 @@
         return self._fits(step, self.record.cpu, self.record.mem_mb, self.record.gpu)
 
     def will_accept(self, step: StepRecord, group: tuple[str, int, int]) -> bool:
-        """Return whether a long-running task is accepted once all finite runs ended.
+        """Return whether a task will be accepted once all finite runs have ended.
 
         Long-running tasks keep their capacity and count for the spread limit.
 
         Parameters
         ----------
         step : StepRecord
-            The step, which is long-running.
+            The step.
         group : tuple of str, int and int
             The task's job, occurrence and step.
         """
