--- a/tests/execution/test_crash_loops.py
+++ b/tests/execution/test_crash_loops.py
@@ -8,7 +8,7 @@
 from tests.execution.crash_simulation import CrashSimulation
 from tests.execution.test_long_running_tasks import run, seeds
 
-FIRST_SEEDS = (1, 3, 7, 14, 18, 26, 30, 104)
+FIRST_SEEDS = (1, 3, 7, 14, 18, 26, 30, 104, 139)
 """Seeds that have failed, for different reasons."""
 
 
