Leader load: no processor time, which is wrong where it is needed

Cause: the line said CPU 1.00 for an idle leader as well, since the platform's processes read another clock as their processor time. The test expected that figure; it now expects the line without it.

--- a/arbutuscleat/execution/leader_load.py
+++ b/arbutuscleat/execution/leader_load.py
@@ -2,12 +2,12 @@
 
 The leader does the work of the whole fleet in one process. If it falls behind, callers
 see late starts although workers and machines are free. The durations recorded here
-show which of its loops is behind, and the processor time shows whether it is saturated.
+show which of its loops is behind, and the wake-up delay of a loop that does little
+shows whether the process is saturated.
 """
 
 import threading
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 from absl import logging
@@ -28,23 +28,18 @@
         Source of time.
     metrics : Metrics, optional
         Registry that serves the histograms `leader_seconds{operation}`.
-    cpu_seconds : callable, optional
-        Returns the processor time used by the process so far, in seconds.
     """
 
     def __init__(
         self,
         clock: Clock,
         metrics: Metrics | None = None,
-        cpu_seconds: Callable[[], float] = time.process_time,
     ):
         self._clock = clock
         self._metrics = Metrics() if metrics is None else metrics
-        self._cpu_seconds = cpu_seconds
         self._lock = threading.Lock()
         self._durations: dict[str, list[float]] = {}
         self._since = clock.monotonic()
-        self._cpu_at = cpu_seconds()
 
     def observe(self, operation: str, seconds: float) -> None:
         """Record the duration of one operation in seconds."""
@@ -67,13 +62,11 @@
         elapsed = now - self._since
         if elapsed < LOG_SECONDS:
             return
-        cpu = self._cpu_seconds()
         with self._lock:
             durations, self._durations = self._durations, {}
-        share = (cpu - self._cpu_at) / elapsed
-        self._since, self._cpu_at = now, cpu
+        self._since = now
         parts = [_summary(name, found) for name, found in sorted(durations.items())]
-        logging.info("leader load: CPU %.2f; %s", share, "; ".join(parts))
+        logging.info("leader load: %s", "; ".join(parts))
 
 
 def _summary(operation: str, seconds: list[float]) -> str:
