--- a/arbutuscleat/access/__init__.py
+++ b/arbutuscleat/access/__init__.py
@@ -5,6 +5,8 @@
 from .job_service import JobService
 from .joiner import Joiner
 from .leader_client import CallOutcome, LeaderClient
+from .leader_proposer import LeaderProposer
+from .session_reporter import SessionReporter
 
 __all__ = [
     "AdmissionController",
@@ -13,4 +15,6 @@
     "JobService",
     "Joiner",
     "LeaderClient",
+    "LeaderProposer",
+    "SessionReporter",
 ]
--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from absl import logging
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from arbutuscleat.consensus import (
     ProposalError,
@@ -20,10 +20,11 @@
     Role,
 )
 from arbutuscleat.core import Clock
+from arbutuscleat.execution import EndBatcher, SessionRegistry
 from arbutuscleat.jobs import AcceptResult, JobTable, Queue
 from arbutuscleat.jobs.worker_announcement import is_outdated
 from arbutuscleat.scheduling import Rejection
-from arbutuscleat.wire import encode
+from arbutuscleat.wire import decode, encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
     CancelJob,
@@ -36,7 +37,11 @@
     JoinRequest,
     LocateAnswer,
     LocateRequest,
+    ProposeAnswer,
+    ProposeRequest,
     RemoveWorker,
+    RenewAnswer,
+    RenewRequest,
     SetConfig,
     SubmitRequest,
     Verdict,
@@ -87,6 +92,8 @@
         Source of time.
     admission : AdmissionController
         Accepts or rejects submitted jobs.
+    registry : SessionRegistry, optional
+        Records the leases and reports of the holders of sessions.
     """
 
     def __init__(
@@ -95,11 +102,14 @@
         table: JobTable,
         clock: Clock,
         admission: AdmissionController,
+        registry: SessionRegistry | None = None,
     ):
         super().__init__(replica)
         self._table = table
         self._clock = clock
         self._admission = admission
+        self._registry = SessionRegistry(clock) if registry is None else registry
+        self._end_batcher = EndBatcher(self._commit, clock)
 
     def leads(self) -> bool:
         """Return whether this process is the leader and in contact with a quorum."""
@@ -291,6 +301,50 @@
         answer.finished = wave.is_complete()
         return answer
 
+    # ---- holders of sessions ----
+
+    def renew(self, request: RenewRequest) -> RenewAnswer:
+        """Record a report, and renew the lease of its sender."""
+        answer = RenewAnswer(
+            request_id=request.request_id,
+            verdict=Verdict.NOT_LEADER,
+            leader=self._leader(),
+            granted=False,
+            wants_complete=True,
+        )
+        if not self.leads():
+            return answer
+        self._registry.observe_term(self._replica.term(), self._replica.led_since())
+        answer.granted, answer.wants_complete = self._registry.renew(
+            request, self._table.session_assignments.last_index
+        )
+        # A lease granted after the leadership had ended could overlap with another one.
+        if self.leads():
+            answer.verdict = Verdict.DONE
+        return answer
+
+    def propose(self, request: ProposeRequest) -> ProposeAnswer:
+        """Commit the ends of runs, or the removal of a worker, for a session."""
+        answer = ProposeAnswer(
+            request_id=request.request_id,
+            verdict=Verdict.NOT_LEADER,
+            leader=self._leader(),
+        )
+        if not self.leads():
+            return answer
+        command = _decode_command(request.command)
+        if command.ends is None and command.remove_worker is None:
+            logging.warning("proposal refused: no ends of runs and no lost worker")
+            answer.verdict = Verdict.INVALID
+        elif self._end_batcher.propose(command):
+            answer.verdict = Verdict.DONE
+        else:
+            answer.verdict = Verdict.UNKNOWN
+        return answer
+
+    def _commit(self, command: JobCommand) -> bool:
+        return isinstance(self._propose(command), Success)
+
     # ---- helpers ----
 
     def _problem(
@@ -418,6 +472,15 @@
         )
 
 
+def _decode_command(payload: bytes) -> JobCommand:
+    """Return the command that a holder proposes; an empty one if it is malformed."""
+    try:
+        return decode(JobCommand, payload)
+    except Exception as exc:  # The decoder raises errors of several kinds.
+        logging.warning("a proposed command is malformed: %r", exc)
+        return JobCommand()
+
+
 def _needs_no_commit(stored: WorkerRecord, record: WorkerRecord) -> bool:
     """Return whether an announcement needs no commit.
 
--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -21,6 +21,9 @@
     learner_interval_seconds : float
         Shortest time between two requests with entries to a replica that is not a
         voter.  No commit waits for it, so its entries can be sent many at a time.
+    commit_notice_seconds : float or None
+        Longest time after which the voters learn that an entry is committed, if no
+        other request tells them before; None to leave it to the next request.
     call_seconds : float
         Timeout of one call to a peer.
     tick_seconds : float
@@ -51,6 +54,7 @@
     election_spread: float = 1.5
     former_leader_election_seconds: float = 0.1
     learner_interval_seconds: float = 0.0
+    commit_notice_seconds: float | None = None
     call_seconds: float = 1.0
     tick_seconds: float = 0.1
     max_batch_entries: int = 1024
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -288,6 +288,11 @@
         with self._state.lock:
             return [item.node_id for item in self._state.membership.current.replicas]
 
+    def voters(self) -> list[str]:
+        """Return the node ids of the voters that the log lists."""
+        with self._state.lock:
+            return list(self._state.membership.voters())
+
     def term(self) -> int:
         """Return the current term."""
         return self._state.term
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -290,6 +290,18 @@
         # are committed with them.
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self.commit_to(index)
+            self._schedule_commit_notices()
+
+    def _schedule_commit_notices(self) -> None:
+        """Have the voters told of a commit that no other request tells them soon."""
+        if self.cfg.commit_notice_seconds is None:
+            return
+        due = self.clock.monotonic() + self.cfg.commit_notice_seconds
+        for voter in self.membership.voters():
+            progress = self.progress.get(voter)
+            if progress is not None and self.is_responsive(progress):
+                progress.send_at = min(progress.send_at, due)
+        self.send_ready.notify_all()
 
     def commit_to(self, index: int) -> None:
         """Commit and apply the entries up to `index`."""
--- a/arbutuscleat/execution/__init__.py
+++ b/arbutuscleat/execution/__init__.py
@@ -1,11 +1,18 @@
-"""Execution of jobs by the leader: dispatch to workers and control of machines."""
+"""Execution of jobs: scheduling, sessions with workers and control of machines."""
 
+from .end_batcher import EndBatcher
 from .executor import Executor
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .machine_controller import MachineController
 from .machine_waits import MachineWaits
 from .provider import MachineOrderOutcome, MachineState, MaySend, Provider
+from .session_balancer import SessionBalancer
+from .session_holding import SessionHolding
+from .session_lease import SessionLease
+from .session_manager import SessionManager
+from .session_registry import SessionRegistry
+from .session_reports import SessionReports
 from .worker_client import (
     FinishedRun,
     HoldAnswer,
@@ -19,6 +26,7 @@
 )
 
 __all__ = [
+    "EndBatcher",
     "ExecutionLimits",
     "Executor",
     "FinishedRun",
@@ -34,6 +42,12 @@
     "OrderOutcome",
     "Provider",
     "RunningTask",
+    "SessionBalancer",
+    "SessionHolding",
+    "SessionLease",
+    "SessionManager",
+    "SessionRegistry",
+    "SessionReports",
     "StartOrder",
     "StopOrder",
     "WorkerClient",
--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -78,7 +78,8 @@
     record_lost : callable
         Records runs that never started as lost.
     may_order : callable
-        Returns whether this process still leads; checked right before each call.
+        Returns whether this process still holds the session; checked right before each
+        call.
     status : WorkerStatus
         Responsiveness, clock and lease of the worker.
     clock : Clock
@@ -138,18 +139,6 @@
 
     # ---- orders ----
 
-    def expect_start(self, run: RunRecord) -> None:
-        """Count the start of a run as pending before it is queued."""
-        with self._lock:
-            self._pending[TaskKey.of(run)] = run.number
-
-    def withdraw_start(self, run: RunRecord) -> None:
-        """Undo `expect_start`."""
-        key = TaskKey.of(run)
-        with self._lock:
-            if self._pending.get(key) == run.number:
-                del self._pending[key]
-
     def order_start(self, run: RunRecord) -> None:
         """Queue the start of a run that is committed to the log."""
         key = TaskKey.of(run)
@@ -168,7 +157,7 @@
         self._orders.put(_Order(None, key, number))
 
     def pending(self) -> set[TaskKey]:
-        """Return the tasks with an order that is expected, queued or being sent."""
+        """Return the tasks with an order that is queued or being sent."""
         with self._lock:
             return set(self._pending)
 
--- a/arbutuscleat/execution/run_end_recorder.py
+++ b/arbutuscleat/execution/run_end_recorder.py
@@ -63,7 +63,7 @@
         lost: Sequence[tuple[TaskKey, int]],
         reason: str,
         unresponsive: bool = False,
-    ) -> None:
+    ) -> bool:
         """Record runs as lost that ended, or never began, without a reported end.
 
         Parameters
@@ -75,6 +75,11 @@
         unresponsive : bool, default=False
             Whether their lease has expired on a worker that does not respond, and that
             may have crashed.
+
+        Returns
+        -------
+        bool
+            False if the commit of the records is not confirmed.
         """
         for key, number in lost:
             logging.info(
@@ -87,7 +92,7 @@
         records = [self._record(key, n, RunOutcome.LOST, "") for key, n in lost]
         for record in records:
             record.unresponsive = unresponsive or None
-        self._propose_ends(records)
+        return self._propose_ends(records)
 
     def _record(
         self, key: TaskKey, number: int, outcome: RunOutcome, checkpoint: str
--- a/arbutuscleat/execution/run_settler.py
+++ b/arbutuscleat/execution/run_settler.py
@@ -12,7 +12,7 @@
 from arbutuscleat.scheduling import Planner
 from arbutuscleat.wire.gen_jobs.ttypes import JobCommand, SettleRuns
 
-from .session import WorkerSession
+from .worker_condition import WorkerCondition
 
 SETTLE_SECONDS = 3.0
 """Duration after which a long-running run is settled: it did not crash its worker."""
@@ -49,13 +49,13 @@
         self._clock = clock
         self._checked_at = float("-inf")
 
-    def settle_if_due(self, sessions: Iterable[WorkerSession]) -> None:
+    def settle_if_due(self, conditions: Iterable[WorkerCondition]) -> None:
         """Record the runs that have lasted, if a check is due.
 
         Parameters
         ----------
-        sessions : iterable of WorkerSession
-            The open sessions; only responsive workers are considered.
+        conditions : iterable of WorkerCondition
+            The conditions of all workers; only responsive ones are considered.
         """
         now = self._clock.monotonic()
         if now - self._checked_at < CHECK_SECONDS:
@@ -63,10 +63,10 @@
         self._checked_at = now
         with self._table.lock:
             runs = [
-                task.key.run_record(task.number, session.incarnation)
-                for session in sessions
-                if session.is_responsive()
-                for task in self._long_running(session)
+                task.key.run_record(task.number, condition.incarnation)
+                for condition in conditions
+                if condition.is_responsive()
+                for task in self._long_running(condition)
                 if not task.settled and self._has_lasted(task, now)
             ]
         if runs:
@@ -76,11 +76,11 @@
         seconds = self._planner.seconds_running(task.key, task.number, now)
         return seconds >= SETTLE_SECONDS
 
-    def _long_running(self, session: WorkerSession) -> list[TaskState]:
+    def _long_running(self, condition: WorkerCondition) -> list[TaskState]:
         """Return the tasks with a long-running run that their worker lists."""
-        runs = self._table.runs.get(session.incarnation, {})
+        runs = self._table.runs.get(condition.incarnation, {})
         found = []
-        for item in session.running:
+        for item in condition.running:
             task = runs.get(item.key)
             job = self._table.active.get(item.key.job_id)
             if task is not None and job is not None and task.number == item.number:
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -1,4 +1,4 @@
-"""Worker session: the leader's communication with one incarnation of a worker.
+"""Worker session: its holder's communication with one incarnation of a worker.
 
 One thread sends holds: it renews the lease, records the ends that the worker lists in
 the replicated log, and acknowledges them only afterwards. An `OrderSender` sends the
@@ -38,6 +38,7 @@
     RunningTask,
     WorkerClient,
 )
+from .worker_condition import WorkerCondition
 from .worker_status import WorkerStatus
 
 RETRY_SECONDS = 0.2
@@ -65,8 +66,8 @@
 It allows for scheduling delays of the leader's threads on a slow machine."""
 
 
-class WorkerSession:
-    """The leader's session with one incarnation of a worker.
+class WorkerSession(WorkerCondition):
+    """The session of its holder with one incarnation of a worker.
 
     Parameters
     ----------
@@ -81,15 +82,15 @@
     propose : callable
         Proposes a command to the replicated log.
     may_order : callable
-        Returns whether this process still leads; checked before each hold and right
-        before each order.
+        Returns whether this process still holds the session; checked before each hold
+        and right before each order.
     clock : Clock
         Source of time.
     limits : ExecutionLimits
         Lease durations and timeouts.
     former_lease_until : float
-        Monotonic time in seconds by which all leases granted by former leaders have
-        expired.
+        Monotonic time in seconds by which all leases granted by former holders of the
+        session have expired.
     load : LeaderLoad, optional
         Records the time from the commit of a start to its answer.
 
@@ -146,6 +147,9 @@
         self._breaker = FailureBreaker(clock)
         self._has_missing_runs = False
         self._stall_detector = StallDetector()
+        self._ended: dict[TaskKey, int] = {}
+        """Runs whose end is committed, but not applied to the table here yet."""
+
         self.running: tuple[RunningTask, ...] = ()
         self._thread = threading.Thread(target=self._run, name="hold", daemon=True)
 
@@ -201,18 +205,6 @@
         """Return whether the circuit breaker admits long-running tasks."""
         return self._breaker.accepts_long_running()
 
-    def expect_start(self, run: RunRecord) -> None:
-        """Expect a start whose commit to the log has not been confirmed yet.
-
-        A hold that is sent after the commit, but before the start is queued, would
-        otherwise find that the worker does not list the run, and stop it.
-        """
-        self._sender.expect_start(run)
-
-    def withdraw_start(self, run: RunRecord) -> None:
-        """No longer expect a start whose commit is not confirmed."""
-        self._sender.withdraw_start(run)
-
     def order_start(self, run: RunRecord) -> None:
         """Queue the start of a run that is committed to the log."""
         self._sender.order_start(run)
@@ -224,7 +216,7 @@
         self._sender.order_stop(key, number)
 
     def pending(self) -> set[TaskKey]:
-        """Return the tasks with an order that is expected, queued or being sent."""
+        """Return the tasks with an order that is queued or being sent."""
         return self._sender.pending()
 
     def send_queued_orders(self) -> None:
@@ -304,7 +296,15 @@
         is_busy = False
         runs = {}
         with self._table.lock:
-            for key, task in self._table.runs.get(self.incarnation, {}).items():
+            tasks = self._table.runs.get(self.incarnation, {})
+            self._ended = {
+                key: number
+                for key, number in self._ended.items()
+                if key in tasks and tasks[key].number == number
+            }
+            for key, task in tasks.items():
+                if key in self._ended:
+                    continue
                 job = self._table.jobs.get(key.job_id)
                 is_busy |= job is not None and not job.steps[key.step].long_running
                 runs[key] = task.number
@@ -371,6 +371,7 @@
         if not self._end_recorder.record_reported(new_ends):
             return False
         self._acknowledged = max(end.position for end in new_ends)
+        self._note_ended([(end.key, end.number) for end in new_ends])
         for end in new_ends:
             if end.outcome is RunOutcome.DONE:
                 self._breaker.record_success()
@@ -470,10 +471,15 @@
     ) -> None:
         if not lost:
             return
-        self._end_recorder.record_lost(lost, reason, unresponsive)
+        if self._end_recorder.record_lost(lost, reason, unresponsive):
+            self._note_ended(lost)
         for key, number in lost:
             self._sender.clear_stop(key, number)
 
+    def _note_ended(self, runs: list[Run]) -> None:
+        with self._table.lock:
+            self._ended.update(runs)
+
     def _notify_table(self) -> None:
         with self._table.lock:
             self._table.changed.notify_all()
--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -5,11 +5,19 @@
 from .job_table import AcceptResult, JobTable
 from .queue_config import Queue, QueueConfig, Service
 from .run_outcome import RunOutcome
+from .session_assignments import (
+    SHARD_COUNT,
+    SessionAssignment,
+    SessionAssignments,
+    SessionHolder,
+    shard_of,
+)
 from .task import TaskKey, TaskState, TaskStatus
 from .wave import Wave
 
 __all__ = [
     "MIN_CRASHES",
+    "SHARD_COUNT",
     "SUSPECT_CRASHES",
     "AcceptResult",
     "CrashCounts",
@@ -20,8 +28,12 @@
     "QueueConfig",
     "RunOutcome",
     "Service",
+    "SessionAssignment",
+    "SessionAssignments",
+    "SessionHolder",
     "TaskKey",
     "TaskState",
     "TaskStatus",
     "Wave",
+    "shard_of",
 ]
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -16,6 +16,7 @@
 from arbutuscleat.wire import decode, encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
+    AssignSessions,
     CancelJob,
     EndRecord,
     JobCommand,
@@ -25,9 +26,11 @@
     OrderMachines,
     RemoveWorker,
     RunEnds,
+    RunRecord,
     RunStarts,
     SetConfig,
     SettleRuns,
+    StopRuns,
     WaveRecord,
     WorkerRecord,
 )
@@ -36,6 +39,7 @@
 from .job_state import JobState
 from .queue_config import QueueConfig
 from .run_outcome import RunOutcome
+from .session_assignments import SessionAssignments
 from .task import TaskKey, TaskState, TaskStatus, WorkerIncarnation
 from .wave import Wave
 from .worker_announcement import is_outdated
@@ -84,7 +88,11 @@
         """Latest holder of each machine, and the log index of the holder's entry."""
 
         self.stops_due: set[TaskKey] = set()
-        """Tasks of ended jobs that are still running; the leader stops their runs."""
+        """Tasks whose current run is to be stopped by the session with its worker."""
+
+        self.session_assignments = SessionAssignments()
+        self.on_start: Callable[[RunRecord], None] | None = None
+        """Called with each run that is marked as running; `lock` is held."""
 
         self.crash_counts = CrashCounts()
 
@@ -119,6 +127,8 @@
                         for machine, (holder, _) in self.machine_holders.items()
                     ],
                     unresolved_runs=self.crash_counts.unresolved_runs(),
+                    session_assignments=self.session_assignments.records(),
+                    last_session_fence=self.session_assignments.last_fence,
                 )
             )
 
@@ -137,6 +147,9 @@
             self.machine_holders = {
                 item.machine: (item.holder, 0) for item in table.machine_holders or ()
             }
+            self.session_assignments.restore(
+                table.session_assignments or (), table.last_session_fence or 0
+            )
             self.jobs = {}
             self.active = {}
             self.runs = {}
@@ -211,6 +224,10 @@
             return self._advance_wave(command.advance_wave)
         if command.order_machines is not None:
             return self._order_machines(index, command.order_machines)
+        if command.assign_sessions is not None:
+            return self._assign_sessions(index, command.assign_sessions)
+        if command.stop_runs is not None:
+            return self._stop_runs(command.stop_runs)
         logging.error("ignored a log entry with an unknown command type")
         return None
 
@@ -294,6 +311,8 @@
         self.crash_counts.record_responsive(incarnation)
         job.started = True
         self.runs.setdefault(incarnation, {})[key] = task
+        if self.on_start is not None:
+            self.on_start(run)
         return True
 
     def _end(self, command: RunEnds) -> None:
@@ -464,6 +483,15 @@
             self.machine_holders[machine] = (command.holder, index)
         return True
 
+    def _assign_sessions(self, index: int, command: AssignSessions) -> list[bool]:
+        return self.session_assignments.apply(index, command)
+
+    def _stop_runs(self, command: StopRuns) -> None:
+        for run in command.runs:
+            key = TaskKey.of(run)
+            if self.is_current_run(key, run.number):
+                self.stops_due.add(key)
+
     def _advance_wave(self, command: AdvanceWave) -> bool:
         wave = self.waves.get(command.wave)
         if wave is None:
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -1,6 +1,7 @@
 """Control nodes: members of the consensus group; the leader schedules the jobs."""
 
 import random
+import threading
 import uuid
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
@@ -14,6 +15,8 @@
     JobService,
     Joiner,
     LeaderClient,
+    LeaderProposer,
+    SessionReporter,
 )
 from arbutuscleat.consensus import (
     FOUNDER_INCARNATION,
@@ -23,16 +26,22 @@
     ReplicaConfig,
     ThriftPeer,
 )
-from arbutuscleat.core import SystemClock
+from arbutuscleat.core import Deadline, SystemClock
 from arbutuscleat.execution import (
     ExecutionLimits,
     Executor,
     LeaderLoad,
     MachineController,
     Provider,
+    SessionBalancer,
+    SessionHolding,
+    SessionLease,
+    SessionManager,
+    SessionRegistry,
+    SessionReports,
 )
-from arbutuscleat.execution.executor import MakeClient
-from arbutuscleat.jobs import JobTable, QueueConfig
+from arbutuscleat.execution.session_manager import MakeClient
+from arbutuscleat.jobs import JobTable, QueueConfig, SessionHolder
 from arbutuscleat.metrics import Metrics
 from arbutuscleat.scheduling import FleetCapacity, Planner
 from arbutuscleat.web import HttpServer
@@ -50,10 +59,20 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Enough for a configuration with thousands of queues."""
 
+PROCESS_ID_LENGTH = 8
+"""Number of hexadecimal digits that tell the processes of a node apart."""
+
+HAND_OVER_SECONDS = 1.5
+"""How long a stopping node waits for others to take over its sessions: a leader that
+stops as well is replaced within a second."""
+
+HAND_OVER_CHECK_SECONDS = 0.05
+
 REPLICA_CONFIG = ReplicaConfig(
     heartbeat_seconds=0.2,
     election_seconds=0.7,
     election_spread=1.6,
+    commit_notice_seconds=0.003,
     call_seconds=0.8,
     tick_seconds=0.05,
     snapshot_entries=3000,
@@ -166,7 +185,8 @@
         admission = AdmissionController(
             self._table, clock, random.Random(), self._fleet
         )
-        service = JobService(self._replica, self._table, clock, admission)
+        registry = SessionRegistry(clock)
+        service = JobService(self._replica, self._table, clock, admission, registry)
         self._thrift = ThriftServer(
             JobControl.Processor(service),
             Address(cfg.host, cfg.peer_port),
@@ -182,15 +202,43 @@
         )
         self.metrics = Metrics()
         load = LeaderLoad(clock, self.metrics)
+        holder = SessionHolder(cfg.host, uuid.uuid4().hex[:PROCESS_ID_LENGTH])
+        lease = SessionLease(clock)
+        session_manager = SessionManager(
+            self._table,
+            make_client,
+            SessionHolding(self._replica, self._table, clock, holder, lease),
+            LeaderProposer(self._leader_client).propose,
+            clock,
+            cfg.limits,
+            load,
+        )
         self._executor = Executor(
             self._replica,
             self._table,
-            make_client,
             Planner(),
             clock,
-            cfg.limits,
+            session_manager,
+            registry,
             load,
         )
+        self._session_balancer = SessionBalancer(
+            self._replica,
+            self._table,
+            registry,
+            holder,
+            self._executor.propose,
+            clock,
+            load,
+        )
+        self._session_reporter = SessionReporter(
+            self._leader_client,
+            self._replica,
+            holder,
+            lease,
+            SessionReports(self._table, session_manager),
+            clock,
+        )
         self._machine_controller: MachineController | None = None
         if provider is not None:
             self._machine_controller = MachineController(
@@ -240,6 +288,8 @@
         self._thrift.start()
         self._replica.start()
         self._executor.start()
+        self._session_balancer.start()
+        self._session_reporter.start()
         if self._machine_controller is not None:
             self._machine_controller.start()
         self._joiner.start()
@@ -260,6 +310,9 @@
         if self._machine_controller is not None:
             self._machine_controller.stop()
         self._replica.transfer_leadership()
+        self._hand_over_sessions()
+        self._session_balancer.stop()
+        self._session_reporter.stop()
         self._executor.stop()
         self._http.stop()
         self._replica.stop()
@@ -267,6 +320,20 @@
         self._leader_client.close()
         self._metrics_server.stop()
 
+    def _hand_over_sessions(self) -> None:
+        """Ask the leader to assign the sessions to others, and wait for it.
+
+        Without an answer in time, their lease runs out once this process has ended.
+        """
+        clock = SystemClock()
+        self._session_reporter.leave()
+        deadline = Deadline.after(clock, HAND_OVER_SECONDS)
+        while not deadline.expired():
+            with self._table.lock:
+                if not self._executor.sessions:
+                    return
+            clock.sleep(threading.Event(), HAND_OVER_CHECK_SECONDS)
+
     def _fleet(self) -> FleetCapacity | None:
         return (
             None if self._machine_controller is None else self._machine_controller.fleet
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -7,6 +7,7 @@
 from .planner import Plan, Planner
 from .pool_planner import Move, PoolMachine, PoolPlan, PoolPlanner, idle_worker
 from .service_demand import Demand, Requirement, has_shortage
+from .session_balance import balance_sessions
 from .step_waits import StepWait, StepWaits
 from .unplaced_tasks import UnplacedTasks
 from .wait_reason import WaitReason
@@ -32,6 +33,7 @@
     "WaveMachine",
     "WorkerView",
     "backlog_cpu_ms",
+    "balance_sessions",
     "check_size",
     "check_wait",
     "choose_machines",
--- a/arbutuscleat/wire/gen_jobs/JobControl.py
+++ b/arbutuscleat/wire/gen_jobs/JobControl.py
@@ -115,6 +115,22 @@
         """
         pass
 
+    def renew(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
+    def propose(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -507,6 +523,70 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "wave failed: unknown result")
 
+    def renew(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_renew(request)
+        return self.recv_renew()
+
+    def send_renew(self, request):
+        self._oprot.writeMessageBegin('renew', TMessageType.CALL, self._seqid)
+        args = renew_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_renew(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = renew_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "renew failed: unknown result")
+
+    def propose(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_propose(request)
+        return self.recv_propose()
+
+    def send_propose(self, request):
+        self._oprot.writeMessageBegin('propose', TMessageType.CALL, self._seqid)
+        args = propose_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_propose(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = propose_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "propose failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -524,6 +604,8 @@
         self._processMap["announce"] = Processor.process_announce
         self._processMap["configure"] = Processor.process_configure
         self._processMap["wave"] = Processor.process_wave
+        self._processMap["renew"] = Processor.process_renew
+        self._processMap["propose"] = Processor.process_propose
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -822,6 +904,52 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_renew(self, seqid, iprot, oprot):
+        args = renew_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = renew_result()
+        try:
+            result.success = self._handler.renew(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("renew", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_propose(self, seqid, iprot, oprot):
+        args = propose_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = propose_result()
+        try:
+            result.success = self._handler.propose(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("propose", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -2587,5 +2715,299 @@
 wave_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [ControlAnswer, None], None, ),  # 0
 )
+
+
+class renew_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+    __slots__ = (
+        'request',
+    )
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = RenewRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('renew_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(renew_args)
+renew_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [RenewRequest, None], None, ),  # 1
+)
+
+
+class renew_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = RenewAnswer()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('renew_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(renew_result)
+renew_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RenewAnswer, None], None, ),  # 0
+)
+
+
+class propose_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+    __slots__ = (
+        'request',
+    )
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = ProposeRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('propose_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(propose_args)
+propose_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [ProposeRequest, None], None, ),  # 1
+)
+
+
+class propose_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ProposeAnswer()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('propose_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(propose_result)
+propose_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ProposeAnswer, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -1881,53 +1881,23 @@
         return not (self == other)
 
 
-class JobCommand(object):
+class SessionHolderRecord(object):
     """
     Attributes:
-     - accept
-     - cancel
-     - starts
-     - ends
-     - worker
-     - remove_worker
-     - config
-     - wave
-     - advance_wave
-     - order_machines
-     - settle
-     - at_ms
+     - node_id
+     - process
 
     """
 
     __slots__ = (
-        'accept',
-        'cancel',
-        'starts',
-        'ends',
-        'worker',
-        'remove_worker',
-        'config',
-        'wave',
-        'advance_wave',
-        'order_machines',
-        'settle',
-        'at_ms',
+        'node_id',
+        'process',
     )
 
 
-    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None, settle=None, at_ms=None,):
-        self.accept = accept
-        self.cancel = cancel
-        self.starts = starts
-        self.ends = ends
-        self.worker = worker
-        self.remove_worker = remove_worker
-        self.config = config
-        self.wave = wave
-        self.advance_wave = advance_wave
-        self.order_machines = order_machines
-        self.settle = settle
-        self.at_ms = at_ms
+    def __init__(self, node_id=None, process=None,):
+        self.node_id = node_id
+        self.process = process
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1939,74 +1909,220 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.accept = JobRecord()
-                    self.accept.read(iprot)
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.cancel = CancelJob()
-                    self.cancel.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRUCT:
-                    self.starts = RunStarts()
-                    self.starts.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRUCT:
-                    self.ends = RunEnds()
-                    self.ends.read(iprot)
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRUCT:
-                    self.worker = WorkerRecord()
-                    self.worker.read(iprot)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SessionHolderRecord')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 2)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SessionAssignmentRecord(object):
+    """
+    Attributes:
+     - shard
+     - holder
+     - fence
+     - former
+     - index
+
+    """
+
+    __slots__ = (
+        'shard',
+        'holder',
+        'fence',
+        'former',
+        'index',
+    )
+
+
+    def __init__(self, shard=None, holder=None, fence=None, former=None, index=None,):
+        self.shard = shard
+        self.holder = holder
+        self.fence = fence
+        self.former = former
+        self.index = index
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.shard = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 2:
                 if ftype == TType.STRUCT:
-                    self.remove_worker = RemoveWorker()
-                    self.remove_worker.read(iprot)
+                    self.holder = SessionHolderRecord()
+                    self.holder.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.STRUCT:
-                    self.config = SetConfig()
-                    self.config.read(iprot)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 4:
                 if ftype == TType.STRUCT:
-                    self.wave = WaveRecord()
-                    self.wave.read(iprot)
+                    self.former = SessionHolderRecord()
+                    self.former.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.STRUCT:
-                    self.advance_wave = AdvanceWave()
-                    self.advance_wave.read(iprot)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.STRUCT:
-                    self.order_machines = OrderMachines()
-                    self.order_machines.read(iprot)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SessionAssignmentRecord')
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.I32, 1)
+            oprot.writeI32(self.shard)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRUCT, 2)
+            self.holder.write(oprot)
+            oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 3)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        if self.former is not None:
+            oprot.writeFieldBegin('former', TType.STRUCT, 4)
+            self.former.write(oprot)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I64, 5)
+            oprot.writeI64(self.index)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SessionAssignmentChange(object):
+    """
+    Attributes:
+     - shard
+     - holder
+     - expected_fence
+
+    """
+
+    __slots__ = (
+        'shard',
+        'holder',
+        'expected_fence',
+    )
+
+
+    def __init__(self, shard=None, holder=None, expected_fence=None,):
+        self.shard = shard
+        self.holder = holder
+        self.expected_fence = expected_fence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.shard = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 2:
                 if ftype == TType.STRUCT:
-                    self.settle = SettleRuns()
-                    self.settle.read(iprot)
+                    self.holder = SessionHolderRecord()
+                    self.holder.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 3:
                 if ftype == TType.I64:
-                    self.at_ms = iprot.readI64()
+                    self.expected_fence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2018,54 +2134,1206 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JobCommand')
-        if self.accept is not None:
-            oprot.writeFieldBegin('accept', TType.STRUCT, 1)
-            self.accept.write(oprot)
-            oprot.writeFieldEnd()
-        if self.cancel is not None:
-            oprot.writeFieldBegin('cancel', TType.STRUCT, 2)
-            self.cancel.write(oprot)
-            oprot.writeFieldEnd()
-        if self.starts is not None:
-            oprot.writeFieldBegin('starts', TType.STRUCT, 3)
-            self.starts.write(oprot)
-            oprot.writeFieldEnd()
-        if self.ends is not None:
-            oprot.writeFieldBegin('ends', TType.STRUCT, 4)
-            self.ends.write(oprot)
-            oprot.writeFieldEnd()
-        if self.worker is not None:
-            oprot.writeFieldBegin('worker', TType.STRUCT, 5)
-            self.worker.write(oprot)
+        oprot.writeStructBegin('SessionAssignmentChange')
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.I32, 1)
+            oprot.writeI32(self.shard)
             oprot.writeFieldEnd()
-        if self.remove_worker is not None:
-            oprot.writeFieldBegin('remove_worker', TType.STRUCT, 6)
-            self.remove_worker.write(oprot)
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRUCT, 2)
+            self.holder.write(oprot)
             oprot.writeFieldEnd()
-        if self.config is not None:
-            oprot.writeFieldBegin('config', TType.STRUCT, 7)
-            self.config.write(oprot)
+        if self.expected_fence is not None:
+            oprot.writeFieldBegin('expected_fence', TType.I64, 3)
+            oprot.writeI64(self.expected_fence)
             oprot.writeFieldEnd()
-        if self.wave is not None:
-            oprot.writeFieldBegin('wave', TType.STRUCT, 8)
-            self.wave.write(oprot)
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AssignSessions(object):
+    """
+    Attributes:
+     - changes
+     - min_fence
+
+    """
+
+    __slots__ = (
+        'changes',
+        'min_fence',
+    )
+
+
+    def __init__(self, changes=None, min_fence=None,):
+        self.changes = changes
+        self.min_fence = min_fence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = SessionAssignmentChange()
+                        _elem75.read(iprot)
+                        self.changes.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.min_fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AssignSessions')
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.changes))
+            for iter76 in self.changes:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.min_fence is not None:
+            oprot.writeFieldBegin('min_fence', TType.I64, 2)
+            oprot.writeI64(self.min_fence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StopRuns(object):
+    """
+    Attributes:
+     - runs
+
+    """
+
+    __slots__ = (
+        'runs',
+    )
+
+
+    def __init__(self, runs=None,):
+        self.runs = runs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = RunRecord()
+                        _elem82.read(iprot)
+                        self.runs.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StopRuns')
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.runs))
+            for iter83 in self.runs:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobCommand(object):
+    """
+    Attributes:
+     - accept
+     - cancel
+     - starts
+     - ends
+     - worker
+     - remove_worker
+     - config
+     - wave
+     - advance_wave
+     - order_machines
+     - settle
+     - at_ms
+     - assign_sessions
+     - stop_runs
+
+    """
+
+    __slots__ = (
+        'accept',
+        'cancel',
+        'starts',
+        'ends',
+        'worker',
+        'remove_worker',
+        'config',
+        'wave',
+        'advance_wave',
+        'order_machines',
+        'settle',
+        'at_ms',
+        'assign_sessions',
+        'stop_runs',
+    )
+
+
+    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None, settle=None, at_ms=None, assign_sessions=None, stop_runs=None,):
+        self.accept = accept
+        self.cancel = cancel
+        self.starts = starts
+        self.ends = ends
+        self.worker = worker
+        self.remove_worker = remove_worker
+        self.config = config
+        self.wave = wave
+        self.advance_wave = advance_wave
+        self.order_machines = order_machines
+        self.settle = settle
+        self.at_ms = at_ms
+        self.assign_sessions = assign_sessions
+        self.stop_runs = stop_runs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.accept = JobRecord()
+                    self.accept.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.cancel = CancelJob()
+                    self.cancel.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.starts = RunStarts()
+                    self.starts.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.ends = RunEnds()
+                    self.ends.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.worker = WorkerRecord()
+                    self.worker.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.remove_worker = RemoveWorker()
+                    self.remove_worker.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.config = SetConfig()
+                    self.config.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.wave = WaveRecord()
+                    self.wave.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.advance_wave = AdvanceWave()
+                    self.advance_wave.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.order_machines = OrderMachines()
+                    self.order_machines.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.settle = SettleRuns()
+                    self.settle.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.assign_sessions = AssignSessions()
+                    self.assign_sessions.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.stop_runs = StopRuns()
+                    self.stop_runs.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobCommand')
+        if self.accept is not None:
+            oprot.writeFieldBegin('accept', TType.STRUCT, 1)
+            self.accept.write(oprot)
+            oprot.writeFieldEnd()
+        if self.cancel is not None:
+            oprot.writeFieldBegin('cancel', TType.STRUCT, 2)
+            self.cancel.write(oprot)
+            oprot.writeFieldEnd()
+        if self.starts is not None:
+            oprot.writeFieldBegin('starts', TType.STRUCT, 3)
+            self.starts.write(oprot)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.STRUCT, 4)
+            self.ends.write(oprot)
+            oprot.writeFieldEnd()
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRUCT, 5)
+            self.worker.write(oprot)
+            oprot.writeFieldEnd()
+        if self.remove_worker is not None:
+            oprot.writeFieldBegin('remove_worker', TType.STRUCT, 6)
+            self.remove_worker.write(oprot)
+            oprot.writeFieldEnd()
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRUCT, 7)
+            self.config.write(oprot)
+            oprot.writeFieldEnd()
+        if self.wave is not None:
+            oprot.writeFieldBegin('wave', TType.STRUCT, 8)
+            self.wave.write(oprot)
+            oprot.writeFieldEnd()
+        if self.advance_wave is not None:
+            oprot.writeFieldBegin('advance_wave', TType.STRUCT, 9)
+            self.advance_wave.write(oprot)
+            oprot.writeFieldEnd()
+        if self.order_machines is not None:
+            oprot.writeFieldBegin('order_machines', TType.STRUCT, 10)
+            self.order_machines.write(oprot)
+            oprot.writeFieldEnd()
+        if self.settle is not None:
+            oprot.writeFieldBegin('settle', TType.STRUCT, 11)
+            self.settle.write(oprot)
+            oprot.writeFieldEnd()
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.I64, 12)
+            oprot.writeI64(self.at_ms)
+            oprot.writeFieldEnd()
+        if self.assign_sessions is not None:
+            oprot.writeFieldBegin('assign_sessions', TType.STRUCT, 13)
+            self.assign_sessions.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stop_runs is not None:
+            oprot.writeFieldBegin('stop_runs', TType.STRUCT, 14)
+            self.stop_runs.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TaskImage(object):
+    """
+    Attributes:
+     - status
+     - number
+     - failures
+     - worker_id
+     - born_ms
+     - checkpoint
+     - crashes
+     - lone_crashes
+     - settled
+     - uncertain_crashes
+
+    """
+
+    __slots__ = (
+        'status',
+        'number',
+        'failures',
+        'worker_id',
+        'born_ms',
+        'checkpoint',
+        'crashes',
+        'lone_crashes',
+        'settled',
+        'uncertain_crashes',
+    )
+
+
+    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None, uncertain_crashes=None,):
+        self.status = status
+        self.number = number
+        self.failures = failures
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.checkpoint = checkpoint
+        self.crashes = crashes
+        self.lone_crashes = lone_crashes
+        self.settled = settled
+        self.uncertain_crashes = uncertain_crashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.lone_crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.uncertain_crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TaskImage')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 1)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 2)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 3)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 4)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 5)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.checkpoint is not None:
+            oprot.writeFieldBegin('checkpoint', TType.STRING, 6)
+            oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I32, 7)
+            oprot.writeI32(self.crashes)
+            oprot.writeFieldEnd()
+        if self.lone_crashes is not None:
+            oprot.writeFieldBegin('lone_crashes', TType.I32, 8)
+            oprot.writeI32(self.lone_crashes)
+            oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 9)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
+        if self.uncertain_crashes is not None:
+            oprot.writeFieldBegin('uncertain_crashes', TType.I32, 10)
+            oprot.writeI32(self.uncertain_crashes)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OccurrenceImage(object):
+    """
+    Attributes:
+     - occurrence
+     - steps
+
+    """
+
+    __slots__ = (
+        'occurrence',
+        'steps',
+    )
+
+
+    def __init__(self, occurrence=None, steps=None,):
+        self.occurrence = occurrence
+        self.steps = steps
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.occurrence = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.steps = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = []
+                        (_etype93, _size90) = iprot.readListBegin()
+                        for _i94 in range(_size90):
+                            _elem95 = TaskImage()
+                            _elem95.read(iprot)
+                            _elem89.append(_elem95)
+                        iprot.readListEnd()
+                        self.steps.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OccurrenceImage')
+        if self.occurrence is not None:
+            oprot.writeFieldBegin('occurrence', TType.I32, 1)
+            oprot.writeI32(self.occurrence)
+            oprot.writeFieldEnd()
+        if self.steps is not None:
+            oprot.writeFieldBegin('steps', TType.LIST, 2)
+            oprot.writeListBegin(TType.LIST, len(self.steps))
+            for iter96 in self.steps:
+                oprot.writeListBegin(TType.STRUCT, len(iter96))
+                for iter97 in iter96:
+                    iter97.write(oprot)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobImage(object):
+    """
+    Attributes:
+     - job
+     - cancelled
+     - failed
+     - ended_at_ms
+     - occurrences
+
+    """
+
+    __slots__ = (
+        'job',
+        'cancelled',
+        'failed',
+        'ended_at_ms',
+        'occurrences',
+    )
+
+
+    def __init__(self, job=None, cancelled=None, failed=None, ended_at_ms=None, occurrences=None,):
+        self.job = job
+        self.cancelled = cancelled
+        self.failed = failed
+        self.ended_at_ms = ended_at_ms
+        self.occurrences = occurrences
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.job = JobRecord()
+                    self.job.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.cancelled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.failed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.ended_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.occurrences = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = OccurrenceImage()
+                        _elem103.read(iprot)
+                        self.occurrences.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobImage')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRUCT, 1)
+            self.job.write(oprot)
+            oprot.writeFieldEnd()
+        if self.cancelled is not None:
+            oprot.writeFieldBegin('cancelled', TType.BOOL, 2)
+            oprot.writeBool(self.cancelled)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.BOOL, 3)
+            oprot.writeBool(self.failed)
+            oprot.writeFieldEnd()
+        if self.ended_at_ms is not None:
+            oprot.writeFieldBegin('ended_at_ms', TType.I64, 4)
+            oprot.writeI64(self.ended_at_ms)
+            oprot.writeFieldEnd()
+        if self.occurrences is not None:
+            oprot.writeFieldBegin('occurrences', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.occurrences))
+            for iter104 in self.occurrences:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobTableImage(object):
+    """
+    Attributes:
+     - jobs
+     - workers
+     - config_version
+     - config
+     - waves
+     - machine_holders
+     - unresolved_runs
+     - session_assignments
+     - last_session_fence
+
+    """
+
+    __slots__ = (
+        'jobs',
+        'workers',
+        'config_version',
+        'config',
+        'waves',
+        'machine_holders',
+        'unresolved_runs',
+        'session_assignments',
+        'last_session_fence',
+    )
+
+
+    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None, machine_holders=None, unresolved_runs=None, session_assignments=None, last_session_fence=None,):
+        self.jobs = jobs
+        self.workers = workers
+        self.config_version = config_version
+        self.config = config
+        self.waves = waves
+        self.machine_holders = machine_holders
+        self.unresolved_runs = unresolved_runs
+        self.session_assignments = session_assignments
+        self.last_session_fence = last_session_fence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.jobs = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = JobImage()
+                        _elem110.read(iprot)
+                        self.jobs.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.workers = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = WorkerRecord()
+                        _elem116.read(iprot)
+                        self.workers.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.config = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.waves = []
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = WaveRecord()
+                        _elem122.read(iprot)
+                        self.waves.append(_elem122)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.machine_holders = []
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = MachineHolder()
+                        _elem128.read(iprot)
+                        self.machine_holders.append(_elem128)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.unresolved_runs = []
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = RunRecord()
+                        _elem134.read(iprot)
+                        self.unresolved_runs.append(_elem134)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.session_assignments = []
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = SessionAssignmentRecord()
+                        _elem140.read(iprot)
+                        self.session_assignments.append(_elem140)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.last_session_fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobTableImage')
+        if self.jobs is not None:
+            oprot.writeFieldBegin('jobs', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.jobs))
+            for iter141 in self.jobs:
+                iter141.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.advance_wave is not None:
-            oprot.writeFieldBegin('advance_wave', TType.STRUCT, 9)
-            self.advance_wave.write(oprot)
+        if self.workers is not None:
+            oprot.writeFieldBegin('workers', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.workers))
+            for iter142 in self.workers:
+                iter142.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.order_machines is not None:
-            oprot.writeFieldBegin('order_machines', TType.STRUCT, 10)
-            self.order_machines.write(oprot)
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 3)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRING, 4)
+            oprot.writeBinary(self.config)
+            oprot.writeFieldEnd()
+        if self.waves is not None:
+            oprot.writeFieldBegin('waves', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.waves))
+            for iter143 in self.waves:
+                iter143.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.machine_holders is not None:
+            oprot.writeFieldBegin('machine_holders', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.machine_holders))
+            for iter144 in self.machine_holders:
+                iter144.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unresolved_runs is not None:
+            oprot.writeFieldBegin('unresolved_runs', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.unresolved_runs))
+            for iter145 in self.unresolved_runs:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.session_assignments is not None:
+            oprot.writeFieldBegin('session_assignments', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.session_assignments))
+            for iter146 in self.session_assignments:
+                iter146.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.last_session_fence is not None:
+            oprot.writeFieldBegin('last_session_fence', TType.I64, 9)
+            oprot.writeI64(self.last_session_fence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LocateRequest(object):
+    """
+    Attributes:
+     - request_id
+
+    """
+
+    __slots__ = (
+        'request_id',
+    )
+
+
+    def __init__(self, request_id=None,):
+        self.request_id = request_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LocateRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LocateAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - leader
+     - members
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'leader',
+        'members',
+    )
+
+
+    def __init__(self, request_id=None, leader=None, members=None,):
+        self.request_id = request_id
+        self.leader = leader
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LocateAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.settle is not None:
-            oprot.writeFieldBegin('settle', TType.STRUCT, 11)
-            self.settle.write(oprot)
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 2)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
             oprot.writeFieldEnd()
-        if self.at_ms is not None:
-            oprot.writeFieldBegin('at_ms', TType.I64, 12)
-            oprot.writeI64(self.at_ms)
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.members))
+            for iter153 in self.members:
+                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2092,47 +3360,26 @@
         return not (self == other)
 
 
-class TaskImage(object):
+class JoinRequest(object):
     """
     Attributes:
-     - status
-     - number
-     - failures
-     - worker_id
-     - born_ms
-     - checkpoint
-     - crashes
-     - lone_crashes
-     - settled
-     - uncertain_crashes
+     - request_id
+     - node_id
+     - incarnation
 
     """
 
     __slots__ = (
-        'status',
-        'number',
-        'failures',
-        'worker_id',
-        'born_ms',
-        'checkpoint',
-        'crashes',
-        'lone_crashes',
-        'settled',
-        'uncertain_crashes',
+        'request_id',
+        'node_id',
+        'incarnation',
     )
 
 
-    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None, uncertain_crashes=None,):
-        self.status = status
-        self.number = number
-        self.failures = failures
-        self.worker_id = worker_id
-        self.born_ms = born_ms
-        self.checkpoint = checkpoint
-        self.crashes = crashes
-        self.lone_crashes = lone_crashes
-        self.settled = settled
-        self.uncertain_crashes = uncertain_crashes
+    def __init__(self, request_id=None, node_id=None, incarnation=None,):
+        self.request_id = request_id
+        self.node_id = node_id
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2144,53 +3391,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.status = iprot.readI32()
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.number = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.failures = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
-                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I64:
-                    self.born_ms = iprot.readI64()
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 3:
                 if ftype == TType.STRING:
-                    self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.I32:
-                    self.crashes = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.I32:
-                    self.lone_crashes = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.BOOL:
-                    self.settled = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.I32:
-                    self.uncertain_crashes = iprot.readI32()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2202,46 +3414,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('TaskImage')
-        if self.status is not None:
-            oprot.writeFieldBegin('status', TType.I32, 1)
-            oprot.writeI32(self.status)
-            oprot.writeFieldEnd()
-        if self.number is not None:
-            oprot.writeFieldBegin('number', TType.I32, 2)
-            oprot.writeI32(self.number)
-            oprot.writeFieldEnd()
-        if self.failures is not None:
-            oprot.writeFieldBegin('failures', TType.I32, 3)
-            oprot.writeI32(self.failures)
-            oprot.writeFieldEnd()
-        if self.worker_id is not None:
-            oprot.writeFieldBegin('worker_id', TType.STRING, 4)
-            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
-            oprot.writeFieldEnd()
-        if self.born_ms is not None:
-            oprot.writeFieldBegin('born_ms', TType.I64, 5)
-            oprot.writeI64(self.born_ms)
-            oprot.writeFieldEnd()
-        if self.checkpoint is not None:
-            oprot.writeFieldBegin('checkpoint', TType.STRING, 6)
-            oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
-            oprot.writeFieldEnd()
-        if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.I32, 7)
-            oprot.writeI32(self.crashes)
-            oprot.writeFieldEnd()
-        if self.lone_crashes is not None:
-            oprot.writeFieldBegin('lone_crashes', TType.I32, 8)
-            oprot.writeI32(self.lone_crashes)
+        oprot.writeStructBegin('JoinRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.settled is not None:
-            oprot.writeFieldBegin('settled', TType.BOOL, 9)
-            oprot.writeBool(self.settled)
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 2)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
             oprot.writeFieldEnd()
-        if self.uncertain_crashes is not None:
-            oprot.writeFieldBegin('uncertain_crashes', TType.I32, 10)
-            oprot.writeI32(self.uncertain_crashes)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2268,23 +3452,26 @@
         return not (self == other)
 
 
-class OccurrenceImage(object):
+class JoinAnswer(object):
     """
     Attributes:
-     - occurrence
-     - steps
+     - request_id
+     - accepted
+     - leader
 
     """
 
     __slots__ = (
-        'occurrence',
-        'steps',
+        'request_id',
+        'accepted',
+        'leader',
     )
 
 
-    def __init__(self, occurrence=None, steps=None,):
-        self.occurrence = occurrence
-        self.steps = steps
+    def __init__(self, request_id=None, accepted=None, leader=None,):
+        self.request_id = request_id
+        self.accepted = accepted
+        self.leader = leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2296,24 +3483,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.occurrence = iprot.readI32()
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.steps = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = []
-                        (_etype79, _size76) = iprot.readListBegin()
-                        for _i80 in range(_size76):
-                            _elem81 = TaskImage()
-                            _elem81.read(iprot)
-                            _elem75.append(_elem81)
-                        iprot.readListEnd()
-                        self.steps.append(_elem75)
-                    iprot.readListEnd()
+                if ftype == TType.BOOL:
+                    self.accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2325,20 +3506,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('OccurrenceImage')
-        if self.occurrence is not None:
-            oprot.writeFieldBegin('occurrence', TType.I32, 1)
-            oprot.writeI32(self.occurrence)
+        oprot.writeStructBegin('JoinAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.steps is not None:
-            oprot.writeFieldBegin('steps', TType.LIST, 2)
-            oprot.writeListBegin(TType.LIST, len(self.steps))
-            for iter82 in self.steps:
-                oprot.writeListBegin(TType.STRUCT, len(iter82))
-                for iter83 in iter82:
-                    iter83.write(oprot)
-                oprot.writeListEnd()
-            oprot.writeListEnd()
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.BOOL, 2)
+            oprot.writeBool(self.accepted)
+            oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 3)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2365,32 +3544,29 @@
         return not (self == other)
 
 
-class JobImage(object):
+class SubmitRequest(object):
     """
     Attributes:
+     - request_id
+     - host
+     - path
      - job
-     - cancelled
-     - failed
-     - ended_at_ms
-     - occurrences
 
     """
 
     __slots__ = (
+        'request_id',
+        'host',
+        'path',
         'job',
-        'cancelled',
-        'failed',
-        'ended_at_ms',
-        'occurrences',
     )
 
 
-    def __init__(self, job=None, cancelled=None, failed=None, ended_at_ms=None, occurrences=None,):
+    def __init__(self, request_id=None, host=None, path=None, job=None,):
+        self.request_id = request_id
+        self.host = host
+        self.path = path
         self.job = job
-        self.cancelled = cancelled
-        self.failed = failed
-        self.ended_at_ms = ended_at_ms
-        self.occurrences = occurrences
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2402,35 +3578,24 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.job = JobRecord()
-                    self.job.read(iprot)
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.BOOL:
-                    self.cancelled = iprot.readBool()
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.failed = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.ended_at_ms = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.occurrences = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = OccurrenceImage()
-                        _elem89.read(iprot)
-                        self.occurrences.append(_elem89)
-                    iprot.readListEnd()
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.job = JobRecord()
+                    self.job.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -2442,29 +3607,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JobImage')
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRUCT, 1)
-            self.job.write(oprot)
-            oprot.writeFieldEnd()
-        if self.cancelled is not None:
-            oprot.writeFieldBegin('cancelled', TType.BOOL, 2)
-            oprot.writeBool(self.cancelled)
+        oprot.writeStructBegin('SubmitRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.failed is not None:
-            oprot.writeFieldBegin('failed', TType.BOOL, 3)
-            oprot.writeBool(self.failed)
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
             oprot.writeFieldEnd()
-        if self.ended_at_ms is not None:
-            oprot.writeFieldBegin('ended_at_ms', TType.I64, 4)
-            oprot.writeI64(self.ended_at_ms)
+        if self.path is not None:
+            oprot.writeFieldBegin('path', TType.STRING, 3)
+            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
             oprot.writeFieldEnd()
-        if self.occurrences is not None:
-            oprot.writeFieldBegin('occurrences', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRUCT, len(self.occurrences))
-            for iter90 in self.occurrences:
-                iter90.write(oprot)
-            oprot.writeListEnd()
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRUCT, 4)
+            self.job.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2491,38 +3649,26 @@
         return not (self == other)
 
 
-class JobTableImage(object):
+class JobRequest(object):
     """
     Attributes:
-     - jobs
-     - workers
-     - config_version
-     - config
-     - waves
-     - machine_holders
-     - unresolved_runs
+     - request_id
+     - host
+     - path
 
     """
 
     __slots__ = (
-        'jobs',
-        'workers',
-        'config_version',
-        'config',
-        'waves',
-        'machine_holders',
-        'unresolved_runs',
+        'request_id',
+        'host',
+        'path',
     )
 
 
-    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None, machine_holders=None, unresolved_runs=None,):
-        self.jobs = jobs
-        self.workers = workers
-        self.config_version = config_version
-        self.config = config
-        self.waves = waves
-        self.machine_holders = machine_holders
-        self.unresolved_runs = unresolved_runs
+    def __init__(self, request_id=None, host=None, path=None,):
+        self.request_id = request_id
+        self.host = host
+        self.path = path
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2534,68 +3680,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.LIST:
-                    self.jobs = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = JobImage()
-                        _elem96.read(iprot)
-                        self.jobs.append(_elem96)
-                    iprot.readListEnd()
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.workers = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = WorkerRecord()
-                        _elem102.read(iprot)
-                        self.workers.append(_elem102)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.config_version = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
-                    self.config = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.waves = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = WaveRecord()
-                        _elem108.read(iprot)
-                        self.waves.append(_elem108)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.LIST:
-                    self.machine_holders = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = MachineHolder()
-                        _elem114.read(iprot)
-                        self.machine_holders.append(_elem114)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.LIST:
-                    self.unresolved_runs = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = RunRecord()
-                        _elem120.read(iprot)
-                        self.unresolved_runs.append(_elem120)
-                    iprot.readListEnd()
+                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2607,49 +3703,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JobTableImage')
-        if self.jobs is not None:
-            oprot.writeFieldBegin('jobs', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter121 in self.jobs:
-                iter121.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.workers is not None:
-            oprot.writeFieldBegin('workers', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter122 in self.workers:
-                iter122.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.config_version is not None:
-            oprot.writeFieldBegin('config_version', TType.I64, 3)
-            oprot.writeI64(self.config_version)
-            oprot.writeFieldEnd()
-        if self.config is not None:
-            oprot.writeFieldBegin('config', TType.STRING, 4)
-            oprot.writeBinary(self.config)
-            oprot.writeFieldEnd()
-        if self.waves is not None:
-            oprot.writeFieldBegin('waves', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRUCT, len(self.waves))
-            for iter123 in self.waves:
-                iter123.write(oprot)
-            oprot.writeListEnd()
+        oprot.writeStructBegin('JobRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.machine_holders is not None:
-            oprot.writeFieldBegin('machine_holders', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.machine_holders))
-            for iter124 in self.machine_holders:
-                iter124.write(oprot)
-            oprot.writeListEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
             oprot.writeFieldEnd()
-        if self.unresolved_runs is not None:
-            oprot.writeFieldBegin('unresolved_runs', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.unresolved_runs))
-            for iter125 in self.unresolved_runs:
-                iter125.write(oprot)
-            oprot.writeListEnd()
+        if self.path is not None:
+            oprot.writeFieldBegin('path', TType.STRING, 3)
+            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2676,20 +3741,38 @@
         return not (self == other)
 
 
-class LocateRequest(object):
+class JobAnswer(object):
     """
     Attributes:
      - request_id
+     - verdict
+     - leader
+     - state
+     - pending
+     - retry_after_ms
+     - detail
 
     """
 
     __slots__ = (
         'request_id',
+        'verdict',
+        'leader',
+        'state',
+        'pending',
+        'retry_after_ms',
+        'detail',
     )
 
 
-    def __init__(self, request_id=None,):
+    def __init__(self, request_id=None, verdict=None, leader=None, state=None, pending=None, retry_after_ms=None, detail=None,):
         self.request_id = request_id
+        self.verdict = verdict
+        self.leader = leader
+        self.state = state
+        self.pending = pending
+        self.retry_after_ms = retry_after_ms
+        self.detail = detail
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2705,6 +3788,36 @@
                     self.request_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.verdict = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.pending = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2714,11 +3827,35 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('LocateRequest')
+        oprot.writeStructBegin('JobAnswer')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 2)
+            oprot.writeI32(self.verdict)
+            oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 3)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 4)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        if self.pending is not None:
+            oprot.writeFieldBegin('pending', TType.I32, 5)
+            oprot.writeI32(self.pending)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 6)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 7)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2744,26 +3881,26 @@
         return not (self == other)
 
 
-class LocateAnswer(object):
+class AnnounceRequest(object):
     """
     Attributes:
      - request_id
-     - leader
-     - members
+     - worker
+     - leaving
 
     """
 
     __slots__ = (
         'request_id',
-        'leader',
-        'members',
+        'worker',
+        'leaving',
     )
 
 
-    def __init__(self, request_id=None, leader=None, members=None,):
+    def __init__(self, request_id=None, worker=None, leaving=None,):
         self.request_id = request_id
-        self.leader = leader
-        self.members = members
+        self.worker = worker
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2780,18 +3917,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.worker = WorkerRecord()
+                    self.worker.read(iprot)
                 else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.members = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem131)
-                    iprot.readListEnd()
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2803,21 +3936,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('LocateAnswer')
+        oprot.writeStructBegin('AnnounceRequest')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.leader is not None:
-            oprot.writeFieldBegin('leader', TType.STRING, 2)
-            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRUCT, 2)
+            self.worker.write(oprot)
             oprot.writeFieldEnd()
-        if self.members is not None:
-            oprot.writeFieldBegin('members', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter132 in self.members:
-                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
-            oprot.writeListEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2844,26 +3974,29 @@
         return not (self == other)
 
 
-class JoinRequest(object):
+class ConfigRequest(object):
     """
     Attributes:
      - request_id
-     - node_id
-     - incarnation
+     - version
+     - content
+     - is_read
 
     """
 
     __slots__ = (
         'request_id',
-        'node_id',
-        'incarnation',
+        'version',
+        'content',
+        'is_read',
     )
 
 
-    def __init__(self, request_id=None, node_id=None, incarnation=None,):
+    def __init__(self, request_id=None, version=None, content=None, is_read=None,):
         self.request_id = request_id
-        self.node_id = node_id
-        self.incarnation = incarnation
+        self.version = version
+        self.content = content
+        self.is_read = is_read
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2880,13 +4013,18 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_read = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2898,18 +4036,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JoinRequest')
+        oprot.writeStructBegin('ConfigRequest')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.node_id is not None:
-            oprot.writeFieldBegin('node_id', TType.STRING, 2)
-            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 3)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
+        if self.is_read is not None:
+            oprot.writeFieldBegin('is_read', TType.BOOL, 4)
+            oprot.writeBool(self.is_read)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2936,26 +4078,26 @@
         return not (self == other)
 
 
-class JoinAnswer(object):
+class WaveRequest(object):
     """
     Attributes:
      - request_id
-     - accepted
-     - leader
+     - wave
+     - is_read
 
     """
 
     __slots__ = (
         'request_id',
-        'accepted',
-        'leader',
+        'wave',
+        'is_read',
     )
 
 
-    def __init__(self, request_id=None, accepted=None, leader=None,):
+    def __init__(self, request_id=None, wave=None, is_read=None,):
         self.request_id = request_id
-        self.accepted = accepted
-        self.leader = leader
+        self.wave = wave
+        self.is_read = is_read
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2972,13 +4114,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.BOOL:
-                    self.accepted = iprot.readBool()
+                if ftype == TType.STRUCT:
+                    self.wave = WaveRecord()
+                    self.wave.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.BOOL:
+                    self.is_read = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2990,18 +4133,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JoinAnswer')
+        oprot.writeStructBegin('WaveRequest')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.accepted is not None:
-            oprot.writeFieldBegin('accepted', TType.BOOL, 2)
-            oprot.writeBool(self.accepted)
+        if self.wave is not None:
+            oprot.writeFieldBegin('wave', TType.STRUCT, 2)
+            self.wave.write(oprot)
             oprot.writeFieldEnd()
-        if self.leader is not None:
-            oprot.writeFieldBegin('leader', TType.STRING, 3)
-            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+        if self.is_read is not None:
+            oprot.writeFieldBegin('is_read', TType.BOOL, 3)
+            oprot.writeBool(self.is_read)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3028,29 +4171,35 @@
         return not (self == other)
 
 
-class SubmitRequest(object):
+class ControlAnswer(object):
     """
     Attributes:
      - request_id
-     - host
-     - path
-     - job
+     - verdict
+     - leader
+     - detail
+     - content
+     - finished
 
     """
 
     __slots__ = (
         'request_id',
-        'host',
-        'path',
-        'job',
+        'verdict',
+        'leader',
+        'detail',
+        'content',
+        'finished',
     )
 
 
-    def __init__(self, request_id=None, host=None, path=None, job=None,):
+    def __init__(self, request_id=None, verdict=None, leader=None, detail=None, content=None, finished=None,):
         self.request_id = request_id
-        self.host = host
-        self.path = path
-        self.job = job
+        self.verdict = verdict
+        self.leader = leader
+        self.detail = detail
+        self.content = content
+        self.finished = finished
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3067,19 +4216,28 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.verdict = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRUCT:
-                    self.job = JobRecord()
-                    self.job.read(iprot)
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.finished = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3091,22 +4249,30 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('SubmitRequest')
+        oprot.writeStructBegin('ControlAnswer')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 2)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 2)
+            oprot.writeI32(self.verdict)
             oprot.writeFieldEnd()
-        if self.path is not None:
-            oprot.writeFieldBegin('path', TType.STRING, 3)
-            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 3)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
             oprot.writeFieldEnd()
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRUCT, 4)
-            self.job.write(oprot)
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 4)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 5)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
+        if self.finished is not None:
+            oprot.writeFieldBegin('finished', TType.BOOL, 6)
+            oprot.writeBool(self.finished)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3133,26 +4299,23 @@
         return not (self == other)
 
 
-class JobRequest(object):
+class ListedRun(object):
     """
     Attributes:
-     - request_id
-     - host
-     - path
+     - run
+     - ready
 
     """
 
     __slots__ = (
-        'request_id',
-        'host',
-        'path',
+        'run',
+        'ready',
     )
 
 
-    def __init__(self, request_id=None, host=None, path=None,):
-        self.request_id = request_id
-        self.host = host
-        self.path = path
+    def __init__(self, run=None, ready=None,):
+        self.run = run
+        self.ready = ready
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3164,18 +4327,14 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.request_id = iprot.readI64()
+                if ftype == TType.STRUCT:
+                    self.run = RunRecord()
+                    self.run.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3187,18 +4346,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JobRequest')
-        if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.I64, 1)
-            oprot.writeI64(self.request_id)
-            oprot.writeFieldEnd()
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 2)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+        oprot.writeStructBegin('ListedRun')
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.STRUCT, 1)
+            self.run.write(oprot)
             oprot.writeFieldEnd()
-        if self.path is not None:
-            oprot.writeFieldBegin('path', TType.STRING, 3)
-            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 2)
+            oprot.writeBool(self.ready)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3225,38 +4380,47 @@
         return not (self == other)
 
 
-class JobAnswer(object):
+class WorkerConditionRecord(object):
     """
     Attributes:
-     - request_id
-     - verdict
-     - leader
-     - state
-     - pending
-     - retry_after_ms
-     - detail
+     - worker_id
+     - born_ms
+     - fence
+     - responsive
+     - usable
+     - rejects_starts
+     - grade
+     - max_new_runs
+     - accepts_long_running
+     - long_running
 
     """
 
     __slots__ = (
-        'request_id',
-        'verdict',
-        'leader',
-        'state',
-        'pending',
-        'retry_after_ms',
-        'detail',
+        'worker_id',
+        'born_ms',
+        'fence',
+        'responsive',
+        'usable',
+        'rejects_starts',
+        'grade',
+        'max_new_runs',
+        'accepts_long_running',
+        'long_running',
     )
 
 
-    def __init__(self, request_id=None, verdict=None, leader=None, state=None, pending=None, retry_after_ms=None, detail=None,):
-        self.request_id = request_id
-        self.verdict = verdict
-        self.leader = leader
-        self.state = state
-        self.pending = pending
-        self.retry_after_ms = retry_after_ms
-        self.detail = detail
+    def __init__(self, worker_id=None, born_ms=None, fence=None, responsive=None, usable=None, rejects_starts=None, grade=None, max_new_runs=None, accepts_long_running=None, long_running=None,):
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.fence = fence
+        self.responsive = responsive
+        self.usable = usable
+        self.rejects_starts = rejects_starts
+        self.grade = grade
+        self.max_new_runs = max_new_runs
+        self.accepts_long_running = accepts_long_running
+        self.long_running = long_running
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3268,38 +4432,59 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.request_id = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.verdict = iprot.readI32()
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.BOOL:
+                    self.responsive = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I32:
-                    self.pending = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.usable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.I32:
-                    self.retry_after_ms = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.rejects_starts = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.STRING:
-                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.grade = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.max_new_runs = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.accepts_long_running = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.long_running = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = ListedRun()
+                        _elem159.read(iprot)
+                        self.long_running.append(_elem159)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3311,34 +4496,49 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JobAnswer')
-        if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.I64, 1)
-            oprot.writeI64(self.request_id)
+        oprot.writeStructBegin('WorkerConditionRecord')
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
             oprot.writeFieldEnd()
-        if self.verdict is not None:
-            oprot.writeFieldBegin('verdict', TType.I32, 2)
-            oprot.writeI32(self.verdict)
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
-        if self.leader is not None:
-            oprot.writeFieldBegin('leader', TType.STRING, 3)
-            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 3)
+            oprot.writeI64(self.fence)
             oprot.writeFieldEnd()
-        if self.state is not None:
-            oprot.writeFieldBegin('state', TType.STRING, 4)
-            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+        if self.responsive is not None:
+            oprot.writeFieldBegin('responsive', TType.BOOL, 4)
+            oprot.writeBool(self.responsive)
             oprot.writeFieldEnd()
-        if self.pending is not None:
-            oprot.writeFieldBegin('pending', TType.I32, 5)
-            oprot.writeI32(self.pending)
+        if self.usable is not None:
+            oprot.writeFieldBegin('usable', TType.BOOL, 5)
+            oprot.writeBool(self.usable)
             oprot.writeFieldEnd()
-        if self.retry_after_ms is not None:
-            oprot.writeFieldBegin('retry_after_ms', TType.I32, 6)
-            oprot.writeI32(self.retry_after_ms)
+        if self.rejects_starts is not None:
+            oprot.writeFieldBegin('rejects_starts', TType.BOOL, 6)
+            oprot.writeBool(self.rejects_starts)
             oprot.writeFieldEnd()
-        if self.detail is not None:
-            oprot.writeFieldBegin('detail', TType.STRING, 7)
-            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+        if self.grade is not None:
+            oprot.writeFieldBegin('grade', TType.I32, 7)
+            oprot.writeI32(self.grade)
+            oprot.writeFieldEnd()
+        if self.max_new_runs is not None:
+            oprot.writeFieldBegin('max_new_runs', TType.I32, 8)
+            oprot.writeI32(self.max_new_runs)
+            oprot.writeFieldEnd()
+        if self.accepts_long_running is not None:
+            oprot.writeFieldBegin('accepts_long_running', TType.BOOL, 9)
+            oprot.writeBool(self.accepts_long_running)
+            oprot.writeFieldEnd()
+        if self.long_running is not None:
+            oprot.writeFieldBegin('long_running', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.long_running))
+            for iter160 in self.long_running:
+                iter160.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3365,26 +4565,38 @@
         return not (self == other)
 
 
-class AnnounceRequest(object):
+class RenewRequest(object):
     """
     Attributes:
      - request_id
-     - worker
+     - holder
+     - sequence
+     - applied_index
      - leaving
+     - complete
+     - conditions
 
     """
 
     __slots__ = (
         'request_id',
-        'worker',
+        'holder',
+        'sequence',
+        'applied_index',
         'leaving',
+        'complete',
+        'conditions',
     )
 
 
-    def __init__(self, request_id=None, worker=None, leaving=None,):
+    def __init__(self, request_id=None, holder=None, sequence=None, applied_index=None, leaving=None, complete=None, conditions=None,):
         self.request_id = request_id
-        self.worker = worker
+        self.holder = holder
+        self.sequence = sequence
+        self.applied_index = applied_index
         self.leaving = leaving
+        self.complete = complete
+        self.conditions = conditions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3402,15 +4614,41 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRUCT:
-                    self.worker = WorkerRecord()
-                    self.worker.read(iprot)
+                    self.holder = SessionHolderRecord()
+                    self.holder.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.applied_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.BOOL:
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.conditions = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = WorkerConditionRecord()
+                        _elem166.read(iprot)
+                        self.conditions.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3420,19 +4658,38 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('AnnounceRequest')
+        oprot.writeStructBegin('RenewRequest')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.worker is not None:
-            oprot.writeFieldBegin('worker', TType.STRUCT, 2)
-            self.worker.write(oprot)
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRUCT, 2)
+            self.holder.write(oprot)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.applied_index is not None:
+            oprot.writeFieldBegin('applied_index', TType.I64, 4)
+            oprot.writeI64(self.applied_index)
             oprot.writeFieldEnd()
         if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeFieldBegin('leaving', TType.BOOL, 5)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 6)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.conditions is not None:
+            oprot.writeFieldBegin('conditions', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.conditions))
+            for iter167 in self.conditions:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3458,29 +4715,32 @@
         return not (self == other)
 
 
-class ConfigRequest(object):
+class RenewAnswer(object):
     """
     Attributes:
      - request_id
-     - version
-     - content
-     - is_read
+     - verdict
+     - leader
+     - granted
+     - wants_complete
 
     """
 
     __slots__ = (
         'request_id',
-        'version',
-        'content',
-        'is_read',
+        'verdict',
+        'leader',
+        'granted',
+        'wants_complete',
     )
 
 
-    def __init__(self, request_id=None, version=None, content=None, is_read=None,):
+    def __init__(self, request_id=None, verdict=None, leader=None, granted=None, wants_complete=None,):
         self.request_id = request_id
-        self.version = version
-        self.content = content
-        self.is_read = is_read
+        self.verdict = verdict
+        self.leader = leader
+        self.granted = granted
+        self.wants_complete = wants_complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3497,18 +4757,23 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                if ftype == TType.I32:
+                    self.verdict = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.content = iprot.readBinary()
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.BOOL:
-                    self.is_read = iprot.readBool()
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.wants_complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3520,22 +4785,26 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ConfigRequest')
+        oprot.writeStructBegin('RenewAnswer')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 2)
-            oprot.writeI64(self.version)
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 2)
+            oprot.writeI32(self.verdict)
             oprot.writeFieldEnd()
-        if self.content is not None:
-            oprot.writeFieldBegin('content', TType.STRING, 3)
-            oprot.writeBinary(self.content)
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 3)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
             oprot.writeFieldEnd()
-        if self.is_read is not None:
-            oprot.writeFieldBegin('is_read', TType.BOOL, 4)
-            oprot.writeBool(self.is_read)
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 4)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.wants_complete is not None:
+            oprot.writeFieldBegin('wants_complete', TType.BOOL, 5)
+            oprot.writeBool(self.wants_complete)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3562,26 +4831,23 @@
         return not (self == other)
 
 
-class WaveRequest(object):
+class ProposeRequest(object):
     """
     Attributes:
      - request_id
-     - wave
-     - is_read
+     - command
 
     """
 
     __slots__ = (
         'request_id',
-        'wave',
-        'is_read',
+        'command',
     )
 
 
-    def __init__(self, request_id=None, wave=None, is_read=None,):
+    def __init__(self, request_id=None, command=None,):
         self.request_id = request_id
-        self.wave = wave
-        self.is_read = is_read
+        self.command = command
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3598,14 +4864,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.wave = WaveRecord()
-                    self.wave.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.is_read = iprot.readBool()
+                if ftype == TType.STRING:
+                    self.command = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3617,18 +4877,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('WaveRequest')
+        oprot.writeStructBegin('ProposeRequest')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
             oprot.writeFieldEnd()
-        if self.wave is not None:
-            oprot.writeFieldBegin('wave', TType.STRUCT, 2)
-            self.wave.write(oprot)
-            oprot.writeFieldEnd()
-        if self.is_read is not None:
-            oprot.writeFieldBegin('is_read', TType.BOOL, 3)
-            oprot.writeBool(self.is_read)
+        if self.command is not None:
+            oprot.writeFieldBegin('command', TType.STRING, 2)
+            oprot.writeBinary(self.command)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3655,15 +4911,12 @@
         return not (self == other)
 
 
-class ControlAnswer(object):
+class ProposeAnswer(object):
     """
     Attributes:
      - request_id
      - verdict
      - leader
-     - detail
-     - content
-     - finished
 
     """
 
@@ -3671,19 +4924,13 @@
         'request_id',
         'verdict',
         'leader',
-        'detail',
-        'content',
-        'finished',
     )
 
 
-    def __init__(self, request_id=None, verdict=None, leader=None, detail=None, content=None, finished=None,):
+    def __init__(self, request_id=None, verdict=None, leader=None,):
         self.request_id = request_id
         self.verdict = verdict
         self.leader = leader
-        self.detail = detail
-        self.content = content
-        self.finished = finished
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3709,21 +4956,6 @@
                     self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRING:
-                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.content = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.finished = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3733,7 +4965,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ControlAnswer')
+        oprot.writeStructBegin('ProposeAnswer')
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.I64, 1)
             oprot.writeI64(self.request_id)
@@ -3746,18 +4978,6 @@
             oprot.writeFieldBegin('leader', TType.STRING, 3)
             oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
             oprot.writeFieldEnd()
-        if self.detail is not None:
-            oprot.writeFieldBegin('detail', TType.STRING, 4)
-            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
-            oprot.writeFieldEnd()
-        if self.content is not None:
-            oprot.writeFieldBegin('content', TType.STRING, 5)
-            oprot.writeBinary(self.content)
-            oprot.writeFieldEnd()
-        if self.finished is not None:
-            oprot.writeFieldBegin('finished', TType.BOOL, 6)
-            oprot.writeBool(self.finished)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3916,6 +5136,39 @@
     (1, TType.STRING, 'machine', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
 )
+all_structs.append(SessionHolderRecord)
+SessionHolderRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'process', 'UTF8', None, ),  # 2
+)
+all_structs.append(SessionAssignmentRecord)
+SessionAssignmentRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'shard', None, None, ),  # 1
+    (2, TType.STRUCT, 'holder', [SessionHolderRecord, None], None, ),  # 2
+    (3, TType.I64, 'fence', None, None, ),  # 3
+    (4, TType.STRUCT, 'former', [SessionHolderRecord, None], None, ),  # 4
+    (5, TType.I64, 'index', None, None, ),  # 5
+)
+all_structs.append(SessionAssignmentChange)
+SessionAssignmentChange.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'shard', None, None, ),  # 1
+    (2, TType.STRUCT, 'holder', [SessionHolderRecord, None], None, ),  # 2
+    (3, TType.I64, 'expected_fence', None, None, ),  # 3
+)
+all_structs.append(AssignSessions)
+AssignSessions.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'changes', (TType.STRUCT, [SessionAssignmentChange, None], False), None, ),  # 1
+    (2, TType.I64, 'min_fence', None, None, ),  # 2
+)
+all_structs.append(StopRuns)
+StopRuns.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'runs', (TType.STRUCT, [RunRecord, None], False), None, ),  # 1
+)
 all_structs.append(JobCommand)
 JobCommand.thrift_spec = (
     None,  # 0
@@ -3931,6 +5184,8 @@
     (10, TType.STRUCT, 'order_machines', [OrderMachines, None], None, ),  # 10
     (11, TType.STRUCT, 'settle', [SettleRuns, None], None, ),  # 11
     (12, TType.I64, 'at_ms', None, None, ),  # 12
+    (13, TType.STRUCT, 'assign_sessions', [AssignSessions, None], None, ),  # 13
+    (14, TType.STRUCT, 'stop_runs', [StopRuns, None], None, ),  # 14
 )
 all_structs.append(TaskImage)
 TaskImage.thrift_spec = (
@@ -3971,6 +5226,8 @@
     (5, TType.LIST, 'waves', (TType.STRUCT, [WaveRecord, None], False), None, ),  # 5
     (6, TType.LIST, 'machine_holders', (TType.STRUCT, [MachineHolder, None], False), None, ),  # 6
     (7, TType.LIST, 'unresolved_runs', (TType.STRUCT, [RunRecord, None], False), None, ),  # 7
+    (8, TType.LIST, 'session_assignments', (TType.STRUCT, [SessionAssignmentRecord, None], False), None, ),  # 8
+    (9, TType.I64, 'last_session_fence', None, None, ),  # 9
 )
 all_structs.append(LocateRequest)
 LocateRequest.thrift_spec = (
@@ -4056,5 +5313,58 @@
     (5, TType.STRING, 'content', 'BINARY', None, ),  # 5
     (6, TType.BOOL, 'finished', None, None, ),  # 6
 )
+all_structs.append(ListedRun)
+ListedRun.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'run', [RunRecord, None], None, ),  # 1
+    (2, TType.BOOL, 'ready', None, None, ),  # 2
+)
+all_structs.append(WorkerConditionRecord)
+WorkerConditionRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I64, 'fence', None, None, ),  # 3
+    (4, TType.BOOL, 'responsive', None, None, ),  # 4
+    (5, TType.BOOL, 'usable', None, None, ),  # 5
+    (6, TType.BOOL, 'rejects_starts', None, None, ),  # 6
+    (7, TType.I32, 'grade', None, None, ),  # 7
+    (8, TType.I32, 'max_new_runs', None, None, ),  # 8
+    (9, TType.BOOL, 'accepts_long_running', None, None, ),  # 9
+    (10, TType.LIST, 'long_running', (TType.STRUCT, [ListedRun, None], False), None, ),  # 10
+)
+all_structs.append(RenewRequest)
+RenewRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRUCT, 'holder', [SessionHolderRecord, None], None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'applied_index', None, None, ),  # 4
+    (5, TType.BOOL, 'leaving', None, None, ),  # 5
+    (6, TType.BOOL, 'complete', None, None, ),  # 6
+    (7, TType.LIST, 'conditions', (TType.STRUCT, [WorkerConditionRecord, None], False), None, ),  # 7
+)
+all_structs.append(RenewAnswer)
+RenewAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.I32, 'verdict', None, None, ),  # 2
+    (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'granted', None, None, ),  # 4
+    (5, TType.BOOL, 'wants_complete', None, None, ),  # 5
+)
+all_structs.append(ProposeRequest)
+ProposeRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'command', 'BINARY', None, ),  # 2
+)
+all_structs.append(ProposeAnswer)
+ProposeAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.I32, 'verdict', None, None, ),  # 2
+    (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -134,6 +134,40 @@
   2: string holder
 }
 
+// One process of a control instance; a restarted process is another holder.
+struct SessionHolderRecord {
+  1: string node_id
+  2: string process
+}
+
+// Which process holds the sessions with the workers of a shard. Without a holder, nobody
+// does; `former` is then the process that has to stop first. `index` is that of the log
+// entry that set the record.
+struct SessionAssignmentRecord {
+  1: i32 shard
+  2: optional SessionHolderRecord holder
+  3: i64 fence
+  4: optional SessionHolderRecord former
+  5: i64 index
+}
+
+// The change is valid only while the fence of the shard is the expected one.
+struct SessionAssignmentChange {
+  1: i32 shard
+  2: optional SessionHolderRecord holder
+  3: i64 expected_fence
+}
+
+struct AssignSessions {
+  1: list<SessionAssignmentChange> changes
+  2: i64 min_fence
+}
+
+// Runs to be stopped so that their tasks start elsewhere.
+struct StopRuns {
+  1: list<RunRecord> runs
+}
+
 struct JobCommand {
   1: optional JobRecord accept
   2: optional CancelJob cancel
@@ -147,6 +181,8 @@
   10: optional OrderMachines order_machines
   11: optional SettleRuns settle
   12: optional i64 at_ms
+  13: optional AssignSessions assign_sessions
+  14: optional StopRuns stop_runs
 }
 
 struct TaskImage {
@@ -183,6 +219,8 @@
   5: list<WaveRecord> waves
   6: list<MachineHolder> machine_holders
   7: optional list<RunRecord> unresolved_runs
+  8: optional list<SessionAssignmentRecord> session_assignments
+  9: optional i64 last_session_fence
 }
 
 // ---- between entry and control instances -----------------------------------
@@ -275,6 +313,60 @@
   6: bool finished
 }
 
+// A long-running run that its worker lists. `ready`: at full progress, no order pending.
+struct ListedRun {
+  1: RunRecord run
+  2: bool ready
+}
+
+// What a session has observed of its worker. `max_new_runs`: limit of the circuit
+// breaker, less what runs there; -1 for none.
+struct WorkerConditionRecord {
+  1: string worker_id
+  2: i64 born_ms
+  3: i64 fence
+  4: bool responsive
+  5: bool usable
+  6: bool rejects_starts
+  7: i32 grade
+  8: i32 max_new_runs
+  9: bool accepts_long_running
+  10: list<ListedRun> long_running
+}
+
+// A control instance asks the leader to renew its lease on the sessions that it holds.
+// `sequence` rises with each request of a process. `complete`: the conditions are those
+// of all sessions, otherwise those that have changed.
+struct RenewRequest {
+  1: i64 request_id
+  2: SessionHolderRecord holder
+  3: i64 sequence
+  4: i64 applied_index
+  5: bool leaving
+  6: bool complete
+  7: list<WorkerConditionRecord> conditions
+}
+
+struct RenewAnswer {
+  1: i64 request_id
+  2: Verdict verdict
+  3: string leader
+  4: bool granted
+  5: bool wants_complete
+}
+
+// `command` is an encoded JobCommand: ends of runs, or the removal of a worker.
+struct ProposeRequest {
+  1: i64 request_id
+  2: binary command
+}
+
+struct ProposeAnswer {
+  1: i64 request_id
+  2: Verdict verdict
+  3: string leader
+}
+
 service JobControl {
   arbutuscleat.VoteAnswer vote(1: arbutuscleat.VoteRequest request)
   arbutuscleat.AppendAnswer append(1: arbutuscleat.AppendRequest request)
@@ -288,4 +380,6 @@
   ControlAnswer announce(1: AnnounceRequest request)
   ControlAnswer configure(1: ConfigRequest request)
   ControlAnswer wave(1: WaveRequest request)
+  RenewAnswer renew(1: RenewRequest request)
+  ProposeAnswer propose(1: ProposeRequest request)
 }
--- a/examples/berthline.py
+++ b/examples/berthline.py
@@ -205,7 +205,7 @@
         found = []
         for host in self._control_hosts:
             text = (self._folder / host / "log").read_text()
-            lines = [line for line in text.splitlines() if "sessions begin" in line]
+            lines = [line for line in text.splitlines() if "scheduling begins" in line]
             if lines and self.processes[host].poll() is None:
                 found.append((json.loads(lines[-1])["time"], host))
         return max(found)[1]
--- a/tests/execution/simulation.py
+++ b/tests/execution/simulation.py
@@ -8,7 +8,6 @@
 
 from arbutuscleat.emulator.worker_model import WorkerModel
 from arbutuscleat.execution import (
-    ExecutionLimits,
     Executor,
     HoldAnswer,
     OrderAnswer,
@@ -16,8 +15,8 @@
     WorkerClient,
 )
 from arbutuscleat.jobs import RunOutcome
-from arbutuscleat.scheduling import Planner
 from arbutuscleat.wire.gen_jobs.ttypes import WorkerRecord
+from tests.fakes.executor import executor_parts
 from tests.fakes.jobs import JobTableHarness, job, step, worker
 from tests.fakes.replica import HarnessReplica
 from tests.fakes.simulated_clock import (
@@ -224,24 +223,26 @@
     """An executor whose sessions run as processes of the simulation."""
 
     def __init__(self, simulation, replica):
-        super().__init__(
+        parts = executor_parts(
             replica,
             simulation.harness.table,
-            lambda record: simulation.link_of(record).client(record),
-            Planner(),
             simulation.clock,
-            ExecutionLimits(),
-            start_threads=False,
+            lambda record: simulation.link_of(record).client(record),
+            self.propose,
         )
+        super().__init__(*parts)
         self.replica = replica
+        manager = self._session_manager
+        self._make_session = manager.open_session
+        manager.open_session = self._open_session
 
     def run(self):
         while self.replica.is_latest():
             self.run_once()
         self.run_once()
 
-    def _open_session(self, record):
-        session = super()._open_session(record)
+    def _open_session(self, record, permit):
+        session = self._make_session(record, permit)
         sender = session._sender
         session._wake = SimulatedCondition(self._clock)
         sender._orders = SimulatedQueue(self._clock)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -154,6 +154,24 @@
         self.assertEqual([], self.executor.movable_tasks(min(places)))
 
 
+class LeftWorkerTest(TestCase):
+    def test_a_late_announcement_of_a_worker_that_left_brings_it_no_runs(self):
+        """Guards against a server in use again after it has left."""
+        clock, harness = ManualClock(), JobTableHarness()
+        model = WorkerModel(clock, 5, lambda order: (None, RunOutcome.DONE))
+        executor = make_executor(harness, clock, lambda record: model)
+        harness.apply(worker=worker())
+        run_once(executor)
+        harness.apply(remove_worker=RemoveWorker(worker_id="w1", born_ms=5))
+        run_once(executor)
+        model.hold = lambda order, timeout: HoldAnswer(OrderOutcome.NO_ANSWER)
+        harness.apply(worker=worker())
+        harness.accept(job())
+        for _ in range(3):
+            run_once(executor)
+        self.assertEqual({}, harness.table.runs)
+
+
 class QuorumLossTest(TestCase):
     """A leader that hears no quorum for a moment and then leads in the same term."""
 
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -107,7 +107,7 @@
 
     def test_the_stop_of_an_older_run_leaves_the_next_start_pending(self):
         """Guards against a stop of a run whose start is about to be sent."""
-        self.session.expect_start(run(number=2))
+        self.session.order_start(run(number=2))
         self.session.order_stop(KEY, 1)
         self.session.send_queued_orders()
         self.harness.start(run(number=2))
