Moves: a stop in the log makes its task unavailable for each leader

Cause: a leader that moves a long-running task off a worker of another holder commits the stop. The next leader does not know of it, and the holder's report may still list the task as ready, so a second task of the step could be stopped beside it. Found by reading. Change: tasks whose stop is due by the table count as unavailable. The test failed before.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -194,6 +194,7 @@
                     for task in other.running
                     if task.percent >= READY_PERCENT
                     and task.key not in pending
+                    and task.key not in self._table.stops_due
                     and not self._is_stop_expected(task.key, task.number)
                 }
             views = self._views()
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -8,7 +8,7 @@
 from arbutuscleat.execution.failure_breaker import MAX_FAILED_JOBS, OPEN_SECONDS
 from arbutuscleat.jobs import RunOutcome
 from arbutuscleat.scheduling import WaitReason
-from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker
+from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker, StopRuns
 from tests.fakes import ManualClock
 from tests.fakes.executor import make_executor, run_once
 from tests.fakes.jobs import JOB, JobTableHarness, job, step, worker
@@ -134,6 +134,22 @@
         self.executor.sessions[first[0]].order_stop(task.key, task.number)
         self.assertEqual([], self.executor.movable_tasks(second[0]))
 
+    def test_a_task_that_a_former_leader_has_stopped_counts_as_unavailable(self):
+        """Guards against a second task of a step stopped by the next leader."""
+        for worker_id in ("w1", "w2", "w3"):
+            self.harness.apply(worker=worker(worker_id, cpu=1_000))
+        self.harness.accept(job(steps=[step(2, long_running=True, may_miss=1)]))
+        for _ in range(3):
+            run_once(self.executor)
+        (first, (task,)), (second, _) = [
+            (place, list(tasks.values()))
+            for place, tasks in self.harness.table.runs.items()
+        ]
+        self.assertEqual(1, len(self.executor.movable_tasks(second[0])))
+        stopped = task.key.run_record(task.number, first)
+        self.harness.apply(stop_runs=StopRuns(runs=[stopped]))
+        self.assertEqual([], self.executor.movable_tasks(second[0]))
+
     def test_tasks_are_not_moved_to_a_worker_that_fails_its_runs(self):
         """Guards against a move to a worker that takes tasks only as a last resort."""
         for worker_id in ("w1", "w2", "w3"):
