Sessions: the model renews during commits, and commits late

Two deliberate breaks were not caught: leases granted while shards are being given away, and an expected fence that is not compared. The first is caught by the model now, the second by a test of its own.

--- a/tests/execution/session_group.py
+++ b/tests/execution/session_group.py
@@ -73,9 +73,15 @@
             self.table.apply(self.applied, payload)
 
     def propose_command(self, command):
+        """Commit a command; renewals that arrive meanwhile are handled before."""
         if not self.leads():
             return False
-        self.group.log.append(encode(command))
+        for node in self.group.nodes:
+            node.renew()
+        self.group.uncommitted.append(encode(command))
+        if self.group.is_commit_slow:
+            return False
+        self.group.commit()
         self.apply()
         return True
 
@@ -120,11 +126,20 @@
         self.leader = None
         self.process_count = 0
         self.after_step = lambda: None
+        self.uncommitted = []
+        self.is_commit_slow = False
         self.nodes = [Node(self, name, "p0") for name in names]
 
+    def commit(self):
+        """Commit what the leader has proposed, in this order."""
+        self.log += self.uncommitted
+        self.uncommitted = []
+
     def lead(self, node):
         """Make a node the leader; it has applied all entries of former leaders."""
         self.term += 1
+        self.uncommitted = []
+        self.is_commit_slow = False
         self.leader = node
         node.led_at = self.clock.monotonic()
         node.apply()
--- a/tests/execution/test_session_hand_over.py
+++ b/tests/execution/test_session_hand_over.py
@@ -136,6 +136,16 @@
     def lose_quorum(self):
         self.group.leader = None
 
+    @rule(is_slow=st.booleans())
+    def slow_down_commits(self, is_slow):
+        self.group.is_commit_slow = is_slow
+
+    @rule()
+    def commit_late(self):
+        self.group.commit()
+        if self.group.leader is not None:
+            self.group.leader.apply()
+
     @rule(index=st.integers(0, 3))
     def restart(self, index):
         self.former.append(self.group.restart(index))
--- a/tests/execution/test_session_manager.py
+++ b/tests/execution/test_session_manager.py
@@ -216,6 +216,17 @@
         (known,) = registry.conditions(self.table.session_assignments).values()
         self.assertTrue(known.is_usable())
 
+    def test_a_change_that_expects_another_fence_has_no_effect(self):
+        """Guards against an assignment that a later one has overtaken."""
+        shard = shard_of("w1")
+        before = self.table.session_assignments.by_shard[shard]
+        change = SessionAssignmentChange(
+            shard=shard, holder=OTHER.to_record(), expected_fence=before.fence - 1
+        )
+        command = AssignSessions(changes=[change], min_fence=9)
+        self.assertEqual([False], self.harness.apply(assign_sessions=command))
+        self.assertEqual(before, self.table.session_assignments.by_shard[shard])
+
     def test_assignments_are_in_snapshots(self):
         """Guards against two holders after a replica is restored."""
         before = dict(self.table.session_assignments.by_shard)
