Replica: leadership and status are read without its lock

Cause: entries are applied under the replica's lock, and wait for the table's lock, which a plan holds for up to 20 ms. Each call to a worker, each answer to a caller and each renewal asks for the leadership first. Change: both read single fields; a leader is up to date by the term of the last applied entry, and the status names the last applied entry, which is what holders of sessions report.

--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -56,7 +56,7 @@
     leader : str
         Node id of the leader; empty if none is known or it was not heard recently.
     commit_index : int
-        Index of the last entry known to be committed.
+        Index of the last committed entry that is applied.
     voter : bool
         Whether the log lists this incarnation as a voter.
     failure : str
@@ -231,10 +231,11 @@
     def leads(self) -> bool:
         """Return whether this replica leads, hears a quorum and is up to date.
 
-        It is up to date once an entry of its term is committed.
+        It is up to date once an entry of its term is applied.  This takes no lock: it
+        is asked before each call, and would wait while entries are applied.
         """
-        with self._state.lock:
-            return self._state.leads() and self._has_committed_in_term()
+        state = self._state
+        return state.leads() and state.applied_term == state.term
 
     def led_since(self) -> float:
         """Return the monotonic time at which this replica last became leader.
@@ -246,19 +247,18 @@
         return self._state.led_since
 
     def status(self) -> ReplicaStatus:
-        """Return the status of the replica."""
+        """Return the status of the replica; like `leads`, this takes no lock."""
         state = self._state
-        with state.lock:
-            return ReplicaStatus(
-                node_id=state.node_id,
-                incarnation=state.incarnation,
-                role=state.role,
-                term=state.term,
-                leader=state.known_leader(),
-                commit_index=state.commit_index,
-                voter=state.is_voter(),
-                failure=state.failure,
-            )
+        return ReplicaStatus(
+            node_id=state.node_id,
+            incarnation=state.incarnation,
+            role=state.role,
+            term=state.term,
+            leader=state.known_leader(),
+            commit_index=state.applied_index,
+            voter=state.is_voter(),
+            failure=state.failure,
+        )
 
     def accept_join(self, node_id: str, incarnation: str) -> bool:
         """Accept the request of a replica to be listed in the log.
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -110,6 +110,7 @@
         base = self.snapshot.last_index
         self.commit_index = base
         self.applied_index = base
+        self.applied_term = self.snapshot.last_term
         self.log = Log(self.disk, base, self.snapshot.last_term)
         self.membership = MembershipLog(self.snapshot.replicas, base)
         first = max(base, self.log.base_index) + 1
@@ -162,8 +163,8 @@
         for voter in self.membership.voters():
             if voter == self.node_id:
                 heard += 1
-            elif voter in self.progress:
-                heard += self.progress[voter].acknowledged_at >= moment
+            elif (progress := self.progress.get(voter)) is not None:
+                heard += progress.acknowledged_at >= moment
         return heard >= self.membership.quorum()
 
     def leads(self) -> bool:
@@ -309,8 +310,8 @@
             return
         self.commit_index = index
         while self.applied_index < index:
+            self._apply(self.applied_index + 1)
             self.applied_index += 1
-            self._apply(self.applied_index)
 
     def _apply(self, index: int) -> None:
         entry = self.log.entry(index)
@@ -325,6 +326,7 @@
             pending.overwritten = not pending.applied
             pending.result = result
             pending.done.set()
+        self.applied_term = entry.term
 
     # ---- changes; the caller holds no lock ----
 
--- a/arbutuscleat/consensus/snapshots.py
+++ b/arbutuscleat/consensus/snapshots.py
@@ -199,6 +199,7 @@
         state.membership.add(batch.entries)
         state.commit_index = record.last_index
         state.applied_index = record.last_index
+        state.applied_term = record.last_term
         # The results of proposals that the snapshot covers cannot be known.
         for index in [i for i in state.pending_proposals if i <= record.last_index]:
             state.pending_proposals.pop(index).done.set()
