--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -19,6 +19,7 @@
 from .backfill import ExpectedEnd, reserve_capacity
 from .crash_trials import CrashTrials, is_suspect
 from .failed_tasks import FailedTasks
+from .full_services import FullServices
 from .objective import critical_path_ms, objective_at_ms
 from .run_times import RunTimes
 from .worker_view import WorkerView
@@ -64,6 +65,15 @@
     occurrence: int = field(compare=False)
 
 
+@dataclass(frozen=True, slots=True)
+class _LatestStart:
+    """When a job has to start at the latest, from its first step that is not done."""
+
+    queue: Queue | None
+    first: int
+    at_ms: int
+
+
 _Blocked = tuple[StepRecord, Sequence[TaskState]]
 """A task that no worker accepts now, or the tasks of a gang, and their step."""
 
@@ -78,6 +88,8 @@
         self._failed_tasks = FailedTasks()
         self._run_times = RunTimes()
         self._crash_trials = CrashTrials()
+        self._full_services = FullServices()
+        self._latest_starts: dict[tuple[str, int], _LatestStart] = {}
 
     def seconds_running(self, key: TaskKey, number: int, now: float) -> float:
         """Return for how long a run has been running, as far as this planner knows."""
@@ -111,6 +123,7 @@
         self._failed_tasks.prune(table, now)
         self._run_times.prune(table, now)
         self._crash_trials.observe(table, views, self._run_times, now)
+        self._full_services = FullServices()
         by_service: dict[str, list[WorkerView]] = {}
         for view in views.values():
             if view.usable:
@@ -168,6 +181,7 @@
     ) -> tuple[list[_Candidate], int | None]:
         found = []
         next_due_ms = None
+        former, self._latest_starts = self._latest_starts, {}
         for job in table.active.values():
             queue = table.config.queues.get(job.record.queue) if table.config else None
             serves = table.service_of(job) in by_service
@@ -181,16 +195,21 @@
                     break
                 if not serves or job.is_occurrence_done(occurrence):
                     continue
-                rank = self._rank(job, occurrence, queue, now_ms)
+                rank = self._rank(job, occurrence, queue, now_ms, former)
                 found.append(_Candidate(rank, job, occurrence))
         return found, next_due_ms
 
     def _rank(
-        self, job: JobState, occurrence: int, queue: Queue | None, now_ms: int
+        self,
+        job: JobState,
+        occurrence: int,
+        queue: Queue | None,
+        now_ms: int,
+        former: Mapping[tuple[str, int], _LatestStart],
     ) -> tuple[int, int, int, int]:
+        """Return the rank of a job; `former` are the latest starts of the last plan."""
         if job.has_long_running_step():
             return (0, 0, 0, job.record.accepted_at_ms)
-        objective = objective_at_ms(job, occurrence, queue)
         first = next(
             (
                 number
@@ -199,10 +218,16 @@
             ),
             0,
         )
-        latest_start = objective - critical_path_ms(job.steps, first)
-        late = int(latest_start < now_ms)
+        key = (job.job_id, occurrence)
+        latest = former.get(key)
+        if latest is None or latest.queue is not queue or latest.first != first:
+            at_ms = objective_at_ms(job, occurrence, queue)
+            at_ms -= critical_path_ms(job.steps, first)
+            latest = _LatestStart(queue, first, at_ms)
+        self._latest_starts[key] = latest
+        late = int(latest.at_ms < now_ms)
         priority = 0 if queue is None else queue.priority
-        return (1, late, priority, latest_start)
+        return (1, late, priority, latest.at_ms)
 
     def _start_job(
         self,
@@ -274,20 +299,48 @@
     ) -> tuple[list[RunRecord], list[_Blocked]]:
         runs = []
         blocked: list[_Blocked] = []
+        service = workers[0].record.service_name if workers else ""
+        last: WorkerView | None = None
         for task in waiting:
-            is_last = _is_last_attempt(task.failures, max_attempts)
-            view = self._best_worker(step, task, workers, is_last, now)
+            view = None
+            if not self._full_services.is_full(service, step):
+                view = self._worker_for(step, task, workers, max_attempts, last, now)
             if view is not None:
                 view.reserve(step, task.key[:3])
                 self._failed_tasks.record_start(task.key, now)
                 self._crash_trials.record_start(task, view, is_suspect(task))
                 runs.append(task.key.run_record(task.number + 1, view.incarnation))
+                last = view if _is_unproblematic(task) else None
                 continue
             blocked.append((step, [task]))
             if not task.failures:
                 break  # The same requirements: the step's other tasks fit nowhere.
         return runs, blocked
 
+    def _worker_for(
+        self,
+        step: StepRecord,
+        task: TaskState,
+        workers: Sequence[WorkerView],
+        max_attempts: int | None,
+        last: WorkerView | None,
+        now: float,
+    ) -> WorkerView | None:
+        """Return the worker for a task, or None if it has to wait.
+
+        `last` is the worker of the task before. With less capacity left it ranks even
+        better, so it is the best one for the next task as long as it accepts it.
+        """
+        group = task.key[:3]
+        if last is not None and _is_unproblematic(task) and last.accepts(step, group):
+            return last
+        is_last = _is_last_attempt(task.failures, max_attempts)
+        view = self._best_worker(step, task, workers, is_last, now)
+        if view is None and not is_suspect(task):
+            service = workers[0].record.service_name if workers else ""
+            self._full_services.record_refused(service, step, group, workers)
+        return view
+
     def _is_delayed(self, task: TaskState, now: float) -> bool:
         """Return whether the restart of a long-running task is delayed."""
         return task.has_failed_latest_run() and not self._failed_tasks.may_restart(
@@ -440,6 +493,11 @@
         return any(view.fits_if_idle(step) for view in others)
 
 
+def _is_unproblematic(task: TaskState) -> bool:
+    """Return whether all workers are the same for a task, but for their capacity."""
+    return not task.failures and not task.crashes
+
+
 def _is_last_attempt(failures: int, max_attempts: int | None) -> bool:
     """Return whether the next attempt is the last; None is any number of attempts."""
     return max_attempts is not None and failures + 1 >= max_attempts
