--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -10,21 +10,20 @@
 from typing import Any
 
 from absl import logging
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from arbutuscleat.consensus import (
     ProposalError,
     ProposalErrorKind,
     Replica,
     ReplicaHandlers,
-    Role,
 )
 from arbutuscleat.core import Clock
-from arbutuscleat.execution import EndBatcher, SessionRegistry
+from arbutuscleat.execution import SessionRegistry
 from arbutuscleat.jobs import AcceptResult, JobTable, Queue
 from arbutuscleat.jobs.worker_announcement import is_outdated
 from arbutuscleat.scheduling import Rejection
-from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire import encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
     CancelJob,
@@ -50,9 +49,7 @@
 )
 
 from .admission_controller import AdmissionController
-
-COMMIT_SECONDS = 2.0
-"""Timeout for committing a command; longer than an election takes."""
+from .holder_handlers import COMMIT_SECONDS, HolderHandlers, leader_of
 
 BARRIER_SECONDS = 1.0
 """Timeout for a quorum to confirm the leadership."""
@@ -108,8 +105,12 @@
         self._table = table
         self._clock = clock
         self._admission = admission
-        self._registry = SessionRegistry(clock) if registry is None else registry
-        self._end_batcher = EndBatcher(self._commit, clock)
+        self._holder_handlers = HolderHandlers(
+            replica,
+            table,
+            clock,
+            SessionRegistry(clock) if registry is None else registry,
+        )
 
     def leads(self) -> bool:
         """Return whether this process is the leader and in contact with a quorum."""
@@ -305,45 +306,11 @@
 
     def renew(self, request: RenewRequest) -> RenewAnswer:
         """Record a report, and renew the lease of its sender."""
-        answer = RenewAnswer(
-            request_id=request.request_id,
-            verdict=Verdict.NOT_LEADER,
-            leader=self._leader(),
-            granted=False,
-            wants_complete=True,
-        )
-        if not self.leads():
-            return answer
-        self._registry.observe_term(self._replica.term(), self._replica.led_since())
-        answer.granted, answer.wants_complete = self._registry.renew(
-            request, self._table.session_assignments.last_index
-        )
-        # A lease granted after the leadership had ended could overlap with another one.
-        if self.leads():
-            answer.verdict = Verdict.DONE
-        return answer
+        return self._holder_handlers.renew(request)
 
     def propose(self, request: ProposeRequest) -> ProposeAnswer:
         """Commit the ends of runs, or the removal of a worker, for a session."""
-        answer = ProposeAnswer(
-            request_id=request.request_id,
-            verdict=Verdict.NOT_LEADER,
-            leader=self._leader(),
-        )
-        if not self.leads():
-            return answer
-        command = _decode_command(request.command)
-        if command.ends is None and command.remove_worker is None:
-            logging.warning("proposal refused: no ends of runs and no lost worker")
-            answer.verdict = Verdict.INVALID
-        elif self._end_batcher.propose(command):
-            answer.verdict = Verdict.DONE
-        else:
-            answer.verdict = Verdict.UNKNOWN
-        return answer
-
-    def _commit(self, command: JobCommand) -> bool:
-        return isinstance(self._propose(command), Success)
+        return self._holder_handlers.propose(request)
 
     # ---- helpers ----
 
@@ -439,8 +406,7 @@
         return self._replica.propose(encode(command), COMMIT_SECONDS)
 
     def _leader(self) -> str:
-        status = self._replica.status()
-        return "" if status.role is Role.LEADER else status.leader
+        return leader_of(self._replica)
 
     def _job_answer(
         self,
@@ -472,15 +438,6 @@
         )
 
 
-def _decode_command(payload: bytes) -> JobCommand:
-    """Return the command that a holder proposes; an empty one if it is malformed."""
-    try:
-        return decode(JobCommand, payload)
-    except Exception as exc:  # The decoder raises errors of several kinds.
-        logging.warning("a proposed command is malformed: %r", exc)
-        return JobCommand()
-
-
 def _needs_no_commit(stored: WorkerRecord, record: WorkerRecord) -> bool:
     """Return whether an announcement needs no commit.
 
--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -7,7 +7,6 @@
 """
 
 import threading
-from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from absl import logging
@@ -20,8 +19,6 @@
     Demand,
     Planner,
     StepWaits,
-    UsageCache,
-    WaitReason,
     WorkerView,
     movable_tasks,
     service_demands,
@@ -32,7 +29,6 @@
     RunRecord,
     RunStarts,
     StopRuns,
-    WorkerRecord,
 )
 
 from .leader_load import LeaderLoad
@@ -40,7 +36,8 @@
 from .session import WorkerSession
 from .session_manager import DueStop, SessionManager
 from .session_registry import SessionRegistry
-from .worker_condition import READY_PERCENT, ReportedCondition, WorkerCondition
+from .worker_condition import READY_PERCENT, WorkerCondition
+from .worker_views import WorkerViews
 
 IDLE_POLL_SECONDS = 0.25
 """Interval between plans while the table does not change."""
@@ -52,10 +49,6 @@
 PROPOSE_TIMEOUT_SECONDS = 2.0
 """How long the loop waits for a proposal to be committed."""
 
-MAX_LIMITED_FRACTION = 0.34
-"""Largest fraction of a service's workers that circuit breakers may limit. If more
-workers fail their runs, the jobs are the likely cause."""
-
 STOP_EFFECT_SECONDS = 15.0
 """How long a run that is to be stopped counts as unavailable although its worker lists
 it. An unanswered order may take effect 12 s later; after that, it was never sent."""
@@ -105,14 +98,13 @@
         self._planner = planner
         self._clock = clock
         self._session_manager = session_manager
-        self._registry = registry
+        self._worker_views = WorkerViews(table, session_manager, registry)
         self._stopping = threading.Event()
         self._term = -1
         self._draining: set[str] = set()
         self._moved: dict[TaskKey, tuple[int, float]] = {}
         """Runs stopped for a move, by task, and when their stops were ordered."""
 
-        self._usage_cache = UsageCache()
         self.plan_count = 0
         self.step_waits = StepWaits()
         self._run_settler = RunSettler(table, planner, self.propose, clock)
@@ -181,7 +173,7 @@
         is only returned if another worker has room for it.
         """
         with self._table.lock:
-            conditions = self._conditions()
+            conditions = self._worker_views.conditions()
             if worker_id not in conditions:
                 return []
             # The tasks listed by a session are as old as its last hold, so a moved
@@ -279,7 +271,7 @@
     def _unlisted(self) -> list[TaskKey]:
         """Return the long-running tasks with a run that its worker does not list."""
         found = []
-        for condition in self._conditions().values():
+        for condition in self._worker_views.conditions().values():
             runs = self._table.runs.get(condition.incarnation, {})
             listed = {(task.key, task.number) for task in condition.running}
             for key, task in runs.items():
@@ -301,70 +293,11 @@
 
     def _each_condition(self) -> Iterator[WorkerCondition]:
         """Yield the conditions of all workers; the table's lock must be held."""
-        yield from self._conditions().values()
-
-    def _conditions(self) -> dict[str, WorkerCondition]:
-        """Return the condition of each worker in the table, by worker id."""
-        conditions: dict[str, WorkerCondition] = {}
-        reported = self._registry.conditions(self._table.session_assignments)
-        sessions = self.sessions
-        for worker_id, record in self._table.workers.items():
-            incarnation = (worker_id, record.born_ms)
-            condition: WorkerCondition | None = sessions.get(worker_id)
-            if condition is None:
-                condition = reported.get(worker_id)
-            if condition is None or condition.incarnation != incarnation:
-                condition = ReportedCondition(incarnation)
-            conditions[worker_id] = condition
-        return conditions
+        yield from self._worker_views.conditions().values()
 
     def _views(self) -> dict[str, WorkerView]:
-        """Return the workers with the capacity left by the runs in the table."""
-        views = {}
-        limits: dict[str, dict[str, int]] = {}
-        for worker_id, condition in self._conditions().items():
-            record = self._table.workers[worker_id]
-            reason = self._unusable_because(condition, record)
-            view = WorkerView(record, reason is None, condition.grade())
-            if reason is not None:
-                view.unusable_because = reason
-            usage = self._usage_cache.usage(self._table, condition.incarnation)
-            usage.take_from(view)
-            views[worker_id] = view
-            view.rejects_starts = condition.rejects_starts()
-            view.admits_long_running = condition.accepts_long_running()
-            limit = condition.max_new_runs(usage.finite_runs)
-            if limit is not None:
-                limits.setdefault(record.service_name, {})[worker_id] = limit
-        self._usage_cache.prune(self._table)
-        limit_new_runs(views, limits)
-        return views
-
-    def _unusable_because(
-        self, condition: WorkerCondition, record: WorkerRecord
-    ) -> WaitReason | None:
-        """Return why no runs may be scheduled on a worker; None if they may."""
-        if record.draining:
-            return WaitReason.LEAVING
-        if not condition.is_responsive():
-            return WaitReason.UNRESPONSIVE
-        if not condition.is_usable():
-            return WaitReason.PAUSED
-        if record.worker_id in self._draining:
-            return WaitReason.DRAINING
-        return None
-
-
-def limit_new_runs(
-    views: Mapping[str, WorkerView], limits: Mapping[str, Mapping[str, int]]
-) -> None:
-    """Apply the limits of circuit breakers, given by service and worker id."""
-    workers = Counter(view.record.service_name for view in views.values())
-    for service_name, limit_by_worker in limits.items():
-        if len(limit_by_worker) > workers[service_name] * MAX_LIMITED_FRACTION:
-            continue
-        for worker_id, limit in limit_by_worker.items():
-            views[worker_id].max_new_runs = limit
+        """Return the view of each worker; the table's lock must be held."""
+        return self._worker_views.views(self._draining)
 
 
 def _order_stops(stops: Iterable[DueStop]) -> None:
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -7,6 +7,7 @@
 
 from arbutuscleat.access import AdmissionController, JobService
 from arbutuscleat.access.job_service import MAX_BORN_AHEAD_MS
+from arbutuscleat.consensus import Role
 from arbutuscleat.jobs.worker_announcement import MAX_SEQUENCE_LAG
 from arbutuscleat.scheduling import FleetCapacity
 from arbutuscleat.wire import decode, encode
@@ -27,6 +28,7 @@
     """What is read of the status of a leader."""
 
     leader = "a"
+    role = Role.LEADER
 
 
 class FakeReplica:
--- a/tests/execution/test_failing_worker.py
+++ b/tests/execution/test_failing_worker.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from arbutuscleat.emulator.worker_model import WorkerModel
-from arbutuscleat.execution.executor import limit_new_runs
+from arbutuscleat.execution.worker_views import limit_new_runs
 from arbutuscleat.jobs import JobPhase, RunOutcome
 from arbutuscleat.scheduling import WorkerView
 from tests.fakes import ManualClock
