--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -55,7 +55,9 @@
 
 
 class Executor:
-    """Dispatches the tasks of accepted jobs to the workers.
+    """Schedules the tasks of accepted jobs while this process leads.
+
+    Otherwise its loop only opens and closes the sessions of this process.
 
     Parameters
     ----------
--- a/arbutuscleat/execution/session_registry.py
+++ b/arbutuscleat/execution/session_registry.py
@@ -113,10 +113,7 @@
             if holder is None:
                 holder = self._holders[holder_id] = _Holder(now, float("-inf"))
             if request.sequence <= holder.sequence:
-                return (
-                    False,
-                    True,
-                )  # Sent before the latest one; its sender has gone on.
+                return False, True  # Its sender has given up on it.
             holder.sequence = request.sequence
             holder.applied_index = max(holder.applied_index, request.applied_index)
             holder.leaving = request.leaving
