Sessions of small fleets stay with the leader

Change: up to 64 workers the shards are not assigned, so they belong to the leader, and pass to the next one with the leadership, as before.

With it: a step of the test of the whole path that kills a follower under a job.

--- a/arbutuscleat/execution/session_balancer.py
+++ b/arbutuscleat/execution/session_balancer.py
@@ -35,6 +35,11 @@
 MOVES_AT_ONCE = 4
 """Number of shards handed over at the same time for the sake of balance."""
 
+MAX_LEADER_WORKERS = 64
+"""Number of workers up to which the leader holds all sessions. One process carries
+them, and the loss of another control instance then delays nothing. Once shared, the
+sessions stay so."""
+
 MAX_LAG_CHECKS = 20
 """Number of checks, one second in all, within which a holder must have applied what was
 committed."""
@@ -134,6 +139,9 @@
         voters = set(self._replica.voters())
         with self._table.lock:
             assignments = dict(self._table.session_assignments.by_shard)
+            worker_count = len(self._table.workers)
+        if not assignments and worker_count <= MAX_LEADER_WORKERS:
+            return []
         current: dict[int, SessionHolder | None] = {}
         for shard in range(SHARD_COUNT):
             item = assignments.get(shard)
--- a/tests/execution/session_group.py
+++ b/tests/execution/session_group.py
@@ -7,10 +7,11 @@
     SessionLease,
     SessionRegistry,
 )
+from arbutuscleat.execution.session_balancer import MAX_LEADER_WORKERS
 from arbutuscleat.jobs import JobTable, SessionHolder
 from arbutuscleat.wire import encode
-from arbutuscleat.wire.gen_jobs.ttypes import RenewRequest
-from tests.fakes.jobs import decode_config
+from arbutuscleat.wire.gen_jobs.ttypes import JobCommand, RenewRequest
+from tests.fakes.jobs import decode_config, worker
 
 
 class Status:
@@ -119,7 +120,7 @@
 class Group:
     """Nodes that share sessions; the test decides who leads and what is delivered."""
 
-    def __init__(self, clock, names="abc"):
+    def __init__(self, clock, names="abc", worker_count=MAX_LEADER_WORKERS + 1):
         self.clock = clock
         self.log = []
         self.term = 0
@@ -129,6 +130,9 @@
         self.uncommitted = []
         self.is_commit_slow = False
         self.nodes = [Node(self, name, "p0") for name in names]
+        for number in range(worker_count):
+            record = worker(f"w{number}", host=f"10.0.0.{number}")
+            self.log.append(encode(JobCommand(worker=record)))
 
     def commit(self):
         """Commit what the leader has proposed, in this order."""
--- a/tests/execution/test_session_hand_over.py
+++ b/tests/execution/test_session_hand_over.py
@@ -10,7 +10,10 @@
 )
 from testtools import TestCase
 
-from arbutuscleat.execution.session_balancer import STEADY_SECONDS
+from arbutuscleat.execution.session_balancer import (
+    MAX_LEADER_WORKERS,
+    STEADY_SECONDS,
+)
 from arbutuscleat.execution.session_lease import LEASE_SECONDS
 from tests.execution.session_group import Group
 from tests.fakes import ManualClock
@@ -46,6 +49,16 @@
         self.assertEqual(set(), self.a.permits(WORKERS))
         self.assertEqual(sorted(WORKERS), sorted(self.held(self.b, self.c)))
 
+    def test_the_leader_keeps_all_sessions_of_a_small_fleet(self):
+        """Guards against starts delayed by the loss of a node that does not lead."""
+        group = Group(self.clock, worker_count=MAX_LEADER_WORKERS)
+        leader, other, _ = group.nodes
+        group.lead(leader)
+        group.play(STEADY_SECONDS + 2.0)
+        self.assertEqual(set(WORKERS), leader.permits(WORKERS))
+        group.lead(other)
+        self.assertEqual(set(WORKERS), other.permits(WORKERS))
+
     def test_sessions_of_a_lost_holder_have_another_one_within_two_seconds(self):
         self.play_until_shared()
         left = [self.a, self.c]
--- a/tests/processes/test_berthline.py
+++ b/tests/processes/test_berthline.py
@@ -50,6 +50,7 @@
         self.check_rejections()
         self.check_cancellation()
         self.check_wave()
+        self.check_holder_failover()
         self.check_leader_failover()
         codes = self.demo.stop()
         self.assertEqual({0}, set(codes.values()))
@@ -83,18 +84,27 @@
         )
         self.assertEqual({("m-0", 1), ("m-1", 1)}, set(self.demo.provider.upkeeps))
 
+    def check_holder_failover(self):
+        """The same for a follower, whose sessions with workers others take over."""
+        leader = self.demo.leader()
+        hosts = {address.host for address in self.demo.control} - {leader}
+        self.check_runs_continue_without(min(hosts), 5, 6)
+
     def check_leader_failover(self):
         """Active runs continue under the next leader, and no task runs twice."""
-        self.submit(3, seconds="6", count=4)
-        self.wait_for_state(3, "active")
-        self.demo.wait(lambda: len(self.starts(3)) == 4)
-        host = self.demo.leader()
+        self.check_runs_continue_without(self.demo.leader(), 3, 4)
+
+    def check_runs_continue_without(self, host, number, next_number):
+        """Kill a control node under a job, and submit another; then start it again."""
+        self.submit(number, seconds="6", count=4)
+        self.wait_for_state(number, "active")
+        self.demo.wait(lambda: len(self.starts(number)) == 4)
         self.demo.processes[host].send_signal(signal.SIGKILL)
         self.demo.processes[host].wait()
-        self.demo.wait(lambda: self.submit(4) == 200)
-        self.wait_for_state(4)
-        self.wait_for_state(3)
-        self.assertEqual(4, len(self.starts(3)))
+        self.demo.wait(lambda: self.submit(next_number) == 200)
+        self.wait_for_state(next_number)
+        self.wait_for_state(number)
+        self.assertEqual(4, len(self.starts(number)))
         self.demo.start_process(host, "control")
         port = self.demo.control[0].port
         url = f"http://{host}:{port}/v1/configuration"
