--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -23,7 +23,7 @@
         voter.  No commit waits for it, so its entries can be sent many at a time.
     commit_notice_seconds : float or None
         Longest time after which the voters learn that an entry is committed, if no
-        other request tells them before; None to leave it to the next request.
+        other request carries the news before; None to leave it to the next request.
     call_seconds : float
         Timeout of one call to a peer.
     tick_seconds : float
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -294,7 +294,7 @@
             self._schedule_commit_notices()
 
     def _schedule_commit_notices(self) -> None:
-        """Have the voters told of a commit that no other request tells them soon."""
+        """Send the voters the commit index soon, unless another request carries it."""
         if self.cfg.commit_notice_seconds is None:
             return
         due = self.clock.monotonic() + self.cfg.commit_notice_seconds
--- a/arbutuscleat/execution/session_holding.py
+++ b/arbutuscleat/execution/session_holding.py
@@ -67,15 +67,16 @@
         self.holder = holder
         self._lease = lease
         self._permits: dict[int, SessionPermit] = {}
-        self._leader_permit_since: tuple[int, float] | None = None
+        self._leadership: tuple[int, float] | None = None
+        """Term of this process as leader, and since when it leads; None otherwise."""
 
     def observe_leadership(self) -> None:
         """Read whether this process leads; the table's lock must not be held."""
         if self._replica.leads():
             term = self._replica.term()
-            self._leader_permit_since = (term, self._replica.led_since())
+            self._leadership = (term, self._replica.led_since())
         else:
-            self._leader_permit_since = None
+            self._leadership = None
 
     def permit(self, worker_id: str) -> SessionPermit | None:
         """Return the permit for a worker's session; the table's lock must be held.
@@ -88,9 +89,9 @@
         shard = shard_of(worker_id)
         assignment = self._table.session_assignments.by_shard.get(shard)
         if assignment is None:
-            if self._leader_permit_since is None:
+            if self._leadership is None:
                 return None
-            return SessionPermit(shard, *self._leader_permit_since, False)
+            return SessionPermit(shard, *self._leadership, is_assigned=False)
         if assignment.holder != self.holder:
             self._permits.pop(shard, None)
             return None
@@ -98,15 +99,12 @@
         if permit is None or permit.fence != assignment.fence:
             # The former holder had stopped when the assignment was proposed.
             now = self._clock.monotonic()
-            permit = SessionPermit(shard, assignment.fence, now, True)
+            permit = SessionPermit(shard, assignment.fence, now, is_assigned=True)
             self._permits[shard] = permit
         return permit
 
     def may_order(self, permit: SessionPermit) -> bool:
-        """Return whether calls may be sent under a permit at this moment.
-
-        The lease is checked last, because the replica's answers may wait for its lock.
-        """
+        """Return whether calls may be sent under a permit at this moment."""
         assignment = self._table.session_assignments.by_shard.get(permit.shard)
         if not permit.is_assigned:
             return (
--- a/arbutuscleat/jobs/session_assignments.py
+++ b/arbutuscleat/jobs/session_assignments.py
@@ -1,7 +1,7 @@
 """Session assignments: which control instance holds the sessions with which workers.
 
 Every worker belongs to one shard, and one process at a time holds the sessions with the
-workers of a shard. Who that is stands in the replicated log, with a fence that rises
+workers of a shard. The replicated log holds the assignment, with a fence that rises
 with each change; workers reject calls with a lower fence than the highest they have
 seen. A shard that was never assigned belongs to the leader.
 """
--- a/tests/access/test_session_reporter.py
+++ b/tests/access/test_session_reporter.py
@@ -46,7 +46,7 @@
 
 
 class FakeLeader:
-    """Answers renewals as the test says, after a time."""
+    """Gives the answer that the test has set, after a time."""
 
     def __init__(self, clock):
         self.clock = clock
