--- a/review/standins/http_server.py
+++ b/review/standins/http_server.py
@@ -1,10 +1,15 @@
 """A small HTTP/1.1 server for the stand-ins, with persistent connections."""
 
 import json
+import socket
+import struct
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
@@ -29,8 +34,19 @@
     """
 
     def __init__(self, handle, host="127.0.0.1", port=0):
+        self._connections = set()
+        connections = self._connections
+
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+
+            def setup(self):
+                connections.add(self.request)
+                super().setup()
+
+            def finish(self):
+                super().finish()
+                connections.discard(self.request)
             disable_nagle_algorithm = True
             wbufsize = -1
 
@@ -68,7 +84,23 @@
         """Start serving."""
         self._thread.start()
 
-    def stop(self):
-        """Stop accepting and close the port."""
+    def stop(self, reset=True):
+        """Stop accepting and close the port; reset the open connections.
+
+        Without `reset` they stay open, as when the server's end is not heard of, and
+        the caller uses `reset_connections` later.
+        """
         self._server.shutdown()
         self._server.server_close()
+        if reset:
+            self.reset_connections()
+
+    def reset_connections(self):
+        """Reset all open connections."""
+        for sock in list(self._connections):
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+                sock.shutdown(socket.SHUT_RDWR)
+                sock.close()
+            except OSError:
+                pass  # Closed meanwhile.
--- a/review/standins/trial.py
+++ b/review/standins/trial.py
@@ -67,6 +67,7 @@
         self.configure(max_attempts)
         for worker in self.workers:
             worker.begin_life()
+            time.sleep(0.05)
         self.wait(self._is_ready, 20.0, "the entries are not ready")
         # One job shows that all the workers of a service are known.
         time.sleep(2.0)
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -112,6 +112,11 @@
         self.refuse_starts = False
         """Whether each start is answered with 503, and nothing is done."""
 
+        self._uncut = threading.Event()
+        """Unset while the worker is cut off: nothing reaches it or leaves it."""
+
+        self._uncut.set()
+        self._former_server = None
         self._lock = threading.Condition()
         self._life = None
         self.is_up = False
@@ -148,8 +153,24 @@
         threading.Thread(target=self._beat, args=(life,), daemon=True).start()
         threading.Thread(target=self._tick, args=(life,), daemon=True).start()
 
+    def cut(self):
+        """Cut the worker off from all nodes."""
+        self._all.record.note(f"{self.worker_id}: cut off")
+        self._uncut.clear()
+
+    def heal(self):
+        """End the cut; connections to a life that has ended meanwhile are reset."""
+        self._all.record.note(f"{self.worker_id}: the cut has healed")
+        self._uncut.set()
+        if self._former_server is not None:
+            self._former_server.reset_connections()
+            self._former_server = None
+
     def end_life(self):
-        """End the life: all runs are gone, and nothing is sent any more."""
+        """End the life: all runs are gone, and nothing is sent any more.
+
+        The connections are reset, but behind a cut nobody hears of that.
+        """
         with self._lock:
             self._life.set()
             self.is_up = False
@@ -157,7 +178,9 @@
                 self._all.ended(self.worker_id, item.task, item.run, "gone")
             self._runs = {}
             self._lock.notify_all()
-        self._server.stop()
+        self._server.stop(reset=self._uncut.is_set())
+        if not self._uncut.is_set():
+            self._former_server = self._server
 
     def leave(self, record, first=None):
         """Send the DELETE as the page says, then end.
@@ -177,6 +200,11 @@
                 break
         self.end_life()
 
+    @property
+    def address(self):
+        """The address that the worker announces."""
+        return self._address
+
     def running(self):
         """Return the tasks that are at work."""
         with self._lock:
@@ -216,8 +244,13 @@
             if state == "draining":
                 content["drain-remaining-ms"] = 2000
             path = f"/v1/instances/{self.worker_id}"
-            status, _ = call(address, "PUT", path, content)
+            if self._uncut.is_set():
+                status, _ = call(address, "PUT", path, content)
+            else:
+                time.sleep(1.0)  # No answer within a second.
+                status = 0
             if 200 <= status < 300:
+                self._all.record.note(f"{self.worker_id}: ping, {state}: {status}")
                 return True
             self._next += 1
         return False
@@ -257,6 +290,9 @@
 
     def _handle(self, method, path, headers, tree):
         expected = headers.get("X-Arbutuscleat-Expected-Instance")
+        if not self._uncut.is_set():
+            self._uncut.wait()
+            return 0, {}  # What was sent during the cut is lost.
         with self._lock:
             if not self.is_up:
                 return 0, {}
