--- a/review/standins/trial.py
+++ b/review/standins/trial.py
@@ -3,6 +3,7 @@
 import os
 import secrets
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -16,6 +17,12 @@
 
 HOST = "jobs.example"
 HELD, BROKEN, UNABLE = 0, 1, 2
+MAX_SECONDS = 110
+"""A trial that takes longer ends with UNABLE."""
+
+
+class Interrupted(BaseException):
+    """The trial was told to end, or has taken too long."""
 
 
 class Trial:
@@ -69,8 +76,7 @@
             worker.begin_life()
             time.sleep(0.05)
         self.wait(self._is_ready, 20.0, "the entries are not ready")
-        # One job shows that all the workers of a service are known.
-        time.sleep(2.0)
+        time.sleep(2.0)  # Until all workers are known and have answered.
 
     def _is_ready(self):
         port = self.deployment.ready_port
@@ -198,10 +204,13 @@
 def run(folder, services, play, **options):
     """Play a case and exit with its code: `play` gets the trial and returns breaks."""
     trial = None
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _interrupt)
+    signal.alarm(MAX_SECONDS)
     try:
         trial = Trial(folder, services, **options)
         breaks = play(trial)
-    except Exception as exc:
+    except (Exception, Interrupted) as exc:
         traceback.print_exc()
         if trial is not None:
             trial.record.note(f"could not run: {exc!r}")
@@ -215,7 +224,14 @@
             print("held")
         code = BROKEN if breaks else HELD
     finally:
+        signal.alarm(0)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
         if trial is not None:
             trial.close()
     sys.stdout.flush()
     os._exit(code)
+
+
+def _interrupt(number, _):
+    raise Interrupted(signal.Signals(number).name)
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -31,6 +31,9 @@
         """Time of the first end `done` of each task that is taken note of."""
 
         self.starts = []
+        self.hows = []
+        """How the runs have ended, in order."""
+
         self.twice = []
 
     def started(self, worker, task, run):
@@ -49,6 +52,7 @@
         with self.lock:
             self.record.note(f"{worker}: {task} run {run} ends: {how}")
             self.live[task].remove((worker, run))
+            self.hows.append(how)
 
     def noted(self, worker, task, run, how, ended_at):
         """Note that an end was taken note of (`ack-cursor` has reached it)."""
