--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,47 +1,44 @@
-"""The leader is killed while many small tasks of one worker end."""
+"""An idle worker is cut off for some seconds, and starts again behind the cut."""
 
-import random
 import time
 from pathlib import Path
 
 import trial
 
-TASKS = 3000
-DOWN_SECONDS = 3.5
-SPREAD_SECONDS = 0.5
+CUT_SECONDS = 2.5
+CRASH_SECONDS = 1.0
+"""From the beginning of the cut to the crash behind it."""
+
+WORKERS = 6
+CORES = 1000
 
 
 def play(t):
-    """Let the tasks of one worker end while there is no leader."""
-    rng = random.Random(1)
-    t.add_worker("w-1")
-    t.add_worker("w-2")
+    """Cut an idle worker off, let it start again, and submit a job after the cut."""
+    reborn = t.add_worker("w-1")
+    for number in range(2, WORKERS + 1):
+        t.add_worker(f"w-{number}")
     t.start()
-    ends_at = {}
-    end_at = time.monotonic() + 18.0
-
-    def seconds(step, index):
-        """The first run of each task ends at about the same time, others after 1 s."""
-        if index in ends_at:
-            return 1.0
-        ends_at[index] = end_at + rng.uniform(0.0, SPREAD_SECONDS)
-        return max(0.05, ends_at[index] - time.monotonic())
-
-    step = {"count": TASKS, "cpu": 20, "mem-mb": 40, "estimated-ms": 10000}
-    path = t.submit([step], seconds)
-    t.wait(lambda: len(ends_at) == TASKS, 17.0, "not all tasks have started")
-    t.record.note(f"{[len(w.running()) for w in t.workers]} tasks run")
-    time.sleep(max(0.0, end_at - 0.2 - time.monotonic()))
-    leader = t.deployment.leader()
-    t.record.note(f"the leader is {leader}")
-    killed_at = time.monotonic()
+    # A first job on all workers; after it they are idle.
+    step = {"count": 2 * WORKERS, "cpu": 30 * CORES, "mem-mb": 100, "estimated-ms": 500}
+    path = t.submit([step], 0.5)
+    t.wait(lambda: t.state(path) == "completed", 5.0, "the first job goes on")
+    time.sleep(0.5)
+
+    cut_at = time.monotonic()
+    if t.trouble:
+        reborn.cut()
+    time.sleep(CRASH_SECONDS)
     if t.trouble:
-        t.deployment.kill(leader)
-    time.sleep(max(0.0, killed_at + DOWN_SECONDS - time.monotonic()))
+        reborn.end_life()
+        reborn.begin_life()
+    time.sleep(max(0.0, cut_at + CUT_SECONDS - time.monotonic()))
     if t.trouble:
-        t.deployment.start_node(leader)
+        reborn.heal()
+    time.sleep(0.1)
+    step = {"count": 2 * WORKERS - 2, "cpu": 30 * CORES, "mem-mb": 100, "estimated-ms": 8000}
+    path = t.submit([step], 8.0)
     t.wait(lambda: t.state(path) == "completed", 40.0, "the job goes on")
-    time.sleep(1.0)
     return t.runs.breaks()
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,77 +1,54 @@
-"""The only worker that a queue's jobs may use rejects all starts for some seconds."""
+"""The leader is killed while many small tasks of one worker end."""
 
+import random
 import time
 from pathlib import Path
 
 import trial
 
-WORKERS = 12
-SICK_SECONDS = 6.5
-JOBS = 8
-OLD_SECONDS = 5.0
-"""`visible_ms` and 2 s."""
-
-
-def _step(cpu, seconds):
-    return {
-        "count": 1,
-        "cpu": cpu,
-        "mem-mb": 100,
-        "estimated-ms": int(1000 * seconds),
-        "requirements": "b",
-    }
-
-
-def _not_begun(t, paths):
-    begun = {task.partition(".")[0] for _, _, task, _ in t.runs.starts}
-    return [path for path in paths if path.rpartition("/")[2] not in begun]
-
-
-def _check(t, paths):
-    """Ask each entry once; return what breaks the rule."""
-    breaks = []
-    for _ in t.deployment.entries:
-        status, tree = t.client("GET", "/ops/")
-        # Those that have still not begun after the answer had not begun before.
-        count = len(_not_begun(t, paths))
-        t.record.note(f"{count} jobs accepted over 5 s before have not begun")
-        if status == 200 and 2 * tree["pending"] < count:
-            breaks.append(f"pending is {tree['pending']}, {count} jobs have not begun")
-    return breaks
+TASKS = 3000
+DOWN_SECONDS = 3.5
+SPREAD_SECONDS = 0.5
 
 
 def play(t):
-    """Submit jobs while their worker is sick, and ask how many are pending."""
-    sick = t.add_worker("w-1", labels=["b", "r1"])
-    for number in range(1, WORKERS):
-        t.add_worker(f"w-{number + 1}")
+    """Let the tasks of one worker end while there is no leader."""
+    rng = random.Random(1)
+    t.add_worker("w-1")
+    t.add_worker("w-2")
     t.start()
-    # Jobs that wait for room, to show that the check counts: one fits at a time.
-    waiting = [t.submit([_step(60_000, 30.0)], 30.0) for _ in range(4)]
-    time.sleep(OLD_SECONDS + 0.2)
-    breaks = _check(t, waiting)
-    for path in waiting:
-        t.client("DELETE", path)
-    t.wait(lambda: not sick.running(), 5.0, "a cancelled job goes on")
-    time.sleep(0.5)
-
-    sick.refuse_starts = t.trouble
-    sick_until = time.monotonic() + SICK_SECONDS
-    t.record.note(f"w-1 rejects all starts: {t.trouble}")
-    paths = [t.submit([_step(2_000, 1.0)], 1.0) for _ in range(JOBS)]
-    time.sleep(OLD_SECONDS + 0.1)
-    while time.monotonic() < sick_until - 0.3:
-        breaks += _check(t, paths)
-        time.sleep(0.2)
-    time.sleep(max(0.0, sick_until - time.monotonic()))
-    sick.refuse_starts = False
-    t.record.note("w-1 is sound again")
-    t.wait(
-        lambda: all(t.state(path) == "completed" for path in paths),
-        30.0,
-        "jobs are not completed",
-    )
-    return breaks
+    begun = set()
+
+    def seconds(step, index):
+        """The first run of each task ends when it is told to, others after 1 s."""
+        if index in begun:
+            return 1.0
+        begun.add(index)
+        return 60.0
+
+    step = {"count": TASKS, "cpu": 20, "mem-mb": 40, "estimated-ms": 10000}
+    path = t.submit([step], seconds)
+    t.wait(lambda: len(begun) == TASKS, 40.0, "not all tasks have started")
+    time.sleep(1.0)
+    t.record.note(f"{[len(w.running()) for w in t.workers]} tasks run")
+    end_at = time.monotonic() + 1.0
+    for worker in t.workers:
+        tasks = sorted(worker.running())
+        worker.end_runs_at(
+            {task: end_at + rng.uniform(0.0, SPREAD_SECONDS) for task in tasks}
+        )
+    time.sleep(max(0.0, end_at - 0.2 - time.monotonic()))
+    leader = t.deployment.leader()
+    t.record.note(f"the leader is {leader}")
+    killed_at = time.monotonic()
+    if t.trouble:
+        t.deployment.kill(leader)
+    time.sleep(max(0.0, killed_at + DOWN_SECONDS - time.monotonic()))
+    if t.trouble:
+        t.deployment.start_node(leader)
+    t.wait(lambda: t.state(path) == "completed", 40.0, "the job goes on")
+    time.sleep(1.0)
+    return t.runs.breaks()
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,45 +1,77 @@
-"""A ping of another writer names the address of a worker."""
+"""The only worker that a queue's jobs may use rejects all starts for some seconds."""
 
 import time
 from pathlib import Path
 
 import trial
-from calls import call
 
-CORES = 1000
+WORKERS = 12
+SICK_SECONDS = 6.5
+JOBS = 8
+OLD_SECONDS = 5.0
+"""`visible_ms` and 2 s."""
+
+
+def _step(cpu, seconds):
+    return {
+        "count": 1,
+        "cpu": cpu,
+        "mem-mb": 100,
+        "estimated-ms": int(1000 * seconds),
+        "requirements": "b",
+    }
+
+
+def _not_begun(t, paths):
+    begun = {task.partition(".")[0] for _, _, task, _ in t.runs.starts}
+    return [path for path in paths if path.rpartition("/")[2] not in begun]
+
+
+def _check(t, paths):
+    """Ask each entry once; return what breaks the rule."""
+    breaks = []
+    for _ in t.deployment.entries:
+        status, tree = t.client("GET", "/ops/")
+        # Those that have still not begun after the answer had not begun before.
+        count = len(_not_begun(t, paths))
+        t.record.note(f"{count} jobs accepted over 5 s before have not begun")
+        if status == 200 and 2 * tree["pending"] < count:
+            breaks.append(f"pending is {tree['pending']}, {count} jobs have not begun")
+    return breaks
 
 
 def play(t):
-    """Send one ping with fields of another type, while tasks run."""
-    t.add_worker("w-1")
-    t.add_worker("w-2")
-    t.add_worker("w-3")
+    """Submit jobs while their worker is sick, and ask how many are pending."""
+    sick = t.add_worker("w-1", labels=["b", "r1"])
+    for number in range(1, WORKERS):
+        t.add_worker(f"w-{number + 1}")
     t.start()
-    step = {"count": 4, "cpu": 30 * CORES, "mem-mb": 100, "estimated-ms": 8000}
-    path = t.submit([step], 8.0)
-    t.wait(lambda: len(t.runs.starts) == 4, 5.0, "the tasks have not started")
-    time.sleep(1.0)
-    busy = max(t.workers, key=lambda item: len(item.running()))
-    if t.trouble:
-        content = {
-            "service": "ops",
-            "address": busy.address,
-            "zone": "z1",
-            "version": 7,
-            "slots": "eight",
-            "state": "ready",
-            "capacity": {"cpu": busy.cpu, "mem-mb": busy.mem_mb, "gpu": 0},
-            "labels": busy.labels,
-            "sequence": 1,
-            "born": int(time.time() * 1000),
-        }
-        for address in t.deployment.control_addresses():
-            status, _ = call(address, "PUT", "/v1/instances/agent-1", content)
-            t.record.note(f"another writer: ping {content} at {address}: {status}")
-            if status:
-                break
-    t.wait(lambda: t.state(path) == "completed", 40.0, "the job goes on")
-    return t.runs.breaks()
+    # Jobs that wait for room, to show that the check counts: one fits at a time.
+    waiting = [t.submit([_step(60_000, 30.0)], 30.0) for _ in range(4)]
+    time.sleep(OLD_SECONDS + 0.2)
+    breaks = _check(t, waiting)
+    for path in waiting:
+        t.client("DELETE", path)
+    t.wait(lambda: not sick.running(), 5.0, "a cancelled job goes on")
+    time.sleep(0.5)
+
+    sick.refuse_starts = t.trouble
+    sick_until = time.monotonic() + SICK_SECONDS
+    t.record.note(f"w-1 rejects all starts: {t.trouble}")
+    paths = [t.submit([_step(2_000, 1.0)], 1.0) for _ in range(JOBS)]
+    time.sleep(OLD_SECONDS + 0.1)
+    while time.monotonic() < sick_until - 0.3:
+        breaks += _check(t, paths)
+        time.sleep(0.2)
+    time.sleep(max(0.0, sick_until - time.monotonic()))
+    sick.refuse_starts = False
+    t.record.note("w-1 is sound again")
+    t.wait(
+        lambda: all(t.state(path) == "completed" for path in paths),
+        30.0,
+        "jobs are not completed",
+    )
+    return breaks
 
 
 if __name__ == "__main__":
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -75,8 +75,9 @@
 
 
 class _Run:
-    def __init__(self, task, run, ends_at):
+    def __init__(self, task, run, ends_at, cpu, mem_mb):
         self.task, self.run, self.ends_at = task, run, ends_at
+        self.cpu, self.mem_mb = cpu, mem_mb
         self.how = "done"
         self.began_at = time.monotonic()
 
@@ -142,6 +143,7 @@
             self._expires_ms = 0
             self._position = 0
             self._runs = {}
+            self._used = (0, 0)
             self._closed = {}
             self._ends = []
             self._ended_at = {}
@@ -214,6 +216,13 @@
         with self._lock:
             return {item.task: item.run for item in self._runs.values()}
 
+    def end_runs_at(self, ends_at):
+        """Let runs end at other times: a monotonic time by task."""
+        with self._lock:
+            for task, at in ends_at.items():
+                if task in self._runs:
+                    self._runs[task].ends_at = at
+
     # ---- pings ----
 
     def _beat(self, life):
@@ -285,6 +294,8 @@
 
     def _end(self, item, how):
         del self._runs[item.task]
+        used_cpu, used_mem_mb = self._used
+        self._used = (used_cpu - item.cpu, used_mem_mb - item.mem_mb)
         self._closed[item.task] = max(self._closed.get(item.task, 0), item.run)
         self._position += 1
         self._ends.append((self._position, item.task, item.run, how, ""))
@@ -349,12 +360,12 @@
         if present is not None:
             return self._answer(409, "old")
         step, seconds = self._steps(task)
-        used = [self._steps(item.task)[0] for item in self._runs.values()]
-        cpu = sum(item.get("cpu", 0) for item in [*used, step])
-        mem_mb = sum(item.get("mem-mb", 0) for item in [*used, step])
-        if cpu > self.cpu or mem_mb > self.mem_mb:
+        cpu, mem_mb = step.get("cpu", 0), step.get("mem-mb", 0)
+        used_cpu, used_mem_mb = self._used
+        if used_cpu + cpu > self.cpu or used_mem_mb + mem_mb > self.mem_mb:
             return self._answer(409, "room")
-        self._runs[task] = _Run(task, run, time.monotonic() + seconds)
+        self._used = (used_cpu + cpu, used_mem_mb + mem_mb)
+        self._runs[task] = _Run(task, run, time.monotonic() + seconds, cpu, mem_mb)
         self._all.started(self.worker_id, task, run)
         return self._answer(200)
 
