--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -241,7 +241,9 @@
             return self._control_answer(request, Verdict.DONE)
         else:
             self._remove_implausible(record, latest_ms)
-            command = JobCommand(worker=record, at_ms=self._clock.now_ms())
+            command = JobCommand(
+                worker=record, at_ms=self._clock.now_ms(), keeps_runs=True
+            )
             logging.info(
                 "worker %s of service %s at %s:%d, started at %d ms%s",
                 record.worker_id,
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -7,8 +7,10 @@
 
 A run whose start is in the log counts as running until its end is in the log. If the
 worker does not list such a run, the session sends a stop; once the stop has been
-answered, the run can never start and is recorded as lost. If the worker is
-unresponsive, the session waits until its lease is certain to have expired.
+answered, the run can never start and is recorded as lost. A run that was ordered
+before the session began needs no stop: the worker has seen a higher fencing token. If
+the worker is unresponsive, the session waits until its lease is certain to have
+expired.
 """
 
 import threading
@@ -144,6 +146,9 @@
         self._wake = threading.Condition()
         self._closed = threading.Event()
         self._acknowledged = 0
+        with table.lock:
+            runs = table.runs.get(self.incarnation, {})
+            self._inherited = {key: task.number for key, task in runs.items()}
         self._breaker = FailureBreaker(clock)
         self._has_missing_runs = False
         self._stall_detector = StallDetector()
@@ -324,7 +329,7 @@
                 answer.born_ms,
                 self.incarnation[1],
             )
-            self._remove_worker()
+            self._remove_worker(answer.born_ms)
             return
         self._status.update_clock(answer.clock_ms)
         if self._status.holds_unanswered:
@@ -352,10 +357,13 @@
                 continue
             if stopped.get(key) == number:
                 lost.append((key, number))
+            elif is_first and self._inherited.get(key) == number:
+                # It was ordered with a lower token, which the worker rejects now.
+                lost.append((key, number))
             else:
                 self._has_missing_runs = True
                 self.order_stop(key, number)
-        self._record_lost(lost, "stopped before it started")
+        self._record_lost(lost, "it is not on its worker and can start no more")
         if is_first:
             self._notify_table()
 
@@ -456,9 +464,20 @@
             lost, "the lease of its unresponsive worker has expired", True
         )
 
-    def _remove_worker(self) -> None:
+    def _remove_worker(self, successor_born_ms: int | None = None) -> None:
+        """Remove this incarnation, which has ended, from the table.
+
+        Parameters
+        ----------
+        successor_born_ms : int, optional
+            Start time of the incarnation that answers in its place; None if another
+            worker does.
+        """
         command = RemoveWorker(
-            worker_id=self.incarnation[0], born_ms=self.incarnation[1], unplanned=True
+            worker_id=self.incarnation[0],
+            born_ms=self.incarnation[1],
+            unplanned=True,
+            successor_born_ms=successor_born_ms,
         )
         now_ms = self._clock.now_ms()
         if self._propose(JobCommand(remove_worker=command, at_ms=now_ms)):
--- a/arbutuscleat/jobs/crash_counts.py
+++ b/arbutuscleat/jobs/crash_counts.py
@@ -15,6 +15,9 @@
 
 A long-running run that has lasted for some time is settled: it did not crash its
 worker, so later crashes are not counted for it, and earlier ones are forgotten.
+
+A run counts for one crash at most. One that the next incarnation of its worker inherits
+was counted when that incarnation registered, and may never have started there.
 """
 
 from collections.abc import Iterable, Mapping
@@ -68,7 +71,7 @@
         bool
             Whether the job of the task is to be given up.
         """
-        if task.settled:
+        if task.settled or task.inherited:
             return False
         self._unresolved.setdefault(task.incarnation, {})[task.key] = task.number
         return self._is_at_limit(task)
@@ -91,7 +94,7 @@
             The active jobs by id.
         """
         lapsed = self._unresolved.pop(incarnation, {})
-        keys = {task.key for task in running if not task.settled}
+        keys = {task.key for task in running if _counts(task)}
         keys.update(key for key, number in lapsed.items() if number)
         given_up = {}
         for key in sorted(keys):
@@ -144,8 +147,10 @@
             The active jobs by id.
         """
         lapsed = self._unresolved.pop(incarnation, {})
-        keys = {task.key for task in running if not task.settled}
-        is_only_job = len({key.job_id for key in [*keys, *lapsed]}) == 1
+        tasks = list(running)
+        beside = {task.key for task in tasks if not task.settled}
+        is_only_job = len({key.job_id for key in [*beside, *lapsed]}) == 1
+        keys = {task.key for task in tasks if _counts(task)}
         keys.update(key for key, number in lapsed.items() if number)
         given_up: dict[str, JobState] = {}
         for key in sorted(keys):
@@ -224,6 +229,11 @@
             runs[TaskKey.of(run)] = run.number
 
 
+def _counts(task: TaskState) -> bool:
+    """Return whether the end of its worker counts as a crash under a running task."""
+    return not task.settled and not task.inherited
+
+
 def _is_to_blame(task: TaskState, long_running: bool) -> bool:
     lone = LONG_RUNNING_LONE_CRASHES if long_running else LONE_CRASHES
     return task.crashes >= MIN_CRASHES and task.lone_crashes >= lone
--- a/arbutuscleat/jobs/job_state.py
+++ b/arbutuscleat/jobs/job_state.py
@@ -189,6 +189,7 @@
                     task.lone_crashes = item.lone_crashes or 0
                     task.uncertain_crashes = item.uncertain_crashes or 0
                     task.settled = bool(item.settled)
+                    task.inherited = bool(item.inherited)
                     task.status = TaskStatus(item.status)
                     if task.status is TaskStatus.DONE:
                         job._remaining[part.occurrence][step] -= 1
@@ -222,4 +223,5 @@
         lone_crashes=task.lone_crashes or None,
         uncertain_crashes=task.uncertain_crashes or None,
         settled=task.settled or None,
+        inherited=task.inherited or None,
     )
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -7,6 +7,7 @@
 
 import threading
 from collections.abc import Callable
+from copy import copy
 from enum import Enum
 from typing import Any
 
@@ -216,7 +217,8 @@
         if command.cancel is not None:
             return self._cancel(command.cancel)
         if command.worker is not None:
-            return self._register_worker(command.worker, command.at_ms)
+            keeps_runs = bool(command.keeps_runs)
+            return self._register_worker(command.worker, command.at_ms, keeps_runs)
         if command.remove_worker is not None:
             return self._remove_worker(command.remove_worker, command.at_ms)
         if command.settle is not None:
@@ -313,6 +315,7 @@
         task.number = run.number
         task.incarnation = incarnation
         task.settled = False
+        task.inherited = False
         self.crash_counts.record_responsive(incarnation)
         job.started = True
         self._add_run(task)
@@ -407,17 +410,22 @@
         if job.is_complete():
             self._close_job(job, now_ms)
 
-    def _register_worker(self, record: WorkerRecord, now_ms: int | None) -> bool:
+    def _register_worker(
+        self, record: WorkerRecord, now_ms: int | None, keeps_runs: bool
+    ) -> bool:
         """Store a worker's announcement unless a newer one is already stored.
 
         A new incarnation of a worker, or another worker at the same address, means that
-        the runs of the previous one are lost. It has crashed, unless it was draining.
+        the previous one has crashed, unless it was draining. A new incarnation inherits
+        the runs; another worker does not, as it rejects orders for the previous one.
         """
         stored = self.workers.get(record.worker_id)
         if stored is not None:
             if is_outdated(record, stored):
                 return False
-            if stored.born_ms != record.born_ms:
+            if stored.born_ms != record.born_ms and keeps_runs:
+                self._replace_incarnation(stored, record.born_ms, now_ms)
+            elif stored.born_ms != record.born_ms:
                 self._end_incarnation(stored, True, now_ms)
         for other in list(self.workers.values()):
             if other.worker_id == record.worker_id:
@@ -434,6 +442,12 @@
         stored = self.workers.get(command.worker_id)
         if stored is None or stored.born_ms != command.born_ms:
             return False
+        if command.successor_born_ms is not None:
+            self._replace_incarnation(stored, command.successor_born_ms, now_ms)
+            self.workers[command.worker_id] = _unregistered(
+                stored, command.successor_born_ms
+            )
+            return True
         del self.workers[command.worker_id]
         self._end_incarnation(stored, bool(command.unplanned), now_ms)
         return True
@@ -441,7 +455,40 @@
     def _end_incarnation(
         self, record: WorkerRecord, unplanned: bool, now_ms: int | None
     ) -> None:
-        """End the runs of a worker incarnation as lost; count them if it crashed.
+        """End the runs of a worker incarnation as lost; count them if it crashed."""
+        given_up = self._count_crash(record, unplanned, now_ms)
+        incarnation = (record.worker_id, record.born_ms)
+        for task in list(self.runs.get(incarnation, {}).values()):
+            self._end_one(task.key, task.number, RunOutcome.LOST)
+        for job in given_up:
+            self._fail_job(job, now_ms or 0)
+
+    def _replace_incarnation(
+        self, record: WorkerRecord, born_ms: int, now_ms: int | None
+    ) -> None:
+        """Count the crash of an incarnation; its runs pass to the worker's next one.
+
+        The worker keeps its id, and orders name nothing else, so one that was sent to
+        the former incarnation can start on the next. The session with that one ends the
+        runs that it does not list and can start no more.
+        """
+        given_up = self._count_crash(record, True, now_ms)
+        incarnation = (record.worker_id, record.born_ms)
+        for task in list(self.runs.get(incarnation, {}).values()):
+            is_stop_due = task.key in self.stops_due
+            self._remove_run(task)
+            task.incarnation = (record.worker_id, born_ms)
+            task.inherited = True
+            self._add_run(task)
+            if is_stop_due:
+                self.stops_due.add(task.key)
+        for job in given_up:
+            self._fail_job(job, now_ms or 0)
+
+    def _count_crash(
+        self, record: WorkerRecord, unplanned: bool, now_ms: int | None
+    ) -> list[JobState]:
+        """Count the end of an incarnation; return the jobs that are to be given up.
 
         Entries of a version that counted no crashes have no time; they count none.
         """
@@ -457,18 +504,13 @@
                 " ".join(f"{task.key}#{task.number}" for task in tasks[:MAX_LOGGED]),
                 " ..." if len(tasks) > MAX_LOGGED else "",
             )
-        given_up: list[JobState] = []
         counts = self.crash_counts
         if not unplanned:
             counts.record_responsive(incarnation)
-        elif record.draining:
-            given_up = counts.record_end_of_drained(incarnation, tasks, self.active)
-        else:
-            given_up = counts.record_crash(incarnation, tasks, self.active)
-        for task in tasks:
-            self._end_one(task.key, task.number, RunOutcome.LOST)
-        for job in given_up:
-            self._fail_job(job, now_ms or 0)
+            return []
+        if record.draining:
+            return counts.record_end_of_drained(incarnation, tasks, self.active)
+        return counts.record_crash(incarnation, tasks, self.active)
 
     def _active_task(self, key: TaskKey) -> TaskState | None:
         job = self.active.get(key.job_id)
@@ -516,6 +558,18 @@
         return True
 
 
+def _unregistered(record: WorkerRecord, born_ms: int) -> WorkerRecord:
+    """Return the record of a worker's next incarnation before it registers.
+
+    Nothing starts on it until then, as it can have another capacity or other labels.
+    """
+    successor = copy(record)
+    successor.born_ms = born_ms
+    successor.draining = True
+    successor.sequence = 0
+    return successor
+
+
 def _attempt(what: str, apply: Callable[..., Any], *args: Any) -> Any:
     """Return the result of a step; None if it fails, which is logged.
 
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -85,6 +85,9 @@
         Number of workers that ended while they were draining and ran the task.
     settled : bool
         Whether the latest run has lasted for so long that it crashes no worker.
+    inherited : bool
+        Whether the latest run was assigned to a former incarnation of its worker. It is
+        in doubt whether the present one runs it.
     """
 
     __slots__ = (
@@ -99,6 +102,7 @@
         "lone_crashes",
         "uncertain_crashes",
         "settled",
+        "inherited",
     )
 
     def __init__(self, key: TaskKey):
@@ -113,6 +117,7 @@
         self.lone_crashes = 0
         self.uncertain_crashes = 0
         self.settled = False
+        self.inherited = False
 
     def failed_on(self, worker_id: str) -> bool:
         """Return whether the task has failed and its latest run was on this worker."""
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -1458,6 +1458,7 @@
      - worker_id
      - born_ms
      - unplanned
+     - successor_born_ms
 
     """
 
@@ -1465,13 +1466,15 @@
         'worker_id',
         'born_ms',
         'unplanned',
+        'successor_born_ms',
     )
 
 
-    def __init__(self, worker_id=None, born_ms=None, unplanned=None,):
+    def __init__(self, worker_id=None, born_ms=None, unplanned=None, successor_born_ms=None,):
         self.worker_id = worker_id
         self.born_ms = born_ms
         self.unplanned = unplanned
+        self.successor_born_ms = successor_born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1497,6 +1500,11 @@
                     self.unplanned = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.successor_born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1519,6 +1527,10 @@
             oprot.writeFieldBegin('unplanned', TType.BOOL, 3)
             oprot.writeBool(self.unplanned)
             oprot.writeFieldEnd()
+        if self.successor_born_ms is not None:
+            oprot.writeFieldBegin('successor_born_ms', TType.I64, 4)
+            oprot.writeI64(self.successor_born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2355,6 +2367,7 @@
      - at_ms
      - assign_sessions
      - stop_runs
+     - keeps_runs
 
     """
 
@@ -2373,10 +2386,11 @@
         'at_ms',
         'assign_sessions',
         'stop_runs',
+        'keeps_runs',
     )
 
 
-    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None, settle=None, at_ms=None, assign_sessions=None, stop_runs=None,):
+    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None, settle=None, at_ms=None, assign_sessions=None, stop_runs=None, keeps_runs=None,):
         self.accept = accept
         self.cancel = cancel
         self.starts = starts
@@ -2391,6 +2405,7 @@
         self.at_ms = at_ms
         self.assign_sessions = assign_sessions
         self.stop_runs = stop_runs
+        self.keeps_runs = keeps_runs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2484,6 +2499,11 @@
                     self.stop_runs.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.keeps_runs = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2550,6 +2570,10 @@
             oprot.writeFieldBegin('stop_runs', TType.STRUCT, 14)
             self.stop_runs.write(oprot)
             oprot.writeFieldEnd()
+        if self.keeps_runs is not None:
+            oprot.writeFieldBegin('keeps_runs', TType.BOOL, 15)
+            oprot.writeBool(self.keeps_runs)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2588,6 +2612,7 @@
      - lone_crashes
      - settled
      - uncertain_crashes
+     - inherited
 
     """
 
@@ -2602,10 +2627,11 @@
         'lone_crashes',
         'settled',
         'uncertain_crashes',
+        'inherited',
     )
 
 
-    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None, uncertain_crashes=None,):
+    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None, uncertain_crashes=None, inherited=None,):
         self.status = status
         self.number = number
         self.failures = failures
@@ -2616,6 +2642,7 @@
         self.lone_crashes = lone_crashes
         self.settled = settled
         self.uncertain_crashes = uncertain_crashes
+        self.inherited = inherited
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2676,6 +2703,11 @@
                     self.uncertain_crashes = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.inherited = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2726,6 +2758,10 @@
             oprot.writeFieldBegin('uncertain_crashes', TType.I32, 10)
             oprot.writeI32(self.uncertain_crashes)
             oprot.writeFieldEnd()
+        if self.inherited is not None:
+            oprot.writeFieldBegin('inherited', TType.BOOL, 11)
+            oprot.writeBool(self.inherited)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5111,6 +5147,7 @@
     (1, TType.STRING, 'worker_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'born_ms', None, None, ),  # 2
     (3, TType.BOOL, 'unplanned', None, None, ),  # 3
+    (4, TType.I64, 'successor_born_ms', None, None, ),  # 4
 )
 all_structs.append(SettleRuns)
 SettleRuns.thrift_spec = (
@@ -5186,6 +5223,7 @@
     (12, TType.I64, 'at_ms', None, None, ),  # 12
     (13, TType.STRUCT, 'assign_sessions', [AssignSessions, None], None, ),  # 13
     (14, TType.STRUCT, 'stop_runs', [StopRuns, None], None, ),  # 14
+    (15, TType.BOOL, 'keeps_runs', None, None, ),  # 15
 )
 all_structs.append(TaskImage)
 TaskImage.thrift_spec = (
@@ -5200,6 +5238,7 @@
     (8, TType.I32, 'lone_crashes', None, None, ),  # 8
     (9, TType.BOOL, 'settled', None, None, ),  # 9
     (10, TType.I32, 'uncertain_crashes', None, None, ),  # 10
+    (11, TType.BOOL, 'inherited', None, None, ),  # 11
 )
 all_structs.append(OccurrenceImage)
 OccurrenceImage.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -105,10 +105,12 @@
 }
 
 // `unplanned`: the incarnation has ended although nobody announced or ordered it.
+// `successor_born_ms`: the worker answers as this incarnation, which has not registered.
 struct RemoveWorker {
   1: string worker_id
   2: i64 born_ms
   3: optional bool unplanned
+  4: optional i64 successor_born_ms
 }
 
 // Long-running runs that have outlasted the time in which a task crashes its worker.
@@ -168,6 +170,8 @@
   1: list<RunRecord> runs
 }
 
+// `keeps_runs`: the runs of a worker that restarts or leaves go on until their ends are in
+// the log. Entries of former versions end them.
 struct JobCommand {
   1: optional JobRecord accept
   2: optional CancelJob cancel
@@ -183,6 +187,7 @@
   12: optional i64 at_ms
   13: optional AssignSessions assign_sessions
   14: optional StopRuns stop_runs
+  15: optional bool keeps_runs
 }
 
 struct TaskImage {
@@ -196,6 +201,7 @@
   8: optional i32 lone_crashes
   9: optional bool settled
   10: optional i32 uncertain_crashes
+  11: optional bool inherited
 }
 
 struct OccurrenceImage {
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -191,6 +191,14 @@
         self.assertEqual(["w1"], list(self.harness.table.workers))
         self.assertEqual([("w1", 5)], list(self.harness.table.runs))
 
+    def test_the_runs_of_a_worker_that_restarts_are_not_ended(self):
+        """Guards against a second run while an order can start on the restarted one."""
+        self.announce()
+        self.harness.accept(job())
+        self.harness.start(run())
+        self.assertEqual(Verdict.DONE, self.announce(born_ms=9))
+        self.assertEqual([("w1", 9)], list(self.harness.table.runs))
+
     def test_a_worker_may_come_before_the_configuration_of_its_service(self):
         self.harness.table.config = None
         self.assertEqual(Verdict.DONE, self.announce(service_name="nobody"))
--- a/tests/execution/simulation.py
+++ b/tests/execution/simulation.py
@@ -133,9 +133,9 @@
             self.clock.spawn(lambda: self.deliver_late(order, 0.5 + 200 * chance))
             self.clock.pause(timeout)
             return kind(OrderOutcome.NO_ANSWER)
-        model = self.model
         self.clock.pause(CALL_SECONDS)
-        if model is None or model is not self.model:
+        model = self.model
+        if model is None:
             return kind(OrderOutcome.NO_ANSWER)
         answer = getattr(model, name)(order, timeout)
         if name == "hold" and answer.outcome is OrderOutcome.DONE:
@@ -158,18 +158,19 @@
         return answer
 
     def deliver_late(self, order, delay):
-        model = self.model
+        """Deliver a start to the incarnation that the worker has by then."""
+        worker_id = self.model.record.worker_id
         self.clock.pause(delay)
-        if model is self.model and model is not None:
-            model.start(order, 0.0)
+        if self.model is not None and self.model.record.worker_id == worker_id:
+            self.model.start(order, 0.0)
 
 
 class SimulatedClient(WorkerClient):
-    """Calls one incarnation of a worker; another one rejects the calls."""
+    """Calls one worker, in any incarnation; another worker rejects the calls."""
 
     def __init__(self, link, record):
         self.link = link
-        self.born_ms = record.born_ms
+        self.worker_id = record.worker_id
 
     def start(self, order, timeout):
         return self.call("start", order, timeout, OrderAnswer)
@@ -185,7 +186,7 @@
 
     def call(self, name, order, timeout, kind):
         model = self.link.model
-        if not self.link.is_cut() and model.born_ms != self.born_ms:
+        if not self.link.is_cut() and model.record.worker_id != self.worker_id:
             self.link.clock.pause(CALL_SECONDS)
             return kind(OrderOutcome.OTHER_WORKER)
         return getattr(self.link, name)(order, timeout)
@@ -387,7 +388,8 @@
     def register(self, worker_id):
         record = self.records[worker_id]
         if self.harness.table.workers.get(worker_id) != record:
-            self.harness.apply(worker=record, at_ms=self.clock.now_ms())
+            now_ms = self.clock.now_ms()
+            self.harness.apply(worker=record, at_ms=now_ms, keeps_runs=True)
 
     def ping(self):
         while True:
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -87,9 +87,9 @@
         self.session = self.make_session(7)
         self.session.hold_once()
 
-    def make_session(self, fence, former_lease_until=0.0):
+    def make_session(self, fence, former_lease_until=0.0, record=None):
         return WorkerSession(
-            worker(),
+            record or worker(),
             self.link,
             fence,
             self.harness.table,
@@ -301,11 +301,17 @@
             self.step_once()
         self.assertTrue(self.clock.monotonic() >= until)
 
-    def test_runs_of_a_former_incarnation_are_rescheduled_immediately(self):
+    def test_runs_of_a_former_incarnation_are_rescheduled_by_the_next_session(self):
+        """Guards against a wait for a lease, and a start before that session."""
         self.start()
+        before = self.clock.monotonic()
         self.link.model = WorkerModel(self.clock, 6, self.model._work)
         self.step_once()
+        self.assertIs(TaskStatus.RUNNING, self.status())
+        self.session = self.make_session(8, record=self.harness.table.workers["w1"])
+        self.session.hold_once()
         self.assertIs(TaskStatus.WAITING, self.status())
+        self.assertEqual(before, self.clock.monotonic())
 
     def test_the_lease_of_a_worker_with_a_slow_clock_is_not_longer(self):
         """Guards against a start that follows long after the last reading."""
