--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -59,6 +59,10 @@
 differ by seconds, and by hours at most if one is set wrongly; a time further ahead is
 no start time, and would hide all later incarnations of that worker."""
 
+LEAVE_SECONDS = 0.6
+"""How long a worker that leaves waits for the stops of its runs. They take a fifth of a
+second; after a second without an answer it reports to another control instance."""
+
 REFUSED_LOG_SECONDS = 1.0
 """Least time between two log lines about announcements that are refused."""
 
@@ -228,31 +232,24 @@
         if request.leaving:
             if stored is None:
                 return self._control_answer(request, Verdict.DONE)
-            born_ms = record.born_ms or stored.born_ms
-            command = JobCommand(
-                remove_worker=RemoveWorker(worker_id=record.worker_id, born_ms=born_ms)
-            )
-            logging.info("worker %s is leaving", record.worker_id)
-        elif (
+            return self._control_answer(request, self._leave(record, stored))
+        if (
             stored is not None
             and stored.born_ms <= latest_ms
             and _needs_no_commit(stored, record)
         ):
             return self._control_answer(request, Verdict.DONE)
-        else:
-            self._remove_implausible(record, latest_ms)
-            command = JobCommand(
-                worker=record, at_ms=self._clock.now_ms(), keeps_runs=True
-            )
-            logging.info(
-                "worker %s of service %s at %s:%d, started at %d ms%s",
-                record.worker_id,
-                record.service_name,
-                record.host,
-                record.port,
-                record.born_ms,
-                ", draining" if record.draining else "",
-            )
+        self._remove_implausible(record, latest_ms)
+        command = JobCommand(worker=record, at_ms=self._clock.now_ms(), keeps_runs=True)
+        logging.info(
+            "worker %s of service %s at %s:%d, started at %d ms%s",
+            record.worker_id,
+            record.service_name,
+            record.host,
+            record.port,
+            record.born_ms,
+            ", draining" if record.draining else "",
+        )
         result = self._propose(command)
         if isinstance(result, Failure):
             return self._control_answer(request, _VERDICTS[result.failure().kind])
@@ -316,6 +313,34 @@
 
     # ---- helpers ----
 
+    def _leave(self, record: WorkerRecord, stored: WorkerRecord) -> int:
+        """Commit that a worker leaves; return the verdict.
+
+        A worker that drains is answered once its runs have been stopped. The report
+        names no incarnation: without a drain, it can be a delayed one of a former
+        incarnation, and the runs go on.
+        """
+        born_ms = record.born_ms or stored.born_ms
+        logging.info(
+            "worker %s, started at %d ms, is leaving%s",
+            record.worker_id,
+            born_ms,
+            "" if stored.draining else ", although it does not drain",
+        )
+        removal = RemoveWorker(worker_id=record.worker_id, born_ms=born_ms)
+        result = self._propose(JobCommand(remove_worker=removal, keeps_runs=True))
+        if isinstance(result, Failure):
+            return _VERDICTS[result.failure().kind]
+        incarnation = (record.worker_id, born_ms)
+        deadline = self._clock.monotonic() + LEAVE_SECONDS
+        with self._table.lock:
+            while stored.draining and incarnation in self._table.runs:
+                left = deadline - self._clock.monotonic()
+                if left <= 0.0:
+                    return Verdict.UNKNOWN
+                self._clock.wait(self._table.changed, left)
+        return Verdict.DONE
+
     def _problem(
         self, record: WorkerRecord, stored: WorkerRecord | None, latest_ms: int
     ) -> str:
@@ -352,7 +377,12 @@
                 )
             ]
         for item in found:
-            command = RemoveWorker(worker_id=item.worker_id, born_ms=item.born_ms)
+            is_former = item.worker_id == record.worker_id
+            command = RemoveWorker(
+                worker_id=item.worker_id,
+                born_ms=item.born_ms,
+                successor_born_ms=record.born_ms if is_former else None,
+            )
             self._propose(JobCommand(remove_worker=command))
 
     def _reject(
@@ -449,6 +479,7 @@
         return True
     return (
         stored.born_ms == record.born_ms
+        and not stored.leaving
         and stored.service_name == record.service_name
         and (stored.host, stored.port) == (record.host, record.port)
         and (stored.cpu, stored.mem_mb, stored.gpu)
--- a/arbutuscleat/execution/worker_views.py
+++ b/arbutuscleat/execution/worker_views.py
@@ -104,7 +104,7 @@
     condition: WorkerCondition, record: WorkerRecord, draining: set[str]
 ) -> WaitReason | None:
     """Return why no runs may be scheduled on a worker; None if they may."""
-    if record.draining:
+    if record.draining or record.leaving:
         return WaitReason.LEAVING
     if not condition.is_responsive():
         return WaitReason.UNRESPONSIVE
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -170,6 +170,8 @@
                         self._add_run(task)
                         if job.is_over():
                             self.stops_due.add(task.key)
+            for record in self.workers.values():
+                self._stop_if_leaving(record)
             self.crash_counts.restore(
                 (task for job in self.active.values() for task in job.all_tasks()),
                 table.unresolved_runs or (),
@@ -220,7 +222,8 @@
             keeps_runs = bool(command.keeps_runs)
             return self._register_worker(command.worker, command.at_ms, keeps_runs)
         if command.remove_worker is not None:
-            return self._remove_worker(command.remove_worker, command.at_ms)
+            keeps_runs = bool(command.keeps_runs)
+            return self._remove_worker(command.remove_worker, command.at_ms, keeps_runs)
         if command.settle is not None:
             return self._settle(command.settle)
         if command.config is not None:
@@ -309,7 +312,7 @@
             return False
         if task.status is not TaskStatus.WAITING or run.number <= task.number:
             return False
-        if worker.draining or worker.born_ms != run.born_ms:
+        if worker.draining or worker.leaving or worker.born_ms != run.born_ms:
             return False
         task.status = TaskStatus.RUNNING
         task.number = run.number
@@ -392,6 +395,7 @@
             if not runs:
                 del self.runs[task.incarnation]
                 del self.run_versions[task.incarnation]
+                self._remove_if_leaving(task.incarnation)
 
     def _close_if_ended(self, job: JobState, key: TaskKey, now_ms: int) -> None:
         """Close a job if it is complete or if a task has used up its attempts."""
@@ -438,7 +442,9 @@
         self.workers[record.worker_id] = record
         return True
 
-    def _remove_worker(self, command: RemoveWorker, now_ms: int | None) -> bool:
+    def _remove_worker(
+        self, command: RemoveWorker, now_ms: int | None, keeps_runs: bool
+    ) -> bool:
         stored = self.workers.get(command.worker_id)
         if stored is None or stored.born_ms != command.born_ms:
             return False
@@ -448,10 +454,32 @@
                 stored, command.successor_born_ms
             )
             return True
+        incarnation = (stored.worker_id, stored.born_ms)
+        if keeps_runs and not command.unplanned and incarnation in self.runs:
+            stored = self.workers[command.worker_id] = copy(stored)
+            stored.leaving = True
+            self._stop_if_leaving(stored)
+            return True
         del self.workers[command.worker_id]
         self._end_incarnation(stored, bool(command.unplanned), now_ms)
         return True
 
+    def _stop_if_leaving(self, record: WorkerRecord) -> None:
+        """Have the runs of a worker that drains and leaves stopped.
+
+        Without a drain, the report can be that of a former incarnation.
+        """
+        if record.leaving and record.draining:
+            self.stops_due.update(self.runs.get((record.worker_id, record.born_ms), ()))
+
+    def _remove_if_leaving(self, incarnation: WorkerIncarnation) -> None:
+        """Remove a worker that leaves, once it has no runs."""
+        record = self.workers.get(incarnation[0])
+        if record is None or not record.leaving or record.born_ms != incarnation[1]:
+            return
+        del self.workers[record.worker_id]
+        self.crash_counts.record_responsive(incarnation)
+
     def _end_incarnation(
         self, record: WorkerRecord, unplanned: bool, now_ms: int | None
     ) -> None:
@@ -493,7 +521,7 @@
         Entries of a version that counted no crashes have no time; they count none.
         """
         incarnation = (record.worker_id, record.born_ms)
-        unplanned = unplanned and now_ms is not None
+        unplanned = unplanned and now_ms is not None and not record.leaving
         tasks = list(self.runs.get(incarnation, {}).values())
         if tasks:
             logging.info(
@@ -518,6 +546,9 @@
 
     def _record_unresponsive(self, key: TaskKey, now_ms: int) -> None:
         task = self._active_task(key)
+        record = None if task is None else self.workers.get(task.incarnation[0])
+        if record is not None and record.leaving:
+            return
         if task is not None and self.crash_counts.record_unresponsive(task):
             self._fail_job(self.active[key.job_id], now_ms)
 
@@ -566,6 +597,7 @@
     successor = copy(record)
     successor.born_ms = born_ms
     successor.draining = True
+    successor.leaving = None
     successor.sequence = 0
     return successor
 
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -770,6 +770,7 @@
      - draining
      - sequence
      - machine
+     - leaving
 
     """
 
@@ -787,10 +788,11 @@
         'draining',
         'sequence',
         'machine',
+        'leaving',
     )
 
 
-    def __init__(self, worker_id=None, born_ms=None, service_name=None, host=None, port=None, data_centre=None, cpu=None, mem_mb=None, gpu=None, labels=None, draining=None, sequence=None, machine=None,):
+    def __init__(self, worker_id=None, born_ms=None, service_name=None, host=None, port=None, data_centre=None, cpu=None, mem_mb=None, gpu=None, labels=None, draining=None, sequence=None, machine=None, leaving=None,):
         self.worker_id = worker_id
         self.born_ms = born_ms
         self.service_name = service_name
@@ -804,6 +806,7 @@
         self.draining = draining
         self.sequence = sequence
         self.machine = machine
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -884,6 +887,11 @@
                     self.machine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -949,6 +957,10 @@
             oprot.writeFieldBegin('machine', TType.STRING, 13)
             oprot.writeString(self.machine.encode('utf-8') if sys.version_info[0] == 2 else self.machine)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 14)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5107,6 +5119,7 @@
     (11, TType.BOOL, 'draining', None, None, ),  # 11
     (12, TType.I64, 'sequence', None, None, ),  # 12
     (13, TType.STRING, 'machine', 'UTF8', None, ),  # 13
+    (14, TType.BOOL, 'leaving', None, None, ),  # 14
 )
 all_structs.append(WaveRecord)
 WaveRecord.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -60,6 +60,8 @@
   4: optional bool unresponsive
 }
 
+// `leaving`: a report that the worker leaves has come since its last announcement. It is
+// removed with its last run.
 struct WorkerRecord {
   1: string worker_id
   2: i64 born_ms
@@ -74,6 +76,7 @@
   11: bool draining
   12: i64 sequence
   13: string machine
+  14: optional bool leaving
 }
 
 struct WaveRecord {
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -6,8 +6,9 @@
 from testtools import TestCase
 
 from arbutuscleat.access import AdmissionController, JobService
-from arbutuscleat.access.job_service import MAX_BORN_AHEAD_MS
+from arbutuscleat.access.job_service import LEAVE_SECONDS, MAX_BORN_AHEAD_MS
 from arbutuscleat.consensus import Role
+from arbutuscleat.jobs import RunOutcome
 from arbutuscleat.jobs.worker_announcement import MAX_SEQUENCE_LAG
 from arbutuscleat.scheduling import FleetCapacity
 from arbutuscleat.wire import decode, encode
@@ -16,6 +17,7 @@
     JobAnswer,
     SubmitRequest,
     Verdict,
+    WorkerRecord,
 )
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JOB, JobTableHarness, decode_config, job, run, step, worker
@@ -199,6 +201,38 @@
         self.assertEqual(Verdict.DONE, self.announce(born_ms=9))
         self.assertEqual([("w1", 9)], list(self.harness.table.runs))
 
+    def test_a_delayed_leave_of_a_former_incarnation_ends_no_run(self):
+        """Guards against a second run beside one of the worker that came back."""
+        self.announce(draining=True)
+        self.announce(born_ms=9)
+        self.harness.accept(job())
+        self.harness.start(run(born_ms=9))
+        self.assertEqual(Verdict.DONE, self.leave())
+        self.assertEqual([("w1", 9)], list(self.harness.table.runs))
+        index = self.harness.index
+        self.announce(born_ms=9, sequence=2)
+        self.assertEqual(index + 1, self.harness.index)
+        self.assertFalse(self.stored().leaving)
+
+    def test_a_drained_worker_may_leave_once_its_runs_have_ended(self):
+        """Guards against a planned end that cuts off a run without its checkpoint."""
+        self.announce()
+        self.harness.accept(job())
+        self.harness.start(run())
+        self.announce(sequence=2, draining=True)
+        before = self.clock.monotonic()
+        self.assertEqual(Verdict.UNKNOWN, self.leave())
+        waited = self.clock.monotonic() - before
+        self.assertAlmostEqual(LEAVE_SECONDS, waited)
+        self.harness.end(run(), RunOutcome.STOPPED, "c7")
+        self.assertEqual({}, self.harness.table.workers)
+        self.assertEqual(Verdict.DONE, self.leave())
+
+    def leave(self):
+        record = WorkerRecord(worker_id="w1", born_ms=0)
+        request = AnnounceRequest(worker=record, leaving=True)
+        return self.service.announce(request).verdict
+
     def test_a_worker_may_come_before_the_configuration_of_its_service(self):
         self.harness.table.config = None
         self.assertEqual(Verdict.DONE, self.announce(service_name="nobody"))
