--- a/arbutuscleat/access/holder_handlers.py
+++ b/arbutuscleat/access/holder_handlers.py
@@ -69,7 +69,7 @@
         return answer
 
     def propose(self, request: ProposeRequest) -> ProposeAnswer:
-        """Commit the ends of runs, or the removal of a worker, for a session."""
+        """Commit what a session has observed: ends, begun jobs, a lost worker."""
         answer = ProposeAnswer(
             request_id=request.request_id,
             verdict=Verdict.NOT_LEADER,
@@ -78,8 +78,9 @@
         if not self._replica.leads():
             return answer
         command = _decode_command(request.command)
-        if command.ends is None and command.remove_worker is None:
-            logging.warning("proposal refused: no ends of runs and no lost worker")
+        observed = (command.ends, command.begin_jobs, command.remove_worker)
+        if all(part is None for part in observed):
+            logging.warning("proposal refused: no ends, no begun jobs, no lost worker")
             answer.verdict = Verdict.INVALID
         elif self._end_batcher.propose(command):
             answer.verdict = Verdict.DONE
--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -308,7 +308,7 @@
         return self._holder_handlers.renew(request)
 
     def propose(self, request: ProposeRequest) -> ProposeAnswer:
-        """Commit the ends of runs, or the removal of a worker, for a session."""
+        """Commit what a session has observed: ends, begun jobs, a lost worker."""
         return self._holder_handlers.propose(request)
 
     # ---- helpers ----
--- a/arbutuscleat/execution/order_sender.py
+++ b/arbutuscleat/execution/order_sender.py
@@ -17,6 +17,7 @@
 from arbutuscleat.jobs import JobTable, TaskKey
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord
 
+from .begin_recorder import BeginRecorder
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
 from .worker_client import (
@@ -88,6 +89,8 @@
         Timeouts of calls.
     load : LeaderLoad
         Records the time from the commit of a start to its answer.
+    begin_recorder : BeginRecorder
+        Records the jobs that begin.
     """
 
     def __init__(
@@ -102,8 +105,10 @@
         clock: Clock,
         limits: ExecutionLimits,
         load: LeaderLoad,
+        begin_recorder: BeginRecorder,
     ):
         self._load = load
+        self._begin_recorder = begin_recorder
         self._worker_id = worker_id
         self._client = client
         self._fence = fence
@@ -285,6 +290,8 @@
             self._load.observe("start", self._clock.monotonic() - order.queued_at)
         if answer.outcome is OrderOutcome.DONE:
             self._status.record_accepted_start()
+            if job is not None and not job.started:
+                self._begin_recorder.observe([job.job_id])
         else:
             self._handle_rejection(order, answer.outcome, is_retry)
         return True
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -27,6 +27,7 @@
     WorkerRecord,
 )
 
+from .begin_recorder import BeginRecorder
 from .failure_breaker import MAX_GRADE, FailureBreaker
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
@@ -95,6 +96,8 @@
         session have expired.
     load : LeaderLoad, optional
         Records the time from the commit of a start to its answer.
+    begin_recorder : BeginRecorder, optional
+        Records the jobs that begin; the sessions of a process share one.
 
     Attributes
     ----------
@@ -118,6 +121,7 @@
         limits: ExecutionLimits,
         former_lease_until: float,
         load: LeaderLoad | None = None,
+        begin_recorder: BeginRecorder | None = None,
     ):
         self.worker_id: str = record.worker_id
         self.incarnation = (record.worker_id, record.born_ms)
@@ -130,6 +134,7 @@
         self._clock = clock
         self._limits = limits
         self._end_recorder = RunEndRecorder(self.incarnation, propose, clock)
+        self._begin_recorder = begin_recorder or BeginRecorder(table, propose, clock)
         self._status = WorkerStatus(clock, limits, former_lease_until)
         self._sender = OrderSender(
             self.worker_id,
@@ -142,6 +147,7 @@
             clock,
             limits,
             LeaderLoad(clock) if load is None else load,
+            self._begin_recorder,
         )
         self._wake = threading.Condition()
         self._closed = threading.Event()
@@ -348,7 +354,7 @@
             if end.position <= self._acknowledged
         }
         listed = {(task.key, task.number) for task in answer.running}
-        self._stop_unwanted(answer.running)
+        self._handle_listed(answer.running)
         self._stop_stalled(answer)
         lost = []
         self._has_missing_runs = False
@@ -364,6 +370,7 @@
                 self._has_missing_runs = True
                 self.order_stop(key, number)
         self._record_lost(lost, "it is not on its worker and can start no more")
+        self._begin_recorder.record_if_due()
         if is_first:
             self._notify_table()
 
@@ -395,16 +402,28 @@
                 self.worker_id,
             )
 
-    def _stop_unwanted(self, listed: tuple[RunningTask, ...]) -> None:
+    def _handle_listed(self, listed: tuple[RunningTask, ...]) -> None:
+        """Stop the runs that nobody wants; note the jobs that have begun."""
         with self._table.lock:
             unwanted = [
                 (item.key, item.number)
                 for item in listed
                 if not self._table.is_current_run(item.key, item.number)
             ]
+            begun = self._begun_jobs(listed)
+        self._begin_recorder.observe(begun)
         for key, number in self._not_stopped(unwanted):
             self.order_stop(key, number)
 
+    def _begun_jobs(self, listed: tuple[RunningTask, ...]) -> set[str]:
+        """Return the jobs of listed runs that are not known to have begun."""
+        active = self._table.active
+        return {
+            item.key.job_id
+            for item in listed
+            if item.key.job_id in active and not active[item.key.job_id].started
+        }
+
     def _not_stopped(self, runs: list[Run]) -> list[Run]:
         """Return the runs whose stop has not been answered yet."""
         stopped = self._sender.stopped()
--- a/arbutuscleat/execution/session_manager.py
+++ b/arbutuscleat/execution/session_manager.py
@@ -14,6 +14,7 @@
 from arbutuscleat.jobs.task import WorkerIncarnation
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, WorkerRecord
 
+from .begin_recorder import BeginRecorder
 from .end_batcher import EndBatcher
 from .leader_load import LeaderLoad
 from .limits import ExecutionLimits
@@ -79,6 +80,7 @@
         self._load = load
         self._start_threads = start_threads
         self._end_batcher = EndBatcher(propose, clock)
+        self._begin_recorder = BeginRecorder(table, self._end_batcher.propose, clock)
         self._session_count = 0
         self._permits: dict[str, SessionPermit] = {}
         self._leased_until: dict[WorkerIncarnation, float] = {}
@@ -167,6 +169,7 @@
             self._limits,
             former_lease_until,
             self._load,
+            self._begin_recorder,
         )
         if self._start_threads:
             session.start()
--- a/arbutuscleat/jobs/job_state.py
+++ b/arbutuscleat/jobs/job_state.py
@@ -44,7 +44,7 @@
     failed : bool
         Whether a task has used up its attempts, or crashes its workers.
     started : bool
-        Whether any task has ever been started.
+        Whether any task is known to have begun; an order to start one does not count.
     ended_at_ms : int
         Unix millisecond at which the job ended; 0 while it is active.
     """
@@ -168,6 +168,7 @@
             failed=self.failed,
             ended_at_ms=self.ended_at_ms,
             occurrences=occurrences,
+            started=self.started,
         )
 
     @classmethod
@@ -177,6 +178,7 @@
         job.cancelled = image.cancelled
         job.failed = image.failed
         job.ended_at_ms = image.ended_at_ms
+        job.started = bool(image.started)
         for part in image.occurrences:
             for step, images in enumerate(part.steps):
                 for index, item in enumerate(images):
@@ -193,7 +195,8 @@
                     task.status = TaskStatus(item.status)
                     if task.status is TaskStatus.DONE:
                         job._remaining[part.occurrence][step] -= 1
-                    job.started = job.started or item.number > 0
+                    if image.started is None:  # A snapshot of a former version.
+                        job.started = job.started or item.number > 0
         return job
 
     def _tasks_by_step(self, occurrence: int) -> list[list[TaskState]]:
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -18,6 +18,7 @@
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
     AssignSessions,
+    BeginJobs,
     CancelJob,
     EndRecord,
     JobCommand,
@@ -191,7 +192,7 @@
         return DEFAULT_MAX_ATTEMPTS if queue is None else queue.max_attempts
 
     def pending(self, queue: str) -> int:
-        """Return the number of active jobs of a queue that have not started."""
+        """Return the number of active jobs of a queue that have not begun."""
         return sum(
             job.record.queue == queue and not job.started
             for job in self.active.values()
@@ -236,6 +237,8 @@
             return self._order_machines(index, command.order_machines)
         if command.assign_sessions is not None:
             return self._assign_sessions(index, command.assign_sessions)
+        if command.begin_jobs is not None:
+            return self._begin_jobs(command.begin_jobs)
         if command.stop_runs is not None:
             return self._stop_runs(command.stop_runs)
         logging.error("ignored a log entry with an unknown command type")
@@ -295,6 +298,12 @@
             if task.status is TaskStatus.RUNNING:
                 self.stops_due.add(task.key)
 
+    def _begin_jobs(self, command: BeginJobs) -> None:
+        for job_id in command.job_ids:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.started = True
+
     def _start(self, command: RunStarts) -> list[bool]:
         return [
             bool(_attempt("start of a run", self._start_one, run))
@@ -320,7 +329,6 @@
         task.settled = False
         task.inherited = False
         self.crash_counts.record_responsive(incarnation)
-        job.started = True
         self._add_run(task)
         if self.on_start is not None:
             self.on_start(run)
@@ -355,6 +363,8 @@
         if task.status is not TaskStatus.RUNNING or task.number != number:
             return
         self._remove_run(task)
+        if outcome is not RunOutcome.LOST:
+            job.started = True
         step = job.steps[key.step]
         if outcome is RunOutcome.DONE and not step.long_running:
             job.mark_done(task)
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -2362,6 +2362,82 @@
         return not (self == other)
 
 
+class BeginJobs(object):
+    """
+    Attributes:
+     - job_ids
+
+    """
+
+    __slots__ = (
+        'job_ids',
+    )
+
+
+    def __init__(self, job_ids=None,):
+        self.job_ids = job_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.job_ids = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.job_ids.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BeginJobs')
+        if self.job_ids is not None:
+            oprot.writeFieldBegin('job_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.job_ids))
+            for iter90 in self.job_ids:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class JobCommand(object):
     """
     Attributes:
@@ -2380,6 +2456,7 @@
      - assign_sessions
      - stop_runs
      - keeps_runs
+     - begin_jobs
 
     """
 
@@ -2399,10 +2476,11 @@
         'assign_sessions',
         'stop_runs',
         'keeps_runs',
+        'begin_jobs',
     )
 
 
-    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None, settle=None, at_ms=None, assign_sessions=None, stop_runs=None, keeps_runs=None,):
+    def __init__(self, accept=None, cancel=None, starts=None, ends=None, worker=None, remove_worker=None, config=None, wave=None, advance_wave=None, order_machines=None, settle=None, at_ms=None, assign_sessions=None, stop_runs=None, keeps_runs=None, begin_jobs=None,):
         self.accept = accept
         self.cancel = cancel
         self.starts = starts
@@ -2418,6 +2496,7 @@
         self.assign_sessions = assign_sessions
         self.stop_runs = stop_runs
         self.keeps_runs = keeps_runs
+        self.begin_jobs = begin_jobs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2516,6 +2595,12 @@
                     self.keeps_runs = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.begin_jobs = BeginJobs()
+                    self.begin_jobs.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2586,6 +2671,10 @@
             oprot.writeFieldBegin('keeps_runs', TType.BOOL, 15)
             oprot.writeBool(self.keeps_runs)
             oprot.writeFieldEnd()
+        if self.begin_jobs is not None:
+            oprot.writeFieldBegin('begin_jobs', TType.STRUCT, 16)
+            self.begin_jobs.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2834,16 +2923,16 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = []
-                        (_etype93, _size90) = iprot.readListBegin()
-                        for _i94 in range(_size90):
-                            _elem95 = TaskImage()
-                            _elem95.read(iprot)
-                            _elem89.append(_elem95)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = []
+                        (_etype100, _size97) = iprot.readListBegin()
+                        for _i101 in range(_size97):
+                            _elem102 = TaskImage()
+                            _elem102.read(iprot)
+                            _elem96.append(_elem102)
                         iprot.readListEnd()
-                        self.steps.append(_elem89)
+                        self.steps.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2864,10 +2953,10 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 2)
             oprot.writeListBegin(TType.LIST, len(self.steps))
-            for iter96 in self.steps:
-                oprot.writeListBegin(TType.STRUCT, len(iter96))
-                for iter97 in iter96:
-                    iter97.write(oprot)
+            for iter103 in self.steps:
+                oprot.writeListBegin(TType.STRUCT, len(iter103))
+                for iter104 in iter103:
+                    iter104.write(oprot)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -2904,6 +2993,7 @@
      - failed
      - ended_at_ms
      - occurrences
+     - started
 
     """
 
@@ -2913,15 +3003,17 @@
         'failed',
         'ended_at_ms',
         'occurrences',
+        'started',
     )
 
 
-    def __init__(self, job=None, cancelled=None, failed=None, ended_at_ms=None, occurrences=None,):
+    def __init__(self, job=None, cancelled=None, failed=None, ended_at_ms=None, occurrences=None, started=None,):
         self.job = job
         self.cancelled = cancelled
         self.failed = failed
         self.ended_at_ms = ended_at_ms
         self.occurrences = occurrences
+        self.started = started
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2956,14 +3048,19 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.occurrences = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = OccurrenceImage()
-                        _elem103.read(iprot)
-                        self.occurrences.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = OccurrenceImage()
+                        _elem110.read(iprot)
+                        self.occurrences.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.started = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2993,10 +3090,14 @@
         if self.occurrences is not None:
             oprot.writeFieldBegin('occurrences', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.occurrences))
-            for iter104 in self.occurrences:
-                iter104.write(oprot)
+            for iter111 in self.occurrences:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.started is not None:
+            oprot.writeFieldBegin('started', TType.BOOL, 6)
+            oprot.writeBool(self.started)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3073,22 +3174,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = JobImage()
-                        _elem110.read(iprot)
-                        self.jobs.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = JobImage()
+                        _elem117.read(iprot)
+                        self.jobs.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = WorkerRecord()
-                        _elem116.read(iprot)
-                        self.workers.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = WorkerRecord()
+                        _elem123.read(iprot)
+                        self.workers.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3105,44 +3206,44 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.waves = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = WaveRecord()
-                        _elem122.read(iprot)
-                        self.waves.append(_elem122)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = WaveRecord()
+                        _elem129.read(iprot)
+                        self.waves.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.machine_holders = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = MachineHolder()
-                        _elem128.read(iprot)
-                        self.machine_holders.append(_elem128)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = MachineHolder()
+                        _elem135.read(iprot)
+                        self.machine_holders.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.unresolved_runs = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = RunRecord()
-                        _elem134.read(iprot)
-                        self.unresolved_runs.append(_elem134)
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = RunRecord()
+                        _elem141.read(iprot)
+                        self.unresolved_runs.append(_elem141)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.session_assignments = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = SessionAssignmentRecord()
-                        _elem140.read(iprot)
-                        self.session_assignments.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = SessionAssignmentRecord()
+                        _elem147.read(iprot)
+                        self.session_assignments.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3164,15 +3265,15 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter141 in self.jobs:
-                iter141.write(oprot)
+            for iter148 in self.jobs:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter142 in self.workers:
-                iter142.write(oprot)
+            for iter149 in self.workers:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -3186,29 +3287,29 @@
         if self.waves is not None:
             oprot.writeFieldBegin('waves', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.waves))
-            for iter143 in self.waves:
-                iter143.write(oprot)
+            for iter150 in self.waves:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.machine_holders is not None:
             oprot.writeFieldBegin('machine_holders', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.machine_holders))
-            for iter144 in self.machine_holders:
-                iter144.write(oprot)
+            for iter151 in self.machine_holders:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unresolved_runs is not None:
             oprot.writeFieldBegin('unresolved_runs', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.unresolved_runs))
-            for iter145 in self.unresolved_runs:
-                iter145.write(oprot)
+            for iter152 in self.unresolved_runs:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session_assignments is not None:
             oprot.writeFieldBegin('session_assignments', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.session_assignments))
-            for iter146 in self.session_assignments:
-                iter146.write(oprot)
+            for iter153 in self.session_assignments:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last_session_fence is not None:
@@ -3351,10 +3452,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3379,8 +3480,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter153 in self.members:
-                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
+            for iter160 in self.members:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4527,11 +4628,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.long_running = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = ListedRun()
-                        _elem159.read(iprot)
-                        self.long_running.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = ListedRun()
+                        _elem166.read(iprot)
+                        self.long_running.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4584,8 +4685,8 @@
         if self.long_running is not None:
             oprot.writeFieldBegin('long_running', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.long_running))
-            for iter160 in self.long_running:
-                iter160.write(oprot)
+            for iter167 in self.long_running:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4689,11 +4790,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.conditions = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = WorkerConditionRecord()
-                        _elem166.read(iprot)
-                        self.conditions.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = WorkerConditionRecord()
+                        _elem173.read(iprot)
+                        self.conditions.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4734,8 +4835,8 @@
         if self.conditions is not None:
             oprot.writeFieldBegin('conditions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.conditions))
-            for iter167 in self.conditions:
-                iter167.write(oprot)
+            for iter174 in self.conditions:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5219,6 +5320,11 @@
     None,  # 0
     (1, TType.LIST, 'runs', (TType.STRUCT, [RunRecord, None], False), None, ),  # 1
 )
+all_structs.append(BeginJobs)
+BeginJobs.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'job_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
 all_structs.append(JobCommand)
 JobCommand.thrift_spec = (
     None,  # 0
@@ -5237,6 +5343,7 @@
     (13, TType.STRUCT, 'assign_sessions', [AssignSessions, None], None, ),  # 13
     (14, TType.STRUCT, 'stop_runs', [StopRuns, None], None, ),  # 14
     (15, TType.BOOL, 'keeps_runs', None, None, ),  # 15
+    (16, TType.STRUCT, 'begin_jobs', [BeginJobs, None], None, ),  # 16
 )
 all_structs.append(TaskImage)
 TaskImage.thrift_spec = (
@@ -5267,6 +5374,7 @@
     (3, TType.BOOL, 'failed', None, None, ),  # 3
     (4, TType.I64, 'ended_at_ms', None, None, ),  # 4
     (5, TType.LIST, 'occurrences', (TType.STRUCT, [OccurrenceImage, None], False), None, ),  # 5
+    (6, TType.BOOL, 'started', None, None, ),  # 6
 )
 all_structs.append(JobTableImage)
 JobTableImage.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -173,6 +173,11 @@
   1: list<RunRecord> runs
 }
 
+// Jobs of which workers have accepted runs.
+struct BeginJobs {
+  1: list<string> job_ids
+}
+
 // `keeps_runs`: the runs of a worker that restarts or leaves go on until their ends are in
 // the log. Entries of former versions end them.
 struct JobCommand {
@@ -191,6 +196,7 @@
   13: optional AssignSessions assign_sessions
   14: optional StopRuns stop_runs
   15: optional bool keeps_runs
+  16: optional BeginJobs begin_jobs
 }
 
 struct TaskImage {
@@ -218,6 +224,7 @@
   3: bool failed
   4: i64 ended_at_ms
   5: list<OccurrenceImage> occurrences
+  6: optional bool started
 }
 
 struct JobTableImage {
@@ -364,7 +371,8 @@
   5: bool wants_complete
 }
 
-// `command` is an encoded JobCommand: ends of runs, or the removal of a worker.
+// `command` is an encoded JobCommand: ends of runs, the removal of a worker, or jobs that
+// have begun.
 struct ProposeRequest {
   1: i64 request_id
   2: binary command
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -8,7 +8,8 @@
 from arbutuscleat.execution.failure_breaker import MAX_FAILED_JOBS, OPEN_SECONDS
 from arbutuscleat.jobs import RunOutcome
 from arbutuscleat.scheduling import WaitReason
-from arbutuscleat.wire.gen_jobs.ttypes import RemoveWorker, StopRuns
+from arbutuscleat.wire import decode
+from arbutuscleat.wire.gen_jobs.ttypes import JobCommand, RemoveWorker, StopRuns
 from tests.fakes import ManualClock
 from tests.fakes.executor import make_executor, run_once
 from tests.fakes.jobs import JOB, JobTableHarness, job, step, worker
@@ -337,7 +338,8 @@
 
         def propose_and_hold(payload, timeout):
             result = propose(payload, timeout)
-            expected.append(session._expected_runs()[0])
+            if decode(JobCommand, payload).starts is not None:
+                expected.append(session._expected_runs()[0])
             return result
 
         self.executor._replica.propose = propose_and_hold
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -7,8 +7,9 @@
 from arbutuscleat.consensus import Role
 from arbutuscleat.nodes.control_metrics import ControlMetrics
 from arbutuscleat.scheduling import StepWaits
+from arbutuscleat.wire.gen_jobs.ttypes import BeginJobs
 from tests.fakes import ManualClock
-from tests.fakes.jobs import OTHER_JOB, JobTableHarness, job, run, step, worker
+from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, step, worker
 
 
 class ControlMetricsTest(TestCase):
@@ -22,6 +23,7 @@
         harness.start(run(number=2, born_ms=6))
         harness.apply(worker=worker(born_ms=7), at_ms=3000)
         harness.start(run(number=3, born_ms=7))
+        harness.apply(begin_jobs=BeginJobs(job_ids=[JOB]))
         clock = ManualClock()
         status = SimpleNamespace(role=Role.LEADER, term=4, commit_index=9)
         replica = SimpleNamespace(status=lambda: status)
