--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -433,6 +433,14 @@
         the previous one has crashed, unless it was draining. A new incarnation inherits
         the runs; another worker does not, as it rejects orders for the previous one.
         """
+        address = (record.host, record.port)
+        others = [
+            item
+            for item in self.workers.values()
+            if item.worker_id != record.worker_id and (item.host, item.port) == address
+        ]
+        if keeps_runs and any(other.born_ms > record.born_ms for other in others):
+            return False
         stored = self.workers.get(record.worker_id)
         if stored is not None:
             if is_outdated(record, stored):
@@ -441,14 +449,11 @@
                 self._replace_incarnation(stored, record.born_ms, now_ms)
             elif stored.born_ms != record.born_ms:
                 self._end_incarnation(stored, True, now_ms)
-        for other in list(self.workers.values()):
-            if other.worker_id == record.worker_id:
-                continue
-            if (other.host, other.port) == (record.host, record.port):
-                if other.born_ms > record.born_ms:
-                    return False
-                del self.workers[other.worker_id]
-                self._end_incarnation(other, True, now_ms)
+        for other in others:
+            if other.born_ms > record.born_ms:
+                return False
+            del self.workers[other.worker_id]
+            self._end_incarnation(other, True, now_ms)
         self.workers[record.worker_id] = record
         return True
 
--- a/tests/execution/test_worker_restart.py
+++ b/tests/execution/test_worker_restart.py
@@ -134,6 +134,16 @@
             self.assertIs(OrderOutcome.FENCED, self.model.start(late, 1.0).outcome)
             self.assertEqual(1, self.task().crashes)
 
+    def test_an_incarnation_at_the_address_of_a_later_worker_inherits_nothing(self):
+        """Guards against runs of an incarnation that no session is ever opened with."""
+        self.order_start()
+        later = worker("w2", born_ms=9, port=7)
+        self.harness.apply(worker=later, at_ms=3000, keeps_runs=True)
+        refused = worker(born_ms=6, port=7)
+        self.harness.apply(worker=refused, at_ms=3000, keeps_runs=True)
+        self.assertEqual(5, self.harness.table.workers["w1"].born_ms)
+        self.assertEqual({("w1", 5): {KEY}}, self.runs())
+
     def test_nothing_starts_on_an_incarnation_before_it_registers(self):
         """Its capacity and labels are known from its own announcement only."""
         session = self.order_start()
