--- a/review/10/trial.py
+++ b/review/10/trial.py
@@ -1,4 +1,4 @@
-"""The worker of one task of a step that lasts crashes, three times; all are stopped."""
+"""A route gets another name while jobs of its queue run; they are answered with 410."""
 
 import time
 from pathlib import Path
@@ -7,80 +7,48 @@
 from record import Record
 
 SERVICE = "billing"
-PREFIX = "/ledgers/"
+PREFIX = "/invoices/"
 JOB = "5c0e7a21d94b36f8"
-WORKERS = 8
-TASKS = 3
-MAY_MISS = 1
-CRASHES = 3
-RUN_SECONDS = 1.5
-"""For how long a run has lasted when its worker crashes; it is at work by then."""
+WORK_MS = 15_000
+WORKERS = 3
+APPLY_SECONDS = 2.0
+"""`config-apply-ms`."""
 
-DOWN_SECONDS = 1.0
-WAIT_SECONDS = 30.0
-OBSERVE_SECONDS = 10.0
+VISIBLE_SECONDS = 3.0
+"""`visible_ms`."""
 
 
 def trial(record: Record, trouble: bool) -> str:
-    """Hand in a job that lasts, crash the workers of one task, and watch the others."""
+    """Hand a job in, replace its route by one at the same place, and look it up."""
     fleet = Fleet(record, {SERVICE: WORKERS})
     try:
-        fleet.start(config(1, [route("ledgers", PREFIX, SERVICE)], [SERVICE]))
-        step = {
-            "count": TASKS,
-            "cpu": 2000,
-            "mem-mb": 256,
-            "estimated-ms": 1000,
-            "long-running": True,
-            "anti-affinity": 1,
-            "may-miss": MAY_MISS,
-        }
-        fleet.submit(PREFIX + JOB, {"spec": "{}", "steps": [step]})
-        _wait_for_runs(record, TASKS)
-        task = record.events("run")[0]["task"]
-        for crash in range(CRASHES if trouble else 0):
-            _crash_worker(fleet, record, task, crash)
-        time.sleep(OBSERVE_SECONDS)
-        fleet.client("GET", PREFIX + JOB)
-        return _find_stopped(record)
+        fleet.start(config(1, [route("r-8pjbvk9", PREFIX, SERVICE)], [SERVICE]))
+        spec = f'{{"work-ms":{WORK_MS}}}'
+        step = {"count": 1, "cpu": 2000, "mem-mb": 256, "estimated-ms": WORK_MS}
+        job = {"spec": spec, "steps": [step]}
+        fleet.submit(PREFIX + JOB, job)
+        time.sleep(VISIBLE_SECONDS + 0.5)
+        if fleet.client("GET", PREFIX + JOB)[0] != 200:
+            raise NotRunError("the job is not shown before the change")
+        if trouble:
+            renamed = route("r-anfqasn", PREFIX, SERVICE)
+            if fleet.put_config(config(2, [renamed], [SERVICE])) != 200:
+                raise NotRunError("the second configuration was not accepted")
+        time.sleep(APPLY_SECONDS + 1.0)
+        gone = 0
+        for entry in range(6):
+            gone += fleet.client("GET", PREFIX + JOB, None, entry)[0] == 410
+            time.sleep(0.5)
+        # For the record only: the same request again, and whether the job can be
+        # cancelled.
+        fleet.client("POST", PREFIX + JOB, job)
+        fleet.client("DELETE", PREFIX + JOB)
+        time.sleep(1.0)
+        stopped = [e for e in record.events("end") if e["how"] == "stopped"]
+        record.note("after the cancel", stopped=len(stopped))
     finally:
         fleet.end()
-
-
-def _wait_for_runs(record: Record, count: int, task: str = "") -> list[dict]:
-    deadline = time.monotonic() + WAIT_SECONDS
-    while True:
-        runs = [e for e in record.events("run") if task in ("", e["task"])]
-        if len(runs) >= count:
-            return runs
-        if time.monotonic() > deadline:
-            raise NotRunError(f"{len(runs)} of {count} runs have started")
-        time.sleep(0.02)
-
-
-def _crash_worker(fleet: Fleet, record: Record, task: str, crash: int) -> None:
-    """Crash the worker that runs the task, once it is at work there."""
-    worker_id = _wait_for_runs(record, crash + 1, task)[-1]["worker"]
-    time.sleep(RUN_SECONDS)
-    node = next(node for node in fleet.workers if node.name == worker_id)
-    node.kill()
-    record.note("crash", worker=worker_id, task=task)
-    time.sleep(DOWN_SECONDS)
-    node.start()
-
-
-def _find_stopped(record: Record) -> str:
-    """Return which tasks were stopped at work while too many others were away."""
-    crashed = {e["worker"] for e in record.events("crash")}
-    stopped = [
-        e
-        for e in record.events("end")
-        if e["how"] in ("stopped", "lapsed") and e["worker"] not in crashed
-    ]
-    if len(stopped) <= MAY_MISS:
-        return ""
-    tasks = ", ".join(e["task"] for e in stopped)
-    return f"{tasks} are stopped at work on sound workers; {MAY_MISS} may be away"
+    return f"{gone} of 6 GETs for the accepted job are answered 410" if gone else ""
 
 
 if __name__ == "__main__":
