--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -178,7 +178,7 @@
         """Send a configuration to a control node and return the status."""
         address = (ip or self.control_ips[0], self.http_port)
         status, _ = call(address, "PUT", "/v1/configuration", config)
-        self.record.note("config", version=config["version"], status=status)
+        self.record.note("config", sent=config, status=status)
         return status
 
     def client(
@@ -187,7 +187,9 @@
         """Send a client's request to an entry node and return status and body."""
         address = (self.entry_ips[entry % len(self.entry_ips)], self.http_port)
         status, tree = call(address, method, path, content, 3.0)
-        self.record.note("client", method=method, path=path, status=status, body=tree)
+        self.record.note(
+            "client", method=method, path=path, sent=content, status=status, body=tree
+        )
         return status, tree
 
     def submit(self, path: str, content: Any, seconds: float = 10.0) -> None:
@@ -382,6 +384,8 @@
     path.write_text("")
     record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes also if the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = trial(record, trouble)
     except NotRunError as exc:
