Jobs belong to a queue by its host and path, not by its name

Cause: a job held the name of its queue, and look-ups, cancels, repeated submissions, `pending` and the queue's settings compared it with the name that the path leads to now. Callers know a queue by host and path prefix only.

Change: a job records host and path prefix of its queue. It is found by the host and path at which it was accepted, and its service, attempts and priority are those of the queue that is there now, under any name. Records of former versions keep to the name.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -21,6 +21,7 @@
 from arbutuscleat.core import Clock
 from arbutuscleat.execution import SessionRegistry
 from arbutuscleat.jobs import AcceptResult, JobTable, Queue
+from arbutuscleat.jobs.job_table import JOB_ID_LENGTH
 from arbutuscleat.jobs.worker_announcement import is_outdated
 from arbutuscleat.scheduling import Rejection
 from arbutuscleat.wire import encode
@@ -70,7 +71,7 @@
 """Longest time after which a rejected caller is asked to try again; the message holds
 24 days at most, and the wait that is estimated has no bound."""
 
-_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+_JOB_ID = re.compile(f"[0-9a-fA-F]{{{JOB_ID_LENGTH}}}")
 
 _VERDICTS = {
     ProposalErrorKind.NOT_LEADER: Verdict.NOT_LEADER,
@@ -154,6 +155,8 @@
         record = request.job
         record.job_id = job_id
         record.queue = queue.name
+        record.host = queue.host
+        record.path_prefix = queue.path_prefix
         record.service_name = queue.service_name
         record.accepted_at_ms = self._clock.now_ms()
         with self._admission.submitting(job_id):
@@ -180,24 +183,24 @@
             return error_answer
         if not job_id:
             with self._table.lock:
-                pending = self._table.pending(queue.name)
+                pending = self._table.pending(queue)
             return self._job_answer(request, Verdict.DONE, pending=pending)
         with self._table.lock:
-            job = self._table.jobs.get(job_id)
-            if job is not None and job.record.queue == queue.name:
+            job = self._table.find_job(request.host, request.path)
+            if job is not None:
                 return self._job_answer(request, Verdict.DONE, state=job.phase().value)
         return self._confirmed_answer(request, Verdict.NO_JOB)
 
     def cancel(self, request: JobRequest) -> JobAnswer:
         """Cancel a job; the cancellation is committed before the answer."""
-        queue, job_id, error_answer = self._find_queue(request)
+        queue, _, error_answer = self._find_queue(request)
         if queue is None:
             return error_answer
         with self._table.lock:
-            job = self._table.jobs.get(job_id)
-            known = job is not None and job.record.queue == queue.name
-        if not known:
+            job = self._table.find_job(request.host, request.path)
+        if job is None:
             return self._confirmed_answer(request, Verdict.NO_JOB)
+        job_id = job.job_id
         command = JobCommand(
             cancel=CancelJob(job_id=job_id, at_ms=self._clock.now_ms())
         )
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -39,7 +39,7 @@
 
 from .crash_counts import CrashCounts
 from .job_state import JobState
-from .queue_config import QueueConfig
+from .queue_config import Queue, QueueConfig
 from .run_outcome import RunOutcome
 from .session_assignments import SessionAssignments
 from .task import TaskKey, TaskState, TaskStatus, WorkerIncarnation
@@ -49,6 +49,9 @@
 ENDED_JOBS_KEPT_MS = 150_000
 """How long the state of an ended job can be read; callers are promised 120 s."""
 
+JOB_ID_LENGTH = 16
+"""Number of characters of each job id."""
+
 DEFAULT_MAX_ATTEMPTS = 3
 """Applies to jobs whose queue is no longer configured."""
 
@@ -181,21 +184,40 @@
 
     # ---- queries; `lock` must be held ----
 
+    def queue_of(self, job: JobState) -> Queue | None:
+        """Return the queue of a job as it is configured now; None if it is not."""
+        return self.config.queue_of(job.record) if self.config else None
+
+    def find_job(self, host: str, path: str) -> JobState | None:
+        """Return the job that its callers know by a host and path, if there is one."""
+        job = self.jobs.get(path[-JOB_ID_LENGTH:])
+        if job is None:
+            return None
+        prefix = path[:-JOB_ID_LENGTH]
+        if job.record.host is not None:
+            is_known = (job.record.host, job.record.path_prefix) == (host, prefix)
+        else:
+            queue = self.queue_of(job)
+            is_known = queue is not None and (queue.host, queue.path_prefix) == (
+                host,
+                prefix,
+            )
+        return job if is_known else None
+
     def service_of(self, job: JobState) -> str:
         """Return the name of the service that currently runs a job's tasks."""
-        queue = self.config.queues.get(job.record.queue) if self.config else None
+        queue = self.queue_of(job)
         return job.record.service_name if queue is None else queue.service_name
 
     def max_attempts_of(self, job: JobState) -> int:
         """Return the number of failed runs of a task after which a job has failed."""
-        queue = self.config.queues.get(job.record.queue) if self.config else None
+        queue = self.queue_of(job)
         return DEFAULT_MAX_ATTEMPTS if queue is None else queue.max_attempts
 
-    def pending(self, queue: str) -> int:
+    def pending(self, queue: Queue) -> int:
         """Return the number of active jobs of a queue that have not begun."""
         return sum(
-            job.record.queue == queue and not job.started
-            for job in self.active.values()
+            not job.started and queue.holds(job.record) for job in self.active.values()
         )
 
     def is_current_run(self, key: TaskKey, number: int) -> bool:
@@ -255,7 +277,7 @@
     def _accept(self, record: JobRecord) -> AcceptResult:
         existing = self.jobs.get(record.job_id)
         if existing is not None:
-            same = existing.record.queue == record.queue
+            same = _have_same_queue(existing.record, record)
             return AcceptResult.EXISTS if same else AcceptResult.CONFLICT
         if not record.steps or not all(step.count for step in record.steps):
             raise ValueError(f"job {record.job_id} has no steps, or one without tasks")
@@ -604,6 +626,16 @@
         return True
 
 
+def _have_same_queue(first: JobRecord, second: JobRecord) -> bool:
+    """Return whether two jobs were submitted to the same queue.
+
+    Records of former versions have only its name.
+    """
+    if first.host is None or second.host is None:
+        return first.queue == second.queue
+    return (first.host, first.path_prefix) == (second.host, second.path_prefix)
+
+
 def _unregistered(record: WorkerRecord, born_ms: int) -> WorkerRecord:
     """Return the record of a worker's next incarnation before it registers.
 
--- a/arbutuscleat/jobs/queue_config.py
+++ b/arbutuscleat/jobs/queue_config.py
@@ -6,15 +6,20 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from arbutuscleat.wire.gen_jobs.ttypes import JobRecord
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
     """A queue to which callers submit jobs.
 
+    Its host and path prefix identify it across versions, because callers know nothing
+    else of it.
+
     Parameters
     ----------
     name : str
-        Unique within a version.
+        Unique within a version; a later version may give the queue another name.
     host, path_prefix : str
         A request belongs to the queue with this host and the longest matching prefix.
     service_name : str
@@ -39,6 +44,12 @@
     stretch: float
     target_latency_ms: int
 
+    def holds(self, record: JobRecord) -> bool:
+        """Return whether a job was submitted to this queue."""
+        if record.host is None:
+            return record.queue == self.name
+        return (record.host, record.path_prefix) == (self.host, self.path_prefix)
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
@@ -78,6 +89,7 @@
         self.version = version
         self.queues: Mapping[str, Queue] = {queue.name: queue for queue in queues}
         self.services: Mapping[str, Service] = {item.name: item for item in services}
+        self._by_place = {(queue.host, queue.path_prefix): queue for queue in queues}
         self._by_host: dict[str, list[Queue]] = {}
         for queue in sorted(queues, key=lambda item: -len(item.path_prefix)):
             self._by_host.setdefault(queue.host, []).append(queue)
@@ -88,3 +100,9 @@
             if path.startswith(queue.path_prefix):
                 return queue
         return None
+
+    def queue_of(self, record: JobRecord) -> Queue | None:
+        """Return the queue to which a job was submitted, or None if it was removed."""
+        if record.host is None or record.path_prefix is None:
+            return self.queues.get(record.queue)
+        return self._by_place.get((record.host, record.path_prefix))
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -80,7 +80,8 @@
         oldest: Counter[str] = Counter({name: 0 for name in queues})
         for job in table.active.values():
             if not job.started and not job.record.repeat_count:
-                queue = job.record.queue
+                found = table.queue_of(job)
+                queue = job.record.queue if found is None else found.name
                 waiting[queue] += 1
                 wait_ms = now_ms - job.record.accepted_at_ms
                 oldest[queue] = max(oldest[queue], wait_ms)
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -183,7 +183,7 @@
         next_due_ms = None
         former, self._latest_starts = self._latest_starts, {}
         for job in table.active.values():
-            queue = table.config.queues.get(job.record.queue) if table.config else None
+            queue = table.queue_of(job)
             serves = table.service_of(job) in by_service
             for occurrence in range(job.occurrence_count()):
                 due_ms = job.due_at_ms(occurrence)
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -348,6 +348,8 @@
      - interval_ms
      - accepted_at_ms
      - service_name
+     - host
+     - path_prefix
 
     """
 
@@ -361,10 +363,12 @@
         'interval_ms',
         'accepted_at_ms',
         'service_name',
+        'host',
+        'path_prefix',
     )
 
 
-    def __init__(self, job_id=None, queue=None, spec=None, steps=None, repeat_count=None, start_at_ms=None, interval_ms=None, accepted_at_ms=None, service_name=None,):
+    def __init__(self, job_id=None, queue=None, spec=None, steps=None, repeat_count=None, start_at_ms=None, interval_ms=None, accepted_at_ms=None, service_name=None, host=None, path_prefix=None,):
         self.job_id = job_id
         self.queue = queue
         self.spec = spec
@@ -374,6 +378,8 @@
         self.interval_ms = interval_ms
         self.accepted_at_ms = accepted_at_ms
         self.service_name = service_name
+        self.host = host
+        self.path_prefix = path_prefix
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -435,6 +441,16 @@
                     self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.path_prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -484,6 +500,14 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 9)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 10)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.path_prefix is not None:
+            oprot.writeFieldBegin('path_prefix', TType.STRING, 11)
+            oprot.writeString(self.path_prefix.encode('utf-8') if sys.version_info[0] == 2 else self.path_prefix)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5184,6 +5208,8 @@
     (7, TType.I64, 'interval_ms', None, None, ),  # 7
     (8, TType.I64, 'accepted_at_ms', None, None, ),  # 8
     (9, TType.STRING, 'service_name', 'UTF8', None, ),  # 9
+    (10, TType.STRING, 'host', 'UTF8', None, ),  # 10
+    (11, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 11
 )
 all_structs.append(RunRecord)
 RunRecord.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -29,6 +29,8 @@
   18: i32 may_miss
 }
 
+// `host`, `path_prefix`: of the queue to which the job was submitted. Entries of former
+// versions have only its name.
 struct JobRecord {
   1: string job_id
   2: string queue
@@ -39,6 +41,8 @@
   7: i64 interval_ms
   8: i64 accepted_at_ms
   9: string service_name
+  10: optional string host
+  11: optional string path_prefix
 }
 
 // One run of one task.
--- a/tests/jobs/test_job_table.py
+++ b/tests/jobs/test_job_table.py
@@ -31,6 +31,7 @@
 from tests.fakes.jobs import (
     JOB,
     OTHER_JOB,
+    QUEUE,
     JobTableHarness,
     decode_config,
     job,
@@ -91,25 +92,25 @@
             harness.apply(worker=worker())
             harness.accept(job())
             harness.start(run())
-            self.assertEqual(1, harness.table.pending("approvals"))
+            self.assertEqual(1, harness.table.pending(QUEUE))
             self.assertIs(JobPhase.QUEUED, harness.phase())
             harness.apply(**change)
             harness.table.restore(harness.table.image())
-            self.assertEqual(0, harness.table.pending("approvals"))
+            self.assertEqual(0, harness.table.pending(QUEUE))
             self.assertIs(JobPhase.ACTIVE, harness.phase())
 
     def test_a_job_whose_runs_were_lost_has_not_begun(self):
         self.harness.start(run())
         self.harness.end(run(), RunOutcome.LOST)
         self.harness.table.restore(self.harness.table.image())
-        self.assertEqual(1, self.harness.table.pending("approvals"))
+        self.assertEqual(1, self.harness.table.pending(QUEUE))
 
     def test_the_jobs_of_a_snapshot_of_a_former_version_have_begun_if_ordered(self):
         self.harness.start(run())
         image = decode(JobTableImage, self.harness.table.image())
         image.jobs[0].started = None
         self.harness.table.restore(encode(image))
-        self.assertEqual(0, self.harness.table.pending("approvals"))
+        self.assertEqual(0, self.harness.table.pending(QUEUE))
 
     def test_an_outdated_start_is_rejected(self):
         cases = {
