--- a/tests/execution/test_begin_recorder.py
+++ b/tests/execution/test_begin_recorder.py
@@ -8,9 +8,15 @@
 from arbutuscleat.jobs import JobPhase, RunOutcome, TaskKey
 from tests.fakes import ManualClock
 from tests.fakes.executor import make_executor
-from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, worker
-
-QUEUE = "approvals"
+from tests.fakes.jobs import (
+    JOB,
+    OTHER_JOB,
+    QUEUE,
+    JobTableHarness,
+    job,
+    run,
+    worker,
+)
 
 
 class BeginRecorderTest(TestCase):
