A full list of ends proves nothing about the runs that it leaves out

Cause: the session took each answer for all that the worker knows. A worker lists 500 ends at a time, so the first answer to the next leader left out the others, which were recorded as lost and started again. A run whose stop had been answered was lost in the same way.

Change: an answer says whether it lists all ends. If it may not, nothing is decided about missing runs, and what is known of runs ordered before the session holds until the first complete answer.

--- a/arbutuscleat/emulator/worker_model.py
+++ b/arbutuscleat/emulator/worker_model.py
@@ -121,6 +121,7 @@
                     for key, run in self._runs.items()
                 ),
                 finished=tuple(self._ends[:MAX_ENDS_PER_ANSWER]),
+                lists_all_ends=len(self._ends) < MAX_ENDS_PER_ANSWER,
             )
 
     def close(self) -> None:
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -8,7 +8,8 @@
 A run whose start is in the log counts as running until its end is in the log. If the
 worker does not list such a run, the session sends a stop; once the stop has been
 answered, the run can never start and is recorded as lost. A run that was ordered
-before the session began needs no stop: the worker has seen a higher fencing token. If
+before the session began needs no stop: the worker has seen a higher fencing token. An
+answer whose list of ends is full shows nothing about runs that it does not list. If
 the worker is unresponsive, the session waits until its lease is certain to have
 expired.
 """
@@ -155,6 +156,8 @@
         with table.lock:
             runs = table.runs.get(self.incarnation, {})
             self._inherited = {key: task.number for key, task in runs.items()}
+            """Runs ordered before this session, until the first complete answer."""
+
         self._breaker = FailureBreaker(clock)
         self._has_missing_runs = False
         self._stall_detector = StallDetector()
@@ -356,23 +359,36 @@
         listed = {(task.key, task.number) for task in answer.running}
         self._handle_listed(answer.running)
         self._stop_stalled(answer)
-        lost = []
         self._has_missing_runs = False
-        for key, number in expected_runs.items():
-            if (key, number) in listed or (key, number) in ended:
-                continue
-            if stopped.get(key) == number:
-                lost.append((key, number))
-            elif is_first and self._inherited.get(key) == number:
-                # It was ordered with a lower token, which the worker rejects now.
+        if answer.lists_all_ends:
+            known = listed | ended
+            missing = [run for run in expected_runs.items() if run not in known]
+            self._handle_missing(missing, stopped)
+            self._inherited = {}
+        self._begin_recorder.record_if_due()
+        if is_first:
+            self._notify_table()
+
+    def _handle_missing(self, missing: list[Run], stopped: dict[TaskKey, int]) -> None:
+        """Record runs that are not on the worker as lost, once they can start no more.
+
+        Parameters
+        ----------
+        missing : list of tuple of TaskKey and int
+            The expected runs that a complete answer does not list.
+        stopped : dict of TaskKey to int
+            The runs whose stop had been answered before that answer was requested.
+        """
+        lost = []
+        for key, number in missing:
+            # A run that was ordered before the session began has a lower token, which
+            # the worker rejects now.
+            if number in (stopped.get(key), self._inherited.get(key)):
                 lost.append((key, number))
             else:
                 self._has_missing_runs = True
                 self.order_stop(key, number)
         self._record_lost(lost, "it is not on its worker and can start no more")
-        self._begin_recorder.record_if_due()
-        if is_first:
-            self._notify_table()
 
     def _record_ends(self, answer: HoldAnswer) -> bool:
         listed = [end for end in answer.finished if end.position > self._acknowledged]
--- a/arbutuscleat/execution/worker_client.py
+++ b/arbutuscleat/execution/worker_client.py
@@ -197,6 +197,9 @@
         The ended runs that have not been acknowledged.
     skipped_ends : int
         Number of listed ends that are invalid, and not in `finished`.
+    lists_all_ends : bool
+        Whether every end that has not been acknowledged is listed. A worker lists a
+        limited number of them in one answer.
     """
 
     outcome: OrderOutcome
@@ -205,6 +208,7 @@
     running: tuple[RunningTask, ...] = ()
     finished: tuple[FinishedRun, ...] = ()
     skipped_ends: int = 0
+    lists_all_ends: bool = True
 
 
 class WorkerClient(ABC):
--- a/tests/execution/test_session.py
+++ b/tests/execution/test_session.py
@@ -1,11 +1,12 @@
 """Tests of sessions with responsive, unresponsive, slow and replaced workers."""
 
+from collections import Counter
 from dataclasses import replace
 from unittest import mock
 
 from testtools import TestCase
 
-from arbutuscleat.emulator.worker_model import WorkerModel
+from arbutuscleat.emulator.worker_model import MAX_ENDS_PER_ANSWER, WorkerModel
 from arbutuscleat.execution import (
     ExecutionLimits,
     FinishedRun,
@@ -461,6 +462,92 @@
         self.assertTrue(self.session.is_usable())
 
 
+class FullListTest(TestCase):
+    """A worker lists 500 ends in one answer, so a full list leaves others out."""
+
+    COUNT = 2 * MAX_ENDS_PER_ANSWER + 200
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.harness = JobTableHarness()
+        self.harness.apply(worker=worker(cpu=1_000 * self.COUNT))
+        self.harness.accept(job(steps=[step(self.COUNT, cpu=20, mem_mb=1)]))
+        self.model = WorkerModel(
+            self.clock, 5, lambda order: (DONE_AFTER, RunOutcome.DONE), 2 * self.COUNT
+        )
+        self.link = FaultyLink(self.model)
+        self.session = self.make_session(7)
+        self.session.hold_once()
+
+    def make_session(self, fence):
+        return WorkerSession(
+            worker(),
+            self.link,
+            fence,
+            self.harness.table,
+            self.harness.propose,
+            lambda: True,
+            self.clock,
+            LIMITS,
+            0.0,
+        )
+
+    def start_all(self):
+        runs = [run(index=index) for index in range(self.COUNT)]
+        self.harness.start(*runs)
+        for item in runs:
+            self.session.order_start(item)
+        self.session.send_queued_orders()
+
+    def statuses(self):
+        job_state = self.harness.table.jobs[JOB]
+        return Counter(task.status for task in job_state.all_tasks())
+
+    def stops(self):
+        return [order for name, order in self.link.calls if name == "stop"]
+
+    def test_ends_beyond_a_full_list_are_not_lost_after_a_change_of_leader(self):
+        """Guards against a second run of tasks whose end is listed later (review/6)."""
+        self.start_all()
+        self.clock.advance(DONE_AFTER)
+        self.session = self.make_session(8)
+        for rest in (self.COUNT - 500, self.COUNT - 1_000):
+            self.session.hold_once()
+            expected = {TaskStatus.DONE: self.COUNT - rest, TaskStatus.RUNNING: rest}
+            self.assertEqual(expected, self.statuses())
+        self.session.hold_once()
+        self.assertEqual({TaskStatus.DONE: self.COUNT}, self.statuses())
+        self.session.send_queued_orders()
+        self.assertEqual([], self.stops())
+
+    def test_an_end_beyond_a_full_list_is_not_lost_after_its_stop(self):
+        """Guards against a run that counts as stopped although it ended as done."""
+        self.start_all()
+        self.session.order_stop(TaskKey(JOB, 0, 0, self.COUNT - 1), 1)
+        self.clock.advance(DONE_AFTER)
+        self.session.send_queued_orders()
+        for _ in range(3):
+            self.session.hold_once()
+        self.assertEqual({TaskStatus.DONE: self.COUNT}, self.statuses())
+
+    def test_a_run_that_never_started_is_lost_with_the_first_list_that_is_not_full(
+        self,
+    ):
+        """Guards against a run in doubt that no later answer resolves."""
+        self.start_all()
+        self.clock.advance(DONE_AFTER)
+        self.harness.accept(job(OTHER_JOB))
+        self.harness.start(run(OTHER_JOB))
+        self.session = self.make_session(8)
+        for status in (TaskStatus.RUNNING, TaskStatus.RUNNING, TaskStatus.WAITING):
+            self.session.hold_once()
+            other = self.harness.table.jobs[OTHER_JOB]
+            self.assertIs(status, other.task(TaskKey(OTHER_JOB, 0, 0, 0)).status)
+        self.session.send_queued_orders()
+        self.assertEqual([], self.stops())
+
+
 class HoldThreadTest(TestCase):
     """The loop of the hold thread, on a simulated clock."""
 
--- a/tests/platform/test_worker_answers.py
+++ b/tests/platform/test_worker_answers.py
@@ -103,6 +103,13 @@
             self.assertEqual((FINISHED_RUN,), result.finished, row)
             self.assertEqual(1, result.skipped_ends)
 
+    def test_a_list_of_500_ends_may_leave_others_out(self):
+        """Guards against a full list that counts as complete (review/6)."""
+        rows = [replaced(FINISHED, 0, 1 + number) for number in range(499)]
+        self.assertTrue(answer(finished=rows).lists_all_ends)
+        for last in (replaced(FINISHED, 0, 500), []):
+            self.assertFalse(answer(finished=[*rows, last]).lists_all_ends)
+
     def test_the_ends_that_are_accepted_can_be_logged(self):
         for end in answer(finished=[FINISHED, replaced(FINISHED, 3, "odd")]).finished:
             run = end.key.run_record(end.number, ("i-1", 7))
