Calls reach the incarnation of a worker that they are meant for

Cause: calls name a worker by an id and an address that its incarnations share. A start sent again while the worker was dark reached the next incarnation, with an expiry on the clock of the former one, far ahead. The worker shortened it to its longest lease, 10 s, while the sessions reckoned with 6 s: after the cut the runs started elsewhere beside the first ones. Cursors of acknowledged ends and stops reached the next incarnation in the same way.

Change: a connection ends with the process at its other end. Each new connection to a worker begins with a hold that grants no lease and acknowledges nothing, and is used only if the expected incarnation answers it. Otherwise an order counts as not sent.

--- a/arbutuscleat/emulator/worker_model.py
+++ b/arbutuscleat/emulator/worker_model.py
@@ -11,6 +11,7 @@
 
 from arbutuscleat.core import Clock
 from arbutuscleat.execution import (
+    ExecutionLimits,
     FinishedRun,
     HoldAnswer,
     HoldOrder,
@@ -53,14 +54,24 @@
         Returns the duration and the outcome of each run.
     room : int
         Maximum number of concurrent runs.
+    max_lease : float
+        Longest lease in seconds; a longer one is shortened to it.
     """
 
-    def __init__(self, clock: Clock, born_ms: int, work: Work, room: int = 64):
+    def __init__(
+        self,
+        clock: Clock,
+        born_ms: int,
+        work: Work,
+        room: int = 64,
+        max_lease: float = ExecutionLimits.max_lease,
+    ):
         self._clock = clock
         self._start_time = clock.monotonic()
         self.born_ms = born_ms
         self._work = work
         self._room = room
+        self._max_lease = max_lease
         self._lock = threading.Lock()
         self._fence = 0
         self._expires_ms = 0
@@ -107,7 +118,7 @@
             if not self._admits(order.fence):
                 return HoldAnswer(OrderOutcome.FENCED)
             if order.expires_ms is not None:
-                self._expires_ms = max(self._expires_ms, order.expires_ms)
+                self._extend_lease(order.expires_ms)
             self._note_acknowledged(
                 [e for e in self._ends if e.position <= order.acknowledged]
             )
@@ -154,7 +165,7 @@
             return OrderOutcome.OUTDATED
         if order.expires_ms <= self._now_ms():
             return OrderOutcome.EXPIRED
-        self._expires_ms = max(self._expires_ms, order.expires_ms)
+        self._extend_lease(order.expires_ms)
         if present is not None:
             return OrderOutcome.OUTDATED
         if not self._has_room(order):
@@ -165,6 +176,10 @@
         self._note_start(order)
         return OrderOutcome.DONE
 
+    def _extend_lease(self, expires_ms: int) -> None:
+        longest_ms = self._now_ms() + int(1000 * self._max_lease)
+        self._expires_ms = max(self._expires_ms, min(expires_ms, longest_ms))
+
     def _admits(self, fence: int) -> bool:
         if fence < self._fence:
             return False
--- a/arbutuscleat/execution/worker_client.py
+++ b/arbutuscleat/execution/worker_client.py
@@ -4,6 +4,11 @@
 hold is a long poll: it renews the worker's lease and reports the running tasks and
 the runs that have ended. Every call carries the fencing token of its session, and a
 worker rejects calls with a lower token than the highest that it has seen.
+
+A worker that restarts keeps its id and its address and has seen no token. What a
+session knows of one incarnation must not reach the next one: an expiry time on the
+clock of the former can lie seconds too far ahead on that of the next, which numbers its
+ends from the beginning.
 """
 
 from abc import ABC, abstractmethod
@@ -36,7 +41,8 @@
     """The intended worker no longer exists; another worker uses its address."""
 
     NOT_SENT = "not-sent"
-    """The connection failed, so nothing has reached the worker."""
+    """Nothing has reached the worker: the connection failed, or it leads to another
+    incarnation."""
 
     NO_ANSWER = "no-answer"
     """The worker may have executed the order, or may do so later."""
@@ -212,7 +218,12 @@
 
 
 class WorkerClient(ABC):
-    """Client of one worker; its methods may be called by several threads at once."""
+    """Client of one incarnation of a worker.
+
+    An order reaches this incarnation or none. So does a hold, but another incarnation
+    may answer it with its own state; that hold has no effect there. The methods may be
+    called by several threads at once.
+    """
 
     @abstractmethod
     def start(self, order: StartOrder, timeout: float) -> OrderAnswer:
--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -6,7 +6,7 @@
 from http.client import parse_headers
 from unittest import mock
 
-from berthline.http_calls import HttpCalls
+from berthline.http_calls import CallResult, HttpCalls
 from testtools import TestCase
 
 from arbutuscleat.wire import Address
@@ -100,6 +100,11 @@
         super().sendall(data, *flags)
 
 
+def ask(send):
+    """Check a connection: send a request over it, and accept any answer."""
+    send("POST", "/check", {})
+
+
 class HttpCallsTest(TestCase):
     def serve(self, *scripts, pause=0.0):
         server = ScriptedServer(scripts, pause)
@@ -191,6 +196,42 @@
         self.assertEqual(1, len(server.requests))
         self.assertIn(b"/v1/hold", server.requests[0])
 
+    def test_a_new_connection_is_checked_once(self):
+        server, calls = self.serve([ANSWER] * 3)
+        for _ in range(2):
+            calls.call("POST", "/order", {}, TIMEOUT, check=ask)
+        found = [request.split(b" ", 2)[1] for request in server.requests]
+        self.assertEqual([b"/check", b"/order", b"/order"], found)
+
+    def test_a_connection_that_a_check_rejects_gets_no_request(self):
+        """Guards against an order over a connection to another process."""
+        server, calls = self.serve([ANSWER], [ANSWER, ANSWER])
+        rejected = CallResult(409, {})
+
+        def reject(send):
+            ask(send)
+            return rejected
+
+        result = calls.call("POST", "/order", {}, TIMEOUT, check=reject)
+        self.assertIs(rejected, result)
+        self.assertTrue(server.closed.wait(TIMEOUT))
+        calls.call("POST", "/order", {}, TIMEOUT, check=ask)
+        found = [request.split(b" ", 2)[1] for request in server.requests]
+        self.assertEqual([b"/check", b"/check", b"/order"], found)
+
+    def test_a_server_that_closes_each_connection_is_called_all_the_same(self):
+        """Guards against a worker that gets no orders for its connections."""
+        server, calls = self.serve([LAST_ANSWER], [LAST_ANSWER])
+        result = calls.call("POST", "/order", {}, TIMEOUT, check=ask)
+        self.assertEqual((200, {"ok": 1}), (result.status, result.tree))
+        self.assertEqual(2, len(server.requests))
+
+    def test_a_check_without_an_answer_uses_up_the_time_of_its_call(self):
+        server, calls = self.serve([None])
+        result = calls.call("POST", "/order", {}, SHORT_TIMEOUT, check=ask)
+        self.assertEqual((0, False), (result.status, result.sent))
+        self.assertEqual(1, len(server.requests))
+
     def test_a_refused_request_leaves_nothing_on_an_idle_connection(self):
         server, calls = self.serve([ANSWER, ANSWER])
         self.call(calls)
--- a/tests/platform/test_worker_answers.py
+++ b/tests/platform/test_worker_answers.py
@@ -130,7 +130,7 @@
     def __init__(self, status, tree):
         self.result = CallResult(status, tree)
 
-    def call(self, method, path, content, timeout):
+    def call(self, method, path, content, timeout, check):
         return self.result
 
 
