Test of endpoint faults waits for the run that a timeout precedes

Cause: test_each_fault gives the client 0.1 s with a slow endpoint, and asserted right after the timeout that the request had run. The thread of the emulated endpoint may begin later.

Change: the test waits up to 5 s for the run, and then asserts that there is exactly one, or none for a dropped request; before, one or more.

--- a/tests/http/test_endpoint_client.py
+++ b/tests/http/test_endpoint_client.py
@@ -1,9 +1,11 @@
 """The endpoint client returns only complete answers to the right request."""
 
+import time
+
 from returns.result import Failure, Success
 from testtools import TestCase
 
-from arbutuscleat.core import SystemClock
+from arbutuscleat.core import Deadline, SystemClock
 from arbutuscleat.emulator import (
     EndpointFault,
     FaultyEndpoint,
@@ -50,6 +52,12 @@
         req = request(key, **changes)
         return self.client.send(self.instance, req, f"id-{key}", timeout)
 
+    def wait_for_run(self, key):
+        """Wait until the endpoint runs a request, which a timeout may precede."""
+        deadline = Deadline.after(SystemClock(), 5.0)
+        while not self.endpoint.runs[key] and deadline.remaining():
+            time.sleep(0.005)
+
     def test_each_fault(self):
         for number, (fault, timeout, kind, ran) in enumerate(CASES):
             key = f"k{number}"
@@ -59,7 +67,9 @@
                 self.assertEqual(body, result.unwrap().body, fault)
             else:
                 self.assertEqual(kind, result.failure().kind, fault)
-            self.assertEqual(ran, bool(self.endpoint.runs[key]), fault)
+            if ran:
+                self.wait_for_run(key)
+            self.assertEqual(int(ran), self.endpoint.runs[key], fault)
 
     def test_next_request_does_not_read_the_answer_of_a_failed_one(self):
         for number, (fault, timeout, _, _) in enumerate(CASES):
