--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -13,6 +13,7 @@
     shard_of,
 )
 from .task import TaskKey, TaskState, TaskStatus
+from .team import Capacity, KeyIndex, Team, key_digest
 from .wave import Wave
 
 __all__ = [
@@ -20,10 +21,12 @@
     "SHARD_COUNT",
     "SUSPECT_CRASHES",
     "AcceptResult",
+    "Capacity",
     "CrashCounts",
     "JobPhase",
     "JobState",
     "JobTable",
+    "KeyIndex",
     "Queue",
     "QueueConfig",
     "RunOutcome",
@@ -34,6 +37,8 @@
     "TaskKey",
     "TaskState",
     "TaskStatus",
+    "Team",
     "Wave",
+    "key_digest",
     "shard_of",
 ]
--- a/arbutuscleat/jobs/queue_config.py
+++ b/arbutuscleat/jobs/queue_config.py
@@ -8,6 +8,8 @@
 
 from arbutuscleat.wire.gen_jobs.ttypes import JobRecord
 
+from .team import KeyIndex, Team
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
@@ -33,6 +35,9 @@
         `stretch * longest chain of steps + target_latency_ms`.
     target_latency_ms : int
         Constant part of the latency objective, in milliseconds.
+    public : bool, default=False
+        Whether calls need no key, although the configuration has teams. Jobs of such a
+        queue belong to no team.
     """
 
     name: str
@@ -43,6 +48,7 @@
     max_attempts: int
     stretch: float
     target_latency_ms: int
+    public: bool = False
 
     def holds(self, record: JobRecord) -> bool:
         """Return whether a job was submitted to this queue."""
@@ -81,14 +87,22 @@
         All queues.
     services : sequence of Service
         All services.
+    teams : sequence of Team, optional
+        All teams; without any, calls need no key.
     """
 
     def __init__(
-        self, version: int, queues: Sequence[Queue], services: Sequence[Service]
+        self,
+        version: int,
+        queues: Sequence[Queue],
+        services: Sequence[Service],
+        teams: Sequence[Team] = (),
     ):
         self.version = version
         self.queues: Mapping[str, Queue] = {queue.name: queue for queue in queues}
         self.services: Mapping[str, Service] = {item.name: item for item in services}
+        self.teams: Mapping[str, Team] = {team.name: team for team in teams}
+        self._key_index = KeyIndex(teams)
         self._by_place = {(queue.host, queue.path_prefix): queue for queue in queues}
         self._by_host: dict[str, list[Queue]] = {}
         for queue in sorted(queues, key=lambda item: -len(item.path_prefix)):
@@ -101,6 +115,18 @@
                 return queue
         return None
 
+    def needs_key(self, queue: Queue) -> bool:
+        """Return whether calls for a queue need the key of a team."""
+        return bool(self.teams) and not queue.public
+
+    def team_of_key(self, digest: bytes | None) -> Team | None:
+        """Return the team with the key of this digest, or None if there is none."""
+        return self._key_index.find(digest)
+
+    def team_of(self, record: JobRecord) -> Team | None:
+        """Return the team that a job belongs to, or None if it has none any more."""
+        return None if record.team is None else self.teams.get(record.team)
+
     def queue_of(self, record: JobRecord) -> Queue | None:
         """Return the queue to which a job was submitted, or None if it was removed."""
         if record.host is None or record.path_prefix is None:
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -28,6 +28,7 @@
     CONFLICT = 8
     REFUSED = 9
     INVALID = 10
+    UNAUTHORIZED = 11
 
     _VALUES_TO_NAMES = {
         1: "DONE",
@@ -40,6 +41,7 @@
         8: "CONFLICT",
         9: "REFUSED",
         10: "INVALID",
+        11: "UNAUTHORIZED",
     }
 
     _NAMES_TO_VALUES = {
@@ -53,6 +55,7 @@
         "CONFLICT": 8,
         "REFUSED": 9,
         "INVALID": 10,
+        "UNAUTHORIZED": 11,
     }
 
 
@@ -350,6 +353,8 @@
      - service_name
      - host
      - path_prefix
+     - team
+     - over_rate
 
     """
 
@@ -365,10 +370,12 @@
         'service_name',
         'host',
         'path_prefix',
+        'team',
+        'over_rate',
     )
 
 
-    def __init__(self, job_id=None, queue=None, spec=None, steps=None, repeat_count=None, start_at_ms=None, interval_ms=None, accepted_at_ms=None, service_name=None, host=None, path_prefix=None,):
+    def __init__(self, job_id=None, queue=None, spec=None, steps=None, repeat_count=None, start_at_ms=None, interval_ms=None, accepted_at_ms=None, service_name=None, host=None, path_prefix=None, team=None, over_rate=None,):
         self.job_id = job_id
         self.queue = queue
         self.spec = spec
@@ -380,6 +387,8 @@
         self.service_name = service_name
         self.host = host
         self.path_prefix = path_prefix
+        self.team = team
+        self.over_rate = over_rate
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -451,6 +460,16 @@
                     self.path_prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.over_rate = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -508,6 +527,14 @@
             oprot.writeFieldBegin('path_prefix', TType.STRING, 11)
             oprot.writeString(self.path_prefix.encode('utf-8') if sys.version_info[0] == 2 else self.path_prefix)
             oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 12)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.over_rate is not None:
+            oprot.writeFieldBegin('over_rate', TType.BOOL, 13)
+            oprot.writeBool(self.over_rate)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3724,6 +3751,7 @@
      - host
      - path
      - job
+     - key_digest
 
     """
 
@@ -3732,14 +3760,16 @@
         'host',
         'path',
         'job',
+        'key_digest',
     )
 
 
-    def __init__(self, request_id=None, host=None, path=None, job=None,):
+    def __init__(self, request_id=None, host=None, path=None, job=None, key_digest=None,):
         self.request_id = request_id
         self.host = host
         self.path = path
         self.job = job
+        self.key_digest = key_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3771,6 +3801,11 @@
                     self.job.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.key_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3797,6 +3832,10 @@
             oprot.writeFieldBegin('job', TType.STRUCT, 4)
             self.job.write(oprot)
             oprot.writeFieldEnd()
+        if self.key_digest is not None:
+            oprot.writeFieldBegin('key_digest', TType.STRING, 5)
+            oprot.writeBinary(self.key_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3828,6 +3867,7 @@
      - request_id
      - host
      - path
+     - key_digest
 
     """
 
@@ -3835,13 +3875,15 @@
         'request_id',
         'host',
         'path',
+        'key_digest',
     )
 
 
-    def __init__(self, request_id=None, host=None, path=None,):
+    def __init__(self, request_id=None, host=None, path=None, key_digest=None,):
         self.request_id = request_id
         self.host = host
         self.path = path
+        self.key_digest = key_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3867,6 +3909,11 @@
                     self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.key_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3889,6 +3936,10 @@
             oprot.writeFieldBegin('path', TType.STRING, 3)
             oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
             oprot.writeFieldEnd()
+        if self.key_digest is not None:
+            oprot.writeFieldBegin('key_digest', TType.STRING, 4)
+            oprot.writeBinary(self.key_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5210,6 +5261,8 @@
     (9, TType.STRING, 'service_name', 'UTF8', None, ),  # 9
     (10, TType.STRING, 'host', 'UTF8', None, ),  # 10
     (11, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'team', 'UTF8', None, ),  # 12
+    (13, TType.BOOL, 'over_rate', None, None, ),  # 13
 )
 all_structs.append(RunRecord)
 RunRecord.thrift_spec = (
@@ -5448,6 +5501,7 @@
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'path', 'UTF8', None, ),  # 3
     (4, TType.STRUCT, 'job', [JobRecord, None], None, ),  # 4
+    (5, TType.STRING, 'key_digest', 'BINARY', None, ),  # 5
 )
 all_structs.append(JobRequest)
 JobRequest.thrift_spec = (
@@ -5455,6 +5509,7 @@
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'path', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'key_digest', 'BINARY', None, ),  # 4
 )
 all_structs.append(JobAnswer)
 JobAnswer.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -30,7 +30,8 @@
 }
 
 // `host`, `path_prefix`: of the queue to which the job was submitted. Entries of former
-// versions have only its name.
+// versions have only its name. `team`: the one whose key came with the job; none on a
+// public queue. `over_rate`: the team had sent more than its weight when it was accepted.
 struct JobRecord {
   1: string job_id
   2: string queue
@@ -43,6 +44,8 @@
   9: string service_name
   10: optional string host
   11: optional string path_prefix
+  12: optional string team
+  13: optional bool over_rate
 }
 
 // One run of one task.
@@ -257,6 +260,7 @@
   CONFLICT = 8
   REFUSED = 9
   INVALID = 10
+  UNAUTHORIZED = 11
 }
 
 struct LocateRequest {
@@ -282,17 +286,20 @@
 }
 
 // `host` and `path` select the queue; what is left of the path names the job.
+// `key_digest`: of the key that came with the call, if one did.
 struct SubmitRequest {
   1: i64 request_id
   2: string host
   3: string path
   4: JobRecord job
+  5: optional binary key_digest
 }
 
 struct JobRequest {
   1: i64 request_id
   2: string host
   3: string path
+  4: optional binary key_digest
 }
 
 struct JobAnswer {
