--- a/arbutuscleat/access/leader_client.py
+++ b/arbutuscleat/access/leader_client.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -18,6 +18,8 @@
 from arbutuscleat.wire.gen_jobs import JobControl
 from arbutuscleat.wire.gen_jobs.ttypes import LocateRequest, Verdict
 
+from .reachability import reachable_hosts
+
 RETRY_PAUSE_SECONDS = 0.03
 """Pause between two attempts: half the minimum duration of an election round."""
 
@@ -28,6 +30,9 @@
 CONNECT_SECONDS = 0.3
 """Timeout for connecting: about twelve round trips between regions."""
 
+PROBE_SECONDS = 0.25
+"""Timeout of a probe of all control instances: ten round trips between regions."""
+
 AVOID_SECONDS = 2.0
 """How long a host that did not answer is tried after all others."""
 
@@ -67,6 +72,8 @@
         The service of this process, which is called directly while it leads.
     leader_hint : callable, optional
         Returns the leader known to the replica of this process, or an empty string.
+    find_reachable : callable, optional
+        Returns which hosts accept connections on a port within some seconds.
     """
 
     def __init__(
@@ -77,6 +84,9 @@
         clock: Clock,
         local: Any = None,
         leader_hint: Callable[[], str] = lambda: "",
+        find_reachable: Callable[
+            [Collection[str], int, float], set[str]
+        ] = reachable_hosts,
     ):
         self._read_seeds = read_seeds
         self._port = port
@@ -84,6 +94,8 @@
         self._clock = clock
         self._local = local
         self._leader_hint = leader_hint
+        self._find_reachable = find_reachable
+        self._is_probed_cut_off = False
         self._avoided_until: dict[str, float] = {}
         self._lock = threading.Lock()
         self._pools: dict[str, ChannelPool] = {}
@@ -115,6 +127,8 @@
         sent = False
         tried: set[str] = set()
         while True:
+            if self._is_probed_cut_off:
+                return CallOutcome(None, sent)
             if self._local is not None and self._local.leads():
                 answer = getattr(self._local, method)(request)
                 if answer.verdict not in _RETRY_VERDICTS:
@@ -168,6 +182,29 @@
         silent = sum(self._avoided_until.get(host, 0.0) > now for host in hosts)
         return 2 * silent > len(hosts)
 
+    def probe(self) -> None:
+        """Find out which control instances can be reached.
+
+        While most of them cannot, calls fail at once. The next probe, or a leader that
+        answers, ends that.
+        """
+        with self._lock:
+            hosts = list(self._members)
+        reachable = self._find_reachable(hosts, self._port, PROBE_SECONDS)
+        for host in hosts:
+            if host in reachable:
+                self._avoided_until.pop(host, None)
+            else:
+                self._note_failure(host, "it accepts no connection")
+        is_cut_off = self.is_cut_off()
+        if is_cut_off and not self._is_probed_cut_off:
+            logging.warning(
+                "cut off: %d of %d control instances can be reached, calls are refused",
+                len(reachable),
+                len(hosts),
+            )
+        self._is_probed_cut_off = is_cut_off
+
     def close(self) -> None:
         """Close all connections."""
         with self._lock:
@@ -226,6 +263,7 @@
                 self._logged_leader = host
             if host:
                 self._leader_seen_at = self._clock.monotonic()
+                self._is_probed_cut_off = False
 
     def _pool(self, host: str) -> ChannelPool:
         with self._lock:
--- a/arbutuscleat/nodes/entry_node.py
+++ b/arbutuscleat/nodes/entry_node.py
@@ -126,12 +126,16 @@
         self._watcher = threading.Thread(
             target=self._watch_control, name="watch", daemon=True
         )
+        self._prober = threading.Thread(
+            target=self._probe_control, name="probe", daemon=True
+        )
 
     def start(self) -> None:
         """Start all components."""
         self._callers.start()
         self._readiness.start()
         self._watcher.start()
+        self._prober.start()
         self._metrics_server.start()
         logging.info("entry node listens on %s", self._callers.address)
 
@@ -150,17 +154,36 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this node."""
-        return self._control_available and not self._closing.is_set()
+        return (
+            self._control_available
+            and not self._closing.is_set()
+            and self._sees_leader()
+        )
+
+    def _sees_leader(self) -> bool:
+        is_cut_off = self._leader_client.is_cut_off()
+        limit = MAX_CUT_OFF_SECONDS if is_cut_off else MAX_LEADERLESS_SECONDS
+        return self._leader_client.seconds_without_leader() < limit
 
     def _watch_control(self) -> None:
         run_loop(self._check_control, self._stopping, self._clock, CHECK_SECONDS)
 
+    def _probe_control(self) -> None:
+        run_loop(self._probe_if_silent, self._stopping, self._clock, CHECK_SECONDS)
+
+    def _probe_if_silent(self) -> None:
+        """Probe all control instances while none of them has shown a leader.
+
+        The watcher may be waiting for the timeout of one of them.
+        """
+        if self._leader_client.seconds_without_leader() >= MAX_CUT_OFF_SECONDS:
+            self._leader_client.probe()
+
     def _check_control(self) -> None:
         run_step(self._leader_client.refresh)  # If it fails, no leader is seen.
         is_cut_off = self._leader_client.is_cut_off()
-        limit = MAX_CUT_OFF_SECONDS if is_cut_off else MAX_LEADERLESS_SECONDS
         seconds_without_leader = self._leader_client.seconds_without_leader()
-        ready = seconds_without_leader < limit
+        ready = self._sees_leader()
         if ready != self._control_available:
             logging.info(
                 "control %s: %.1f s without a leader%s",
--- a/tests/access/test_leader_client.py
+++ b/tests/access/test_leader_client.py
@@ -106,3 +106,45 @@
         self.client = self.control.make_client(leader_hint=lambda: HOSTS[1])
         self.call()
         self.assertEqual([HOSTS[1]], self.control.called_hosts)
+
+
+class ProbeTest(TestCase):
+    """A data centre is cut off: connections hang until their timeout."""
+
+    def setUp(self):
+        super().setUp()
+        self.control = Control()
+        self.reachable = set(HOSTS)
+        self.client = self.control.make_client(
+            find_reachable=lambda hosts, port, seconds: self.reachable & set(hosts)
+        )
+
+    def call(self):
+        self.control.called_hosts = []
+        return self.client.call("look_up", JobRequest(), 1.0)
+
+    def test_calls_fail_at_once_while_most_instances_are_out_of_reach(self):
+        self.reachable = {HOSTS[0]}
+        self.client.probe()
+        outcome = self.call()
+        self.assertEqual((None, False), (outcome.answer, outcome.sent))
+        self.assertEqual([], self.control.called_hosts)
+
+    def test_calls_go_on_while_a_majority_is_in_reach(self):
+        self.reachable = {HOSTS[0], HOSTS[1]}
+        self.client.probe()
+        self.assertIsNotNone(self.call().answer)
+
+    def test_calls_go_on_once_a_probe_reaches_a_majority_again(self):
+        self.reachable = set()
+        self.client.probe()
+        self.reachable = set(HOSTS)
+        self.client.probe()
+        self.assertFalse(self.client.is_cut_off())
+        self.assertIsNotNone(self.call().answer)
+
+    def test_calls_go_on_once_a_leader_answers(self):
+        self.reachable = set()
+        self.client.probe()
+        self.client._note_leader(HOSTS[1])
+        self.assertIsNotNone(self.call().answer)
--- a/tests/nodes/test_entry_node.py
+++ b/tests/nodes/test_entry_node.py
@@ -67,3 +67,15 @@
         with self.assertLogs("absl", "ERROR"):
             node._watch_control()
         self.assertFalse(node.is_ready())
+
+    def test_a_node_that_is_cut_off_is_not_ready_before_its_check_times_out(self):
+        """Guards against callers sent to a data centre that is cut off."""
+        node = self.make_node()
+        node._check_control()
+        self.assertTrue(node.is_ready())
+        node._clock.advance(entry_node.MAX_CUT_OFF_SECONDS)
+        self.assertTrue(node.is_ready())
+        client = node._leader_client
+        client.probe = lambda: setattr(client, "is_cut_off", lambda: True)
+        node._probe_if_silent()
+        self.assertFalse(node.is_ready())
