--- a/arbutuscleat/access/leader_client.py
+++ b/arbutuscleat/access/leader_client.py
@@ -139,6 +139,7 @@
             result = self._pool(target).call(method, request, limit)
             if isinstance(result, Success):
                 answer = result.unwrap()
+                self._avoided_until.pop(target, None)
                 if answer.verdict not in _RETRY_VERDICTS:
                     self._note_leader(target)
                     return CallOutcome(answer, sent)
@@ -160,10 +161,10 @@
                 self._note_failure(host, result.failure().detail)
                 continue
             answer = result.unwrap()
+            self._avoided_until.pop(host, None)
             with self._lock:
                 self._members = list(answer.members) or self._members
-            if answer.leader:
-                self._note_leader(answer.leader)
+            if answer.leader and self._note_leader(answer.leader):
                 return True
         return False
 
@@ -253,7 +254,13 @@
                 if host not in self._members:
                     self._members.append(host)
 
-    def _note_leader(self, host: str) -> None:
+    def _note_leader(self, host: str) -> bool:
+        """Record the leader, and return whether it counts as seen.
+
+        One that another instance reports, and that could not be reached just now, does
+        not: the other instance may be cut off together with this process.
+        """
+        is_seen = self._avoided_until.get(host, 0.0) <= self._clock.monotonic()
         with self._lock:
             self._leader = host
             if host and host != self._logged_leader:
@@ -261,9 +268,10 @@
                     "leader is now %s, previously %s", host, self._logged_leader
                 )
                 self._logged_leader = host
-            if host:
+            if host and is_seen:
                 self._leader_seen_at = self._clock.monotonic()
                 self._is_probed_cut_off = False
+        return is_seen
 
     def _pool(self, host: str) -> ChannelPool:
         with self._lock:
--- a/tests/access/test_leader_client.py
+++ b/tests/access/test_leader_client.py
@@ -6,7 +6,12 @@
 from arbutuscleat.access import LeaderClient
 from arbutuscleat.access.leader_client import AVOID_SECONDS
 from arbutuscleat.wire import CallError, CallErrorKind, Credentials
-from arbutuscleat.wire.gen_jobs.ttypes import JobAnswer, JobRequest, Verdict
+from arbutuscleat.wire.gen_jobs.ttypes import (
+    JobAnswer,
+    JobRequest,
+    LocateAnswer,
+    Verdict,
+)
 from tests.fakes import ManualClock
 
 HOSTS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -20,6 +25,8 @@
     def call(self, method, request, timeout):
         self.control.called_hosts.append(self.host)
         self.control.clock.advance(0.001)
+        if method == "locate" and self.host not in self.control.down:
+            return Success(LocateAnswer(leader=self.control.leader, members=HOSTS))
         return self.control.answer(self.host)
 
     def close(self):
@@ -146,5 +153,14 @@
     def test_calls_go_on_once_a_leader_answers(self):
         self.reachable = set()
         self.client.probe()
-        self.client._note_leader(HOSTS[1])
+        self.assertTrue(self.client.refresh())
         self.assertIsNotNone(self.call().answer)
+
+    def test_a_leader_that_is_reported_but_out_of_reach_is_not_seen(self):
+        """The instances of the same data centre report it until its lease ends."""
+        self.reachable = {HOSTS[0]}
+        self.client.probe()
+        self.control.clock.advance(0.5)
+        self.client._note_leader(HOSTS[1])
+        self.assertEqual(0.5, round(self.client.seconds_without_leader(), 3))
+        self.assertIsNone(self.call().answer)
