Keys of teams: parsed, asked for at the entry, decided by the leader

Change: the parser of the configuration reads teams; the entry instance sends the digest of the presented key; the leader answers 401 after a quorum has confirmed it, and treats the jobs of other teams as unknown. Repeated header fields are joined, so that a call with two keys has none that is known.

--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from absl import logging
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from arbutuscleat.consensus import (
     ProposalError,
@@ -20,7 +20,7 @@
 )
 from arbutuscleat.core import Clock
 from arbutuscleat.execution import SessionRegistry
-from arbutuscleat.jobs import AcceptResult, JobTable, Queue
+from arbutuscleat.jobs import AcceptResult, JobTable
 from arbutuscleat.jobs.job_table import JOB_ID_LENGTH
 from arbutuscleat.jobs.worker_announcement import is_outdated
 from arbutuscleat.scheduling import Rejection
@@ -50,6 +50,7 @@
 )
 
 from .admission_controller import AdmissionController
+from .call_target import CallTarget, find_target
 from .holder_handlers import COMMIT_SECONDS, HolderHandlers, leader_of
 
 BARRIER_SECONDS = 1.0
@@ -65,7 +66,7 @@
 second; after a second without an answer it reports to another control instance."""
 
 REFUSED_LOG_SECONDS = 1.0
-"""Least time between two log lines about announcements that are refused."""
+"""Least time between two log lines about announcements, or keys, that are refused."""
 
 MAX_RETRY_MS = 3600 * 1000
 """Longest time after which a rejected caller is asked to try again; the message holds
@@ -144,20 +145,24 @@
 
     def submit(self, request: SubmitRequest) -> JobAnswer:
         """Accept or reject a job; an accepted job is committed before the answer."""
-        queue, job_id, error_answer = self._find_queue(request)
-        if queue is None:
-            return error_answer
+        found = self._find_target(request)
+        if isinstance(found, Failure):
+            return found.failure()
+        target = found.unwrap()
+        queue, job_id = target.queue, target.rest
         if not _JOB_ID.fullmatch(job_id):
             return self._job_answer(request, Verdict.INVALID, detail="not a job id")
         rejection = self._admission.check(request.job, job_id, queue)
         if rejection is not None:
-            return self._reject(request, job_id, queue, rejection)
+            return self._reject(request, target, rejection)
         record = request.job
         record.job_id = job_id
         record.queue = queue.name
         record.host = queue.host
         record.path_prefix = queue.path_prefix
         record.service_name = queue.service_name
+        record.team = target.team_name
+        record.over_rate = None
         record.accepted_at_ms = self._clock.now_ms()
         with self._admission.submitting(job_id):
             result = self._propose(JobCommand(accept=record))
@@ -169,36 +174,38 @@
             return self._job_answer(
                 request,
                 Verdict.CONFLICT,
-                detail="the id belongs to a job of another queue",
+                detail="the id belongs to a job of another queue or team",
             )
         logging.info(
-            "job %s of queue %s: %s", job_id, queue.name, result.unwrap().value
+            "job %s of %s: %s", job_id, target.describe(), result.unwrap().value
         )
         return self._job_answer(request, Verdict.DONE)
 
     def look_up(self, request: JobRequest) -> JobAnswer:
         """Return the state of a job, or the number of waiting jobs of a queue."""
-        queue, job_id, error_answer = self._find_queue(request)
-        if queue is None:
-            return error_answer
-        if not job_id:
+        found = self._find_target(request)
+        if isinstance(found, Failure):
+            return found.failure()
+        target = found.unwrap()
+        if not target.rest:
             with self._table.lock:
-                pending = self._table.pending(queue)
+                pending = self._table.pending(target.queue)
             return self._job_answer(request, Verdict.DONE, pending=pending)
         with self._table.lock:
             job = self._table.find_job(request.host, request.path)
-            if job is not None:
+            if job is not None and target.may_access(job):
                 return self._job_answer(request, Verdict.DONE, state=job.phase().value)
         return self._confirmed_answer(request, Verdict.NO_JOB)
 
     def cancel(self, request: JobRequest) -> JobAnswer:
         """Cancel a job; the cancellation is committed before the answer."""
-        queue, _, error_answer = self._find_queue(request)
-        if queue is None:
-            return error_answer
+        found = self._find_target(request)
+        if isinstance(found, Failure):
+            return found.failure()
+        target = found.unwrap()
         with self._table.lock:
             job = self._table.find_job(request.host, request.path)
-        if job is None:
+        if job is None or not target.may_access(job):
             return self._confirmed_answer(request, Verdict.NO_JOB)
         job_id = job.job_id
         command = JobCommand(
@@ -207,7 +214,7 @@
         result = self._propose(command)
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
-        logging.info("job %s cancelled", job_id)
+        logging.info("job %s of %s cancelled", job_id, target.describe())
         return self._job_answer(request, Verdict.DONE)
 
     # ---- workers and operators ----
@@ -389,12 +396,12 @@
             self._propose(JobCommand(remove_worker=command))
 
     def _reject(
-        self, request: SubmitRequest, job_id: str, queue: Queue, rejection: Rejection
+        self, request: SubmitRequest, target: CallTarget, rejection: Rejection
     ) -> JobAnswer:
         logging.info(
-            "job %s of queue %s refused: %s; retry after %d ms",
-            job_id,
-            queue.name,
+            "job %s of %s refused: %s; retry after %d ms",
+            target.rest,
+            target.describe(),
             rejection.reason,
             rejection.retry_after_ms,
         )
@@ -402,19 +409,32 @@
         answer.retry_after_ms = min(rejection.retry_after_ms, MAX_RETRY_MS)
         return answer
 
-    def _find_queue(
+    def _find_target(
         self, request: SubmitRequest | JobRequest
-    ) -> tuple[Queue | None, str, Any]:
+    ) -> Result[CallTarget, JobAnswer]:
+        """Return what a call is about, or the answer if it goes no further.
+
+        Refusals wait for a quorum: a newer leader may hold a configuration with the
+        queue or the key.
+        """
         if not self.leads():
-            return None, "", self._job_answer(request, Verdict.NOT_LEADER)
+            return Failure(self._job_answer(request, Verdict.NOT_LEADER))
         with self._table.lock:
             config = self._table.config
         if config is None:
-            return None, "", self._confirmed_answer(request, Verdict.NO_CONFIG)
-        queue = config.find(request.host, request.path)
-        if queue is None:
-            return None, "", self._confirmed_answer(request, Verdict.NO_QUEUE)
-        return queue, request.path[len(queue.path_prefix) :], None
+            return Failure(self._confirmed_answer(request, Verdict.NO_CONFIG))
+        target = find_target(config, request)
+        if isinstance(target, Failure):
+            if target.failure() == Verdict.UNAUTHORIZED:
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    "call to %s refused: %s",
+                    REFUSED_LOG_SECONDS,
+                    request.path,
+                    "no key" if request.key_digest is None else "unknown key",
+                )
+            return Failure(self._confirmed_answer(request, target.failure()))
+        return Success(target.unwrap())
 
     def _confirmed_answer(self, request: Any, verdict: int) -> JobAnswer:
         return self._job_answer(request, self._confirm_leadership(verdict))
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -278,7 +278,9 @@
         existing = self.jobs.get(record.job_id)
         if existing is not None:
             same = _have_same_queue(existing.record, record)
-            return AcceptResult.EXISTS if same else AcceptResult.CONFLICT
+            if not same or _have_different_teams(existing.record, record):
+                return AcceptResult.CONFLICT
+            return AcceptResult.EXISTS
         if not record.steps or not all(step.count for step in record.steps):
             raise ValueError(f"job {record.job_id} has no steps, or one without tasks")
         self._evict_ended_jobs(record.accepted_at_ms)
@@ -636,6 +638,14 @@
     return (first.host, first.path_prefix) == (second.host, second.path_prefix)
 
 
+def _have_different_teams(first: JobRecord, second: JobRecord) -> bool:
+    """Return whether two jobs belong to different teams.
+
+    A job without a team was submitted while its queue needed no key.
+    """
+    return None not in (first.team, second.team) and first.team != second.team
+
+
 def _unregistered(record: WorkerRecord, born_ms: int) -> WorkerRecord:
     """Return the record of a worker's next incarnation before it registers.
 
--- a/arbutuscleat/jobs/team.py
+++ b/arbutuscleat/jobs/team.py
@@ -56,9 +56,10 @@
     priority: int = 0
 
 
-def key_digest(key: str) -> bytes:
-    """Return the digest of a key, its SHA-256 (FIPS 180-4)."""
-    return hashlib.sha256(key.encode()).digest()
+def key_digest(key: str | bytes) -> bytes:
+    """Return the digest of a key or of its UTF-8 bytes: SHA-256 (FIPS 180-4)."""
+    data = key.encode() if isinstance(key, str) else key
+    return hashlib.sha256(data).digest()
 
 
 class KeyIndex:
--- a/arbutuscleat/web/server.py
+++ b/arbutuscleat/web/server.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from absl import logging
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import DropUnderscoreHeaderReader, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 
 from arbutuscleat.core import RefusalReason
@@ -37,9 +37,34 @@
 _REASONS = {413: RefusalReason.TOO_LARGE, 414: RefusalReason.TOO_LARGE}
 
 
+class _FieldLines(dict):
+    """Header fields; the values of repeated ones are joined.
+
+    That is what RFC 9110, section 5.3, provides for. cheroot keeps the last value of
+    most fields, so that two processes on the way could each read another one; it
+    joins those of the others before it stores them.
+    """
+
+    def __setitem__(self, name, value):
+        if name in self and not value.startswith(self[name] + b", "):
+            value = b", ".join((self[name], value))
+        super().__setitem__(name, value)
+
+
+class _HeaderReader(DropUnderscoreHeaderReader):
+    """Reads header fields, and joins repeated ones."""
+
+    def __call__(self, rfile, hdict=None):
+        hdict = {} if hdict is None else hdict
+        hdict.update(super().__call__(rfile, _FieldLines()))
+        return hdict
+
+
 class _ProblemRequest(HTTPRequest):
     """Answers malformed requests with problem details."""
 
+    header_reader = _HeaderReader()
+
     def simple_response(self, status, msg=""):
         code = int(str(status)[:3])
         if code < 400:
