--- a/arbutuscleat/web/server.py
+++ b/arbutuscleat/web/server.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from absl import logging
-from cheroot.server import DropUnderscoreHeaderReader, HTTPConnection, HTTPRequest
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 
 from arbutuscleat.core import RefusalReason
@@ -51,14 +51,21 @@
         super().__setitem__(name, value)
 
 
-class _HeaderReader(DropUnderscoreHeaderReader):
-    """Reads header fields, and joins repeated ones."""
+class _HeaderReader(HeaderReader):
+    """Reads header fields, and joins repeated ones.
+
+    Names with an underscore are left out: the application could not tell them from
+    those with a hyphen (PEP 3333).
+    """
 
     def __call__(self, rfile, hdict=None):
         hdict = {} if hdict is None else hdict
         hdict.update(super().__call__(rfile, _FieldLines()))
         return hdict
 
+    def _allow_header(self, key_name):
+        return b"_" not in key_name
+
 
 class _ProblemRequest(HTTPRequest):
     """Answers malformed requests with problem details."""
