--- a/tests/consensus/group.py
+++ b/tests/consensus/group.py
@@ -59,6 +59,8 @@
         Timing and size limits of the replicas.
     founders : sequence of str, optional
         Node ids of the first voters.
+    make_state_machine : callable, optional
+        Creates the state machine of a replica that starts.
 
     Attributes
     ----------
@@ -68,7 +70,10 @@
         Pairs of replicas that do not reach each other.
     """
 
-    def __init__(self, cfg, founders=FOUNDERS):
+    def __init__(
+        self, cfg, founders=FOUNDERS, make_state_machine=RecordingStateMachine
+    ):
+        self._make_state_machine = make_state_machine
         self.cfg = cfg
         self.clock = ManualClock()
         self.replicas = {}
@@ -96,7 +101,7 @@
             self.cfg,
             disk,
             [],
-            RecordingStateMachine(),
+            self._make_state_machine(),
             self.clock,
             random.Random(identity.incarnation + name),
             lambda node_id: DirectPeer(self, name, node_id),
@@ -164,12 +169,17 @@
 
     def propose(self, text, name=None):
         """Append a command at the leader without waiting for its commit."""
-        state = self.replicas[name or self.leader()]._state
+        pending = self.append(text.encode(), name or self.leader())
+        self._proposals.append((text, pending))
+
+    def append(self, payload, name):
+        """Append a command at a replica and return the proposal."""
+        state = self.replicas[name]._state
         with state.lock:
-            entry = state.append(EntryKind.COMMAND, text.encode())
+            entry = state.append(EntryKind.COMMAND, payload)
             pending = PendingProposal(entry.term)
             state.pending_proposals[entry.index] = pending
-        self._proposals.append((text, pending))
+        return pending
 
     def acknowledged(self):
         """Return the commands whose proposer has been told of the commit."""
--- a/tests/platform/test_fronts.py
+++ b/tests/platform/test_fronts.py
@@ -3,15 +3,18 @@
 import io
 import json
 from types import SimpleNamespace
+from unittest import mock
 
-from berthline.caller_front import CALL_SECONDS, CallerFront
+from berthline.caller_front import CALL_SECONDS, CHALLENGE, CallerFront
 from berthline.control_front import ControlFront
 from testtools import TestCase
 
 from arbutuscleat.access import CallOutcome
+from arbutuscleat.jobs import key_digest
 from arbutuscleat.metrics import Metrics
 from arbutuscleat.wire import decode, encode
-from arbutuscleat.wire.gen_jobs.ttypes import Verdict, WaveRequest
+from arbutuscleat.wire.gen_jobs.ttypes import SubmitRequest, Verdict, WaveRequest
+from examples.berthline import CONFIG
 from tests.platform.test_bad_input import ANNOUNCEMENT, JOB, LONE_SURROGATE, changed
 
 WAVE = {"wave": 1, "machines": ["m-1", "m-2"], "duration-s": 20, "cap": 1}
@@ -113,6 +116,73 @@
         self.assertEqual([], self.leader.calls)
 
 
+class KeyTest(FrontTest):
+    KEY = "pqk8bdk9eevyxq2yyaza"
+
+    def calls(self, key):
+        """Return the digests that are sent for each method."""
+        headers = {} if key is None else {"HTTP_X_API_KEY": key}
+        body = json.dumps(JOB).encode()
+        for method in ("POST", "GET", "DELETE"):
+            self.send(self.callers, method, "/a/1", body, **headers)
+        return [request.key_digest for _, request, _ in self.leader.calls[-3:]]
+
+    def test_the_digest_of_the_key_is_passed_on(self):
+        self.assertEqual([key_digest(self.KEY)] * 3, self.calls(self.KEY))
+        ((_, request, _),) = self.leader.calls[:1]
+        self.assertEqual(request, decode(SubmitRequest, encode(request)))
+        self.assertNotIn(self.KEY, repr(request))
+
+    def test_no_key_and_an_empty_one_are_the_same(self):
+        self.assertEqual([None] * 3, self.calls(None))
+        self.assertEqual([None] * 3, self.calls(""))
+
+    def test_a_key_is_what_its_bytes_are(self):
+        """A header has one character for each byte; a configuration is UTF-8."""
+        sent = "clé".encode().decode("latin-1")
+        self.assertEqual([key_digest("clé")] * 3, self.calls(sent))
+        for odd in ("\x00", "\xff", "k" * 100_000, "a, b"):
+            self.assertEqual([key_digest(odd.encode("latin-1"))] * 3, self.calls(odd))
+
+    def test_a_refused_key_gets_401_and_shows_nowhere(self):
+        self.leader.verdict = Verdict.UNAUTHORIZED
+        with (
+            mock.patch("berthline.caller_front.REFUSED_LOG_SECONDS", 0.0),
+            self.assertLogs(level="DEBUG") as logs,
+        ):
+            for key in (self.KEY, None):
+                headers = {} if key is None else {"HTTP_X_API_KEY": key}
+                environ = {
+                    "REQUEST_METHOD": "GET",
+                    "PATH_INFO": "/a/1",
+                    "wsgi.input": io.BytesIO(),
+                    **headers,
+                }
+                found = []
+                body = self.callers(environ, lambda *head: found.append(head))
+                ((status, fields),) = found
+                self.assertEqual("401", status[:3])
+                self.assertIn(CHALLENGE, fields)
+                reason = "missing" if key is None else "unknown"
+                error = {"error": f"the key is {reason}"}
+                self.assertEqual(error, json.loads(b"".join(body)))
+                self.assertEqual(1, self.metrics.counter("keys_refused", reason=reason))
+        digest = key_digest(self.KEY)
+        shown = "\n".join([*logs.output, self.metrics.render(), str(found)])
+        self.assertIn("GET /a/1: 401, unknown key", shown)
+        for secret in (self.KEY, digest.hex(), repr(digest)):
+            self.assertNotIn(secret, shown)
+
+    def test_an_odd_key_in_a_configuration_shows_in_no_error(self):
+        row = {"name": "cugo130", "api-keys": [self.KEY, self.KEY + LONE_SURROGATE]}
+        body = changed(CONFIG, ["tenants"], [row])
+        with self.assertLogs(level="DEBUG") as logs:
+            status = self.send(self.control, "PUT", "/v1/configuration", body)
+        self.assertEqual(400, status)
+        self.assertNotIn(self.KEY, "\n".join(logs.output))
+        self.assertEqual([], self.leader.calls)
+
+
 class RequestTest(FrontTest):
     def test_a_body_that_breaks_off_is_refused(self):
         """Guards against a traceback in the log for each such request."""
