--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -42,6 +42,8 @@
 MEMBERSHIP = "tests/membership"
 MAINTENANCE = "tests/maintenance"
 ROUTING = "tests/routing"
+WITHDRAWN_KEYS = "tests/access/test_withdrawn_keys.py"
+TEAM_KEYS = "tests/access/test_team_keys.py"
 
 BREAKS = [
     Break(
@@ -303,6 +305,41 @@
         "    os._exit(0)\n",
         "tests/processes/test_stops.py",
     ),
+    Break(
+        "withdrawn keys: a former leader without a quorum accepts them",
+        "consensus/replica_state.py",
+        "return self.quorum_heard_since(since)",
+        "return True",
+        WITHDRAWN_KEYS,
+    ),
+    Break(
+        "withdrawn keys: a new leader answers before it is up to date",
+        "consensus/replica.py",
+        "return state.leads() and state.applied_term == state.term",
+        "return state.leads()",
+        WITHDRAWN_KEYS,
+    ),
+    Break(
+        "withdrawn keys: an older version restores them",
+        "jobs/job_table.py",
+        "if command.version <= current:",
+        "if False:",
+        TEAM_KEYS,
+    ),
+    Break(
+        "jobs of teams: another team sees and cancels them",
+        "access/call_target.py",
+        "return not self.needs_key or",
+        "return True or",
+        TEAM_KEYS,
+    ),
+    Break(
+        "jobs of teams: another team's submission is taken for the same job",
+        "jobs/job_table.py",
+        "if not same or _have_different_teams(existing.record, record):",
+        "if not same:",
+        TEAM_KEYS,
+    ),
 ]
 
 
