--- a/examples/berthline.py
+++ b/examples/berthline.py
@@ -166,10 +166,18 @@
         url = f"http://{self.control[0]}/v1/configuration"
         return self.call("PUT", url, content)[0]
 
-    def job(self, method: str, path: str, content: Any = None, entry: int = 0):
+    def job(
+        self,
+        method: str,
+        path: str,
+        content: Any = None,
+        entry: int = 0,
+        key: str | None = None,
+    ):
         """Call an entry node, and return the status and the JSON answer."""
         url = f"http://{ENTRY_HOSTS[entry]}:{self._front_port}{path}"
-        return self.call(method, url, content, {"Host": HOST})
+        headers = {"Host": HOST} if key is None else {"Host": HOST, "X-Api-Key": key}
+        return self.call(method, url, content, headers)
 
     def call(self, method: str, url: str, content: Any = None, headers=None):
         """Send a request, and return the status and the JSON answer.
@@ -259,8 +267,25 @@
     print(f"a wave of two machines: {demo.call('POST', f'{url}-start', wave)}")
     demo.wait(lambda: demo.call("GET", f"{url}-get/1")[1].get("state") == "completed")
     print(f"its state: {demo.call('GET', f'{url}-get/1')}")
+    _show_keys(demo, content)
     print(f"exit codes: {demo.stop()}")
 
 
+def _show_keys(demo: BerthlineDemo, content: Any) -> None:
+    """Give two teams keys; from then on each reaches its own jobs only."""
+    teams = [
+        {"name": "berths", "api-keys": ["a-key-of-the-berths"], "weight": 3},
+        {"name": "ledger", "api-keys": ["a-key-of-the-ledger"], "weight": 1},
+    ]
+    print(f"two teams: {demo.put_config({**CONFIG, 'version': 2, 'tenants': teams})}")
+    path = "/approvals/0a4be1f2c7d83951"
+    print(f"POST without a key: {demo.job('POST', path, content)}")
+    key = "a-key-of-the-berths"
+    print(f"POST with a key:    {demo.job('POST', path, content, key=key)}")
+    print(f"GET by its team:    {demo.job('GET', path, entry=1, key=key)}")
+    key = "a-key-of-the-ledger"
+    print(f"GET by another one: {demo.job('GET', path, entry=1, key=key)}")
+
+
 if __name__ == "__main__":
     main()
