A submission that may have been accepted is not answered with 401 or 404

Cause: the answer to the first attempt can be lost, and the key or the queue withdrawn before the next one; the caller would be told that a job was refused that runs.

--- a/tests/platform/test_fronts.py
+++ b/tests/platform/test_fronts.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.calls = []
         self.verdict = Verdict.DONE
+        self.sent = True
 
     def call(self, method, request, seconds):
         self.calls.append((method, request, seconds))
@@ -37,7 +38,7 @@
             detail="",
             retry_after_ms=0,
         )
-        return CallOutcome(answer, True)
+        return CallOutcome(answer, self.sent)
 
 
 class FrontTest(TestCase):
@@ -173,6 +174,24 @@
         for secret in (self.KEY, digest.hex(), repr(digest)):
             self.assertNotIn(secret, shown)
 
+    def test_a_repeated_submission_is_not_told_that_it_was_refused(self):
+        """Guards against a job that runs although its caller was refused.
+
+        The first attempt may have been accepted, before the key was withdrawn.
+        """
+        body = json.dumps(JOB).encode()
+        for verdict, status in (
+            (Verdict.UNAUTHORIZED, 401),
+            (Verdict.NO_QUEUE, 404),
+            (Verdict.REFUSED, 429),
+        ):
+            self.leader.verdict = verdict
+            for sent, expected in ((True, 504), (False, status)):
+                self.leader.sent = sent
+                found = self.send(self.callers, "POST", "/a/1", body)
+                self.assertEqual(expected, found)
+        self.assertEqual(1, self.metrics.counter("keys_refused", reason="missing"))
+
     def test_an_odd_key_in_a_configuration_shows_in_no_error(self):
         row = {"name": "cugo130", "api-keys": [self.KEY, self.KEY + LONE_SURROGATE]}
         body = changed(CONFIG, ["tenants"], [row])
