Limits on clients in bytes, lines, time and connections, for all servers

Change: one frozen, checked ClientLimits for all servers, from `client_limits` of the daemons' settings or an optional table of the platform's. A bounded reader of chunked bodies and trailers, used for requests and for the answers of workers and the provider; headers of which a body's length could be read in two ways are refused; headers are collected without a thread; times for headers, bodies and responses, shorter while others wait for a thread; a cap on connections that closes the longest idle one; small, short handshakes at the port of peers; large JSON bodies are counted before they are parsed, and parsed one at a time. True status codes: 400, 408, 413, 414. Counters `clients_refused{reason,server}`, log lines once in 5 s.

test_http_calls patches MAX_ANSWER_BYTES in the module where it now is; its checks are the same.

--- a/arbutuscleat/core/__init__.py
+++ b/arbutuscleat/core/__init__.py
@@ -4,6 +4,7 @@
 package also holds what every other package needs: clocks, deadlines and errors.
 """
 
+from .client_limits import ClientLimits
 from .clock import Clock, SystemClock
 from .deadline import Deadline
 from .errors import InvariantError, ValidationError
@@ -23,6 +24,7 @@
     "FAILURE_PAUSE_SECONDS",
     "Assignment",
     "AssignmentPhase",
+    "ClientLimits",
     "Clock",
     "Deadline",
     "RequestTracker",
--- a/arbutuscleat/daemons/control.py
+++ b/arbutuscleat/daemons/control.py
@@ -80,6 +80,8 @@
             Control.Processor(service),
             Address(str(cfg.peer.host), cfg.peer.port),
             credentials,
+            cfg.client_limits.limits(),
+            self._metrics,
         )
         self._planner = self._make_planner()
         self._control = ControlClient(
@@ -162,7 +164,7 @@
             ),
             **make_monitoring_handlers(metrics, lambda: status().failure),
         }
-        return make_http_server(cfg, handlers)
+        return make_http_server(cfg, handlers, self._metrics)
 
 
 def initialise_data_folder(cfg: ControlSettings) -> None:
--- a/arbutuscleat/daemons/entry.py
+++ b/arbutuscleat/daemons/entry.py
@@ -207,6 +207,8 @@
             Entry.Processor(service),
             Address(str(cfg.peer.host), cfg.peer.port),
             self._credentials,
+            cfg.client_limits.limits(),
+            self._metrics,
         )
         self._caller_handler = self._make_caller_handler()
         self._http = self._make_http()
@@ -320,7 +322,7 @@
             ),
             **make_monitoring_handlers(metrics, self._health_problem),
         }
-        return make_http_server(cfg, handlers)
+        return make_http_server(cfg, handlers, self._metrics)
 
     # ---- decisions ----
 
--- a/arbutuscleat/daemons/handlers.py
+++ b/arbutuscleat/daemons/handlers.py
@@ -67,7 +67,7 @@
 
 
 def make_http_server(
-    cfg: ProcessSettings, handlers: Mapping[str, RequestHandler]
+    cfg: ProcessSettings, handlers: Mapping[str, RequestHandler], metrics: Metrics
 ) -> HttpServer:
     """Return an HTTP server for the handlers, with the limits from the settings."""
     return HttpServer(
@@ -76,4 +76,6 @@
         cfg.http_threads,
         cfg.max_header_bytes,
         cfg.max_body_bytes,
+        cfg.client_limits.limits(),
+        metrics,
     )
--- a/arbutuscleat/http/application.py
+++ b/arbutuscleat/http/application.py
@@ -39,7 +39,9 @@
         try:
             request = read_request(environ)
         except BodyError as exc:
-            return refuse(RefusalReason.BAD_REQUEST, str(exc))
+            too_large = exc.status == 413
+            reason = RefusalReason.TOO_LARGE if too_large else RefusalReason.BAD_REQUEST
+            return refuse(reason, str(exc), exc.status)
         segments = request.segments
         handler = None
         if len(segments) >= 2 and segments[0] == "v1":
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -26,7 +26,7 @@
     ReplicaConfig,
     ThriftPeer,
 )
-from arbutuscleat.core import Deadline, SystemClock
+from arbutuscleat.core import ClientLimits, Deadline, SystemClock
 from arbutuscleat.execution import (
     ExecutionLimits,
     Executor,
@@ -109,6 +109,8 @@
         Address that serves the metrics; None disables them.
     metrics_path : str
         Path of the metrics at that address.
+    client_limits : ClientLimits, optional
+        Limits on the clients of each server.
     """
 
     host: str
@@ -122,6 +124,7 @@
     tolerated_losses: int = 1
     metrics: Address | None = None
     metrics_path: str = ""
+    client_limits: ClientLimits = ClientLimits()
 
 
 def replica_config(tolerated_losses: int) -> ReplicaConfig:
@@ -186,11 +189,14 @@
             self._table, clock, random.Random(), self._fleet
         )
         registry = SessionRegistry(clock)
+        self.metrics = Metrics()
         service = JobService(self._replica, self._table, clock, admission, registry)
         self._thrift = ThriftServer(
             JobControl.Processor(service),
             Address(cfg.host, cfg.peer_port),
             credentials,
+            cfg.client_limits,
+            self.metrics,
         )
         self._leader_client = LeaderClient(
             cfg.read_seeds,
@@ -200,7 +206,6 @@
             service,
             lambda: self._replica.status().leader,
         )
-        self.metrics = Metrics()
         load = LeaderLoad(clock, self.metrics)
         holder = SessionHolder(cfg.host, uuid.uuid4().hex[:PROCESS_ID_LENGTH])
         lease = SessionLease(clock)
@@ -268,6 +273,9 @@
             HTTP_THREADS,
             MAX_HEADER_BYTES,
             MAX_BODY_BYTES,
+            cfg.client_limits,
+            self.metrics,
+            "control",
         )
         controller = self._machine_controller
         control_metrics = ControlMetrics(
@@ -279,7 +287,7 @@
         )
         self.metrics.collect(control_metrics.read)
         self._metrics_server = MetricsServer(
-            cfg.metrics, cfg.metrics_path, self.metrics
+            cfg.metrics, cfg.metrics_path, self.metrics, cfg.client_limits
         )
         self._is_founder = identity.incarnation == FOUNDER_INCARNATION
 
--- a/arbutuscleat/nodes/entry_node.py
+++ b/arbutuscleat/nodes/entry_node.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from arbutuscleat.access import LeaderClient
-from arbutuscleat.core import SystemClock, run_loop, run_step
+from arbutuscleat.core import ClientLimits, SystemClock, run_loop, run_step
 from arbutuscleat.metrics import Metrics
 from arbutuscleat.web import HttpServer
 from arbutuscleat.wire import Address, Credentials
@@ -70,6 +70,8 @@
         Address that serves the metrics; None disables them.
     metrics_path : str
         Path of the metrics at that address.
+    client_limits : ClientLimits, optional
+        Limits on the clients of each server.
     """
 
     host: str
@@ -81,6 +83,7 @@
     readiness_path: str
     metrics: Address | None = None
     metrics_path: str = ""
+    client_limits: ClientLimits = ClientLimits()
 
 
 class EntryNode:
@@ -111,7 +114,14 @@
             self._leader_client, lambda: not self.is_ready(), metrics
         )
         self._callers = HttpServer(
-            cfg.callers, application, CALLER_THREADS, MAX_HEADER_BYTES, MAX_BODY_BYTES
+            cfg.callers,
+            application,
+            CALLER_THREADS,
+            MAX_HEADER_BYTES,
+            MAX_BODY_BYTES,
+            cfg.client_limits,
+            metrics,
+            "callers",
         )
         self._readiness = HttpServer(
             cfg.readiness,
@@ -119,10 +129,15 @@
             READINESS_THREADS,
             MAX_HEADER_BYTES,
             0,
+            cfg.client_limits,
+            metrics,
+            "readiness",
         )
         self.metrics = metrics
         self.metrics.collect(self._gauges)
-        self._metrics_server = MetricsServer(cfg.metrics, cfg.metrics_path, metrics)
+        self._metrics_server = MetricsServer(
+            cfg.metrics, cfg.metrics_path, metrics, cfg.client_limits
+        )
         self._watcher = threading.Thread(
             target=self._watch_control, name="watch", daemon=True
         )
--- a/arbutuscleat/nodes/metrics_server.py
+++ b/arbutuscleat/nodes/metrics_server.py
@@ -4,6 +4,7 @@
 
 from absl import logging
 
+from arbutuscleat.core import ClientLimits
 from arbutuscleat.metrics import Metrics
 from arbutuscleat.web import HttpServer
 from arbutuscleat.wire import Address
@@ -23,15 +24,30 @@
         Path of the metrics; any other path is answered with 404.
     metrics : Metrics
         The metrics that are served.
+    limits : ClientLimits
+        Limits on clients.
     """
 
-    def __init__(self, address: Address | None, path: str, metrics: Metrics):
+    def __init__(
+        self,
+        address: Address | None,
+        path: str,
+        metrics: Metrics,
+        limits: ClientLimits,
+    ):
         self._path = path
         self._metrics = metrics
         self._server: HttpServer | None = None
         if address is not None:
             self._server = HttpServer(
-                address, self._answer, METRICS_THREADS, MAX_HEADER_BYTES, 0
+                address,
+                self._answer,
+                METRICS_THREADS,
+                MAX_HEADER_BYTES,
+                0,
+                limits,
+                metrics,
+                "metrics",
             )
 
     def start(self) -> None:
--- a/arbutuscleat/settings/__init__.py
+++ b/arbutuscleat/settings/__init__.py
@@ -17,6 +17,7 @@
     ServiceSettings,
 )
 from .fields import (
+    ClientLimitSettings,
     EntryNode,
     Listen,
     LogSettings,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "AnnouncementSettings",
+    "ClientLimitSettings",
     "ConsensusSettings",
     "ControlSettings",
     "EntryNode",
--- a/arbutuscleat/settings/fields.py
+++ b/arbutuscleat/settings/fields.py
@@ -5,7 +5,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, IPvAnyAddress
 
-from arbutuscleat.core import is_name
+from arbutuscleat.core import ClientLimits, is_name
 
 MIN_SECRET_LENGTH = 16
 
@@ -66,6 +66,31 @@
     sample_ratio: Annotated[float, Field(ge=0.0, le=1.0)] = 0.05
 
 
+class ClientLimitSettings(Section):
+    """Limits on clients; the defaults are those of `ClientLimits`."""
+
+    header_ms: Milliseconds = 5_000
+    body_ms: Milliseconds = 30_000
+    write_ms: Milliseconds = 30_000
+    busy_ms: Milliseconds = 1_500
+    connections: Annotated[int, Field(ge=8, le=65_536)] = 1_024
+    connections_per_address: Annotated[int, Field(ge=8, le=65_536)] = 1_024
+    chunk_line_bytes: Annotated[int, Field(ge=16, le=65_536)] = 256
+    trailer_lines: Annotated[int, Field(ge=1, le=65_536)] = 64
+    framing_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 65_536
+    handshakes: Annotated[int, Field(ge=1, le=1_024)] = 128
+
+    def limits(self) -> ClientLimits:
+        """Return the limits with times in seconds."""
+        values = {}
+        for name, value in self:
+            if name.endswith("_ms"):
+                values[name.removesuffix("_ms") + "_seconds"] = value / 1000
+            else:
+                values[name] = value
+        return ClientLimits(**values)
+
+
 class ProcessSettings(Section):
     """Settings that all daemons share."""
 
@@ -81,3 +106,4 @@
     http_threads: Annotated[int, Field(ge=2, le=1024)] = 32
     max_body_bytes: Bytes = 1024 * 1024
     max_header_bytes: Annotated[int, Field(ge=1024, le=1024 * 1024)] = 32 * 1024
+    client_limits: ClientLimitSettings = ClientLimitSettings()
--- a/arbutuscleat/web/http_request.py
+++ b/arbutuscleat/web/http_request.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from urllib.parse import unquote
 
+from .chunked_body import TooLargeError
+
 _HEADER_PREFIX = "HTTP_"
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that the HTTP libraries
@@ -32,9 +34,24 @@
 # WSGI environment key of a callable that returns whether the client has disconnected.
 ABANDONED_KEY = "arbutuscleat.is_abandoned"
 
+CONNECTION_KEY = "arbutuscleat.connection"
+"""WSGI environment key of the connection, which counts refusals."""
+
 
 class BodyError(Exception):
-    """A request body that ended early or could not be read."""
+    """A request body that ended early, could not be read, or is too large.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong with it.
+    status : int, default=400
+        HTTP status of the refusal.
+    """
+
+    def __init__(self, detail: str, status: int = 400):
+        super().__init__(detail)
+        self.status = status
 
 
 @dataclass(frozen=True)
@@ -94,7 +111,7 @@
     Raises
     ------
     BodyError
-        If the body cannot be read or is shorter than its Content-Length.
+        If the body cannot be read, is too large or shorter than its Content-Length.
     """
     headers = {
         key[len(_HEADER_PREFIX) :].lower().replace("_", "-"): value
@@ -125,8 +142,21 @@
         if chunked:
             return environ["wsgi.input"].read()
         body = environ["wsgi.input"].read(length)
+    except TooLargeError as exc:
+        raise _body_error(environ, f"the body is too large: {exc}", 413) from exc
     except (OSError, ValueError) as exc:
-        raise BodyError(f"the body could not be read: {exc}") from exc
+        raise _body_error(environ, f"the body could not be read: {exc}") from exc
     if len(body) != length:
-        raise BodyError(f"the body ended after {len(body)} of {length} bytes")
+        detail = f"the body ended after {len(body)} of {length} bytes"
+        raise _body_error(environ, detail)
     return body
+
+
+def _body_error(environ: dict, detail: str, status: int = 400) -> BodyError:
+    """Return the error, which is counted unless the client was too slow."""
+    conn = environ.get(CONNECTION_KEY)
+    if conn is not None and conn.is_overdue:
+        return BodyError("the body did not arrive in time", 408)
+    if conn is not None:
+        conn.count_refusal("too_large" if status == 413 else "malformed")
+    return BodyError(detail, status)
--- a/arbutuscleat/web/server.py
+++ b/arbutuscleat/web/server.py
@@ -5,126 +5,144 @@
 """
 
 import select
-import socket
+import selectors
 import threading
+import time
 from collections.abc import Callable
+from typing import Any
 
 from absl import logging
-from cheroot.server import HTTPConnection, HTTPRequest
-from cheroot.wsgi import Gateway_10, Server
+from cheroot.wsgi import Server
 
-from arbutuscleat.core import RefusalReason
+from arbutuscleat.core import ClientLimits
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.wire import Address
 
-from .http_request import ABANDONED_KEY
-from .problem import refuse
+from .connection import Connection, Gateway
+from .open_connections import OpenConnections
 
 IDLE_TIMEOUT_SECONDS = 30
 LISTEN_BACKLOG = 256
 STOP_TIMEOUT_SECONDS = 5
-NEXT_REQUEST_WAIT_MS = 20
-"""How long a thread waits on its connection before it returns it to the selector."""
-DISCARD_TIMEOUT_SECONDS = 0.5
-MAX_DISCARDED_BYTES = 1024 * 1024
-DISCARD_CHUNK_BYTES = 65_536
 UNREAD_REQUEST_SECONDS = 0.5
 """How long a stop waits for the rest of a request that has not been read in full."""
 
 UNREAD_CHECK_SECONDS = 0.1
-MIN_IDLE_THREADS = 4
-"""Threads that must be idle for a thread to wait on its connection."""
+MAX_CHECK_PAUSE_SECONDS = 2.0
+"""Time between two checks of the time limits, four times the usual one, after which
+this process has paused rather than its clients."""
 
-_REASONS = {413: RefusalReason.TOO_LARGE, 414: RefusalReason.TOO_LARGE}
 
+class _LimitedServer(Server):
+    """Limits open connections and the time that clients may take.
 
-class _ProblemRequest(HTTPRequest):
-    """Answers malformed requests with problem details."""
-
-    def simple_response(self, status, msg=""):
-        code = int(str(status)[:3])
-        if code < 400:
-            super().simple_response(status, msg)
-            return
-        detail = msg if isinstance(msg, str) and msg else str(status)[4:]
-        reason = _REASONS.get(code, RefusalReason.BAD_REQUEST)
-        response = refuse(reason, detail, code)
-        self.close_connection = True
-        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(response.body)}"]
-        lines += [f"{name}: {value}" for name, value in response.headers]
-        lines += ["Connection: close", "", ""]
-        try:
-            self.conn.wfile.write("\r\n".join(lines).encode() + response.body)
-            _discard_input(self.conn.socket)
-        except OSError:
-            pass  # The client has closed the connection.
-
-
-class _Connection(HTTPConnection):
-    """A connection whose thread waits briefly for the next request.
-
-    Returning a connection to the selector after each request costs two context
-    switches.  The thread therefore keeps the connection for a short time, as long as
-    enough other threads are idle to serve other connections.
+    Parameters
+    ----------
+    limits : ClientLimits
+        The limits.
+    count_refusal : callable
+        Counts a refused or closed client, given the reason.
+    *args, **kwargs
+        Those of cheroot's server.
     """
 
-    RequestHandlerClass = _ProblemRequest
-    request: HTTPRequest | None = None
-    """The request that the application answers."""
-
-    def stop_reading(self):
-        """Let reads end, unless the request has been read in full.
+    ConnectionClass = Connection
+    _connections: Any
+    """cheroot's connection manager; its version is pinned."""
 
-        Otherwise a client that opens a connection and sends nothing would delay the
-        end of the process until the connection times out.
-        """
-        is_read = (
-            self.request is not None
-            and getattr(self.request.rfile, "remaining", 0) == 0
-        )
-        if not is_read:
-            try:
-                self.socket.shutdown(socket.SHUT_RD)
-            except OSError:
-                pass  # The client has closed the connection.
-
-    def communicate(self):
-        keep_open = super().communicate()
-        while keep_open and self._has_next_request():
-            keep_open = super().communicate()
-        return keep_open
-
-    def _has_next_request(self):
-        if self.rfile.has_data():
-            return True
-        if self.server.requests.idle < MIN_IDLE_THREADS or not self.server.ready:
-            return False
-        poll = select.poll()
-        poll.register(self.socket, select.POLLIN)
-        return bool(poll.poll(NEXT_REQUEST_WAIT_MS))
+    def __init__(self, limits: ClientLimits, count_refusal: Callable, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.gateway = Gateway
+        self.limits = limits
+        self.count_refusal = count_refusal
+        self.open_connections = OpenConnections(limits)
+        self._checked_at = time.monotonic()
 
+    def error_log(self, msg="", level=20, traceback=False):
+        """Write cheroot's own messages to the structured log."""
+        logging.info("http server: %s", msg, exc_info=traceback)
 
-class _Gateway(Gateway_10):
-    """Gives the application a check whether the client has disconnected."""
-
-    def respond(self):
-        self.req.conn.request = self.req
+    def prepare(self):
+        """Bind the port; the time limits are checked with those of idle connections."""
+        super().prepare()
+        expire_idle = self._connections._expire
+
+        def expire(threshold):
+            expire_idle(threshold=threshold)
+            self._check_times()
+
+        self._connections._expire = expire
+
+    def process_conn(self, conn):
+        """Pass a connection that can be read, or a new one, to a thread."""
+        if not conn.is_admitted:
+            if not self._admit(conn):
+                conn.count_refusal("connections")
+                conn.close()
+                return
+            conn.is_admitted = True
+        super().process_conn(conn)
+
+    def put_conn(self, conn):
+        """Return a connection to the selector."""
+        if not self.ready or conn.head_deadline is None:
+            super().put_conn(conn)
+            return
+        # Its buffer holds part of the headers, and the selector waits for the rest.
+        conn.last_used = time.time()
         try:
-            super().respond()
-        finally:
-            self.req.conn.request = None
-
-    def get_environ(self):
-        environ = super().get_environ()
-        sock = self.req.conn.socket
-        environ[ABANDONED_KEY] = lambda: _is_disconnected(sock)
-        return environ
+            self._connections._selector.register(
+                conn.socket.fileno(), selectors.EVENT_READ, data=conn
+            )
+        except (OSError, ValueError, KeyError):
+            conn.close()  # The server has stopped.
+
+    def _admit(self, conn) -> bool:
+        """Count a new connection, in place of an idle one if there are too many."""
+        address = conn.remote_addr
+        if self.open_connections.admit(address):
+            return True
+        only = address if self.open_connections.is_full(address) else None
+        return self._close_idle(only) and self.open_connections.admit(address)
 
+    def _close_idle(self, address: str | None) -> bool:
+        """Close the connection that has been idle longest, first those never used.
 
-class _LoggingServer(Server):
-    """Writes cheroot's own messages to the structured log."""
+        Connections that can be read are left out: the selector may have them at hand.
+        """
+        poll = select.poll()
+        found = {}
+        for number, conn in list(self._connections._selector.connections):
+            if conn is not self and address in (None, conn.remote_addr):
+                poll.register(number, select.POLLIN)
+                found[number] = conn
+        for number, _ in poll.poll(0):
+            del found[number]
+        if not found:
+            return False
+        number = min(found, key=lambda n: (found[n].has_answered, found[n].last_used))
+        self._connections._selector.unregister(number)
+        found[number].count_refusal("idle")
+        found[number].close()
+        return True
 
-    def error_log(self, msg="", level=20, traceback=False):
-        logging.info("http server: %s", msg, exc_info=traceback)
+    def _check_times(self):
+        """End what takes too long."""
+        now = time.monotonic()
+        paused = now - self._checked_at > MAX_CHECK_PAUSE_SECONDS
+        self._checked_at = now
+        if paused:
+            return
+        for number, conn in list(self._connections._selector.connections):
+            if conn is not self and conn.head_deadline and conn.head_deadline < now:
+                self._connections._selector.unregister(number)
+                conn.expire_head()
+                super().process_conn(conn)
+        is_busy = self.requests.qsize > 0 and not self.requests.idle
+        for worker in list(self.requests._threads):
+            conn = worker.conn
+            if conn is not None:
+                conn.check_time(now, is_busy)
 
 
 class HttpServer:
@@ -139,7 +157,13 @@
     threads : int
         Maximum number of requests served at the same time.
     max_header_bytes, max_body_bytes : int
-        Size limits of one request, in bytes.
+        Size limits of one request, in bytes; 0 refuses all bodies.
+    limits : ClientLimits, optional
+        Limits of connections, times and framing.
+    metrics : Metrics, optional
+        Counts refused clients.
+    name : str, default="http"
+        Name of the server in the metrics.
     """
 
     def __init__(
@@ -149,8 +173,15 @@
         threads: int,
         max_header_bytes: int,
         max_body_bytes: int,
+        limits: ClientLimits | None = None,
+        metrics: Metrics | None = None,
+        name: str = "http",
     ):
-        self._server = _LoggingServer(
+        self._metrics = metrics
+        self._name = name
+        self._server = _LimitedServer(
+            limits or ClientLimits(),
+            self._count_refusal,
             (address.host, address.port),
             application,
             numthreads=threads,
@@ -159,8 +190,6 @@
             timeout=IDLE_TIMEOUT_SECONDS,
             shutdown_timeout=STOP_TIMEOUT_SECONDS,
         )
-        self._server.ConnectionClass = _Connection
-        self._server.gateway = _Gateway
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
         self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
@@ -201,33 +230,9 @@
                 if conn is not None:
                     conn.stop_reading()
 
+    def _count_refusal(self, reason: str) -> None:
+        if self._metrics is not None:
+            self._metrics.count("clients_refused", server=self._name, reason=reason)
+
     def _serve(self) -> None:
         self._server.serve()
-
-
-def _is_disconnected(sock: socket.socket) -> bool:
-    """Return whether the client has closed its side of the connection."""
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    if not poll.poll(0):
-        return False
-    try:
-        return not sock.recv(1, socket.MSG_PEEK)
-    except OSError:
-        return True
-
-
-def _discard_input(sock: socket.socket) -> None:
-    """Read and discard what a refused client still sends, up to a limit.
-
-    Closing a connection with unread data resets it, and the client may then never
-    read the refusal.
-    """
-    sock.shutdown(socket.SHUT_WR)
-    sock.settimeout(DISCARD_TIMEOUT_SECONDS)
-    remaining = MAX_DISCARDED_BYTES
-    while remaining > 0:
-        data = sock.recv(DISCARD_CHUNK_BYTES)
-        if not data:
-            return
-        remaining -= len(data)
--- a/arbutuscleat/wire/server.py
+++ b/arbutuscleat/wire/server.py
@@ -2,6 +2,7 @@
 
 The first message of a connection must be a `Handshake.hello` with the shared
 key.  If the handshake is refused, the connection is closed and nothing else is read.
+Until it is accepted, a connection may send little, and for a short time.
 """
 
 import socket
@@ -12,17 +13,23 @@
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
 
-from arbutuscleat.core import SystemClock, run_loop
+from arbutuscleat.core import ClientLimits, Clock, Deadline, SystemClock, run_loop
+from arbutuscleat.metrics import Metrics
 
 from .address import Address
 from .credentials import Credentials
-from .framing import make_protocol
+from .framing import MAX_HELLO_BYTES, make_protocol
 from .gen import Handshake
 from .gen.ttypes import HelloAnswer, HelloRequest
 
 ACCEPT_BACKLOG = 128
-HELLO_TIMEOUT_MS = 2_000.0
+HELLO_SECONDS = 2.0
+"""Time for the whole handshake: twice the time that a peer tries to connect."""
+
+MIN_TIMEOUT_SECONDS = 0.001
 MAX_CONNECTIONS = 1_024
+LOG_SECONDS = 5
+"""Interval of the log lines on connections that are refused."""
 
 
 class _HelloHandler:
@@ -44,6 +51,21 @@
         )
 
 
+class _DeadlineSocket(TSocket):
+    """Reads until a deadline, however little arrives at a time."""
+
+    def __init__(self, connection: socket.socket, deadline: Deadline):
+        super().__init__()
+        self.setHandle(connection)
+        self._deadline = deadline
+
+    def read(self, sz: int) -> bytes:
+        """Return at least one byte."""
+        seconds = max(MIN_TIMEOUT_SECONDS, self._deadline.remaining())
+        self.handle.settimeout(seconds)
+        return super().read(sz)
+
+
 class ThriftServer:
     """Serves a generated processor on a TCP port.
 
@@ -55,16 +77,31 @@
         Address to listen on; port 0 selects a free port.
     credentials : Credentials
         Credentials of this process; the peers must present the same shared key.
+    limits : ClientLimits, optional
+        Limits on connections that are not authenticated yet.
+    metrics : Metrics, optional
+        Counts connections that are closed for a limit.
     """
 
-    def __init__(self, processor: Any, address: Address, credentials: Credentials):
+    def __init__(
+        self,
+        processor: Any,
+        address: Address,
+        credentials: Credentials,
+        limits: ClientLimits | None = None,
+        metrics: Metrics | None = None,
+    ):
         self._processor = processor
+        self._max_handshakes = (limits or ClientLimits()).handshakes
+        self._metrics = metrics
+        self._clock: Clock = SystemClock()
         self._credentials = credentials
         self._listener = socket.create_server(
             (address.host, address.port), backlog=ACCEPT_BACKLOG
         )
         self._stopping = threading.Event()
         self._connections: set[socket.socket] = set()
+        self._handshakes: dict[socket.socket, None] = {}  # The oldest comes first.
         self._lock = threading.Lock()
         self._acceptor = threading.Thread(
             target=self._accept, name="thrift-accept", daemon=True
@@ -105,8 +142,17 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with self._lock:
             full = len(self._connections) >= MAX_CONNECTIONS
+            crowded = len(self._handshakes) >= self._max_handshakes
             if not full:
                 self._connections.add(connection)
+                self._handshakes[connection] = None
+            if crowded and not full:
+                # A peer takes milliseconds, so the oldest one is none.
+                oldest = next(iter(self._handshakes))
+                del self._handshakes[oldest]
+                _shut_down(oldest)
+        if full or crowded:
+            self._count_refusal("connections" if full else "handshakes")
         if full:
             connection.close()
             return
@@ -119,8 +165,8 @@
         transport = TSocket()
         transport.setHandle(connection)
         try:
-            protocol = make_protocol(transport)
-            if self._handshake(transport, protocol):
+            if self._handshake(connection):
+                protocol = make_protocol(transport)
                 while not self._stopping.is_set():
                     self._processor.process(protocol, protocol)
         except (TException, OSError, EOFError):
@@ -130,15 +176,30 @@
         finally:
             with self._lock:
                 self._connections.discard(connection)
+                self._handshakes.pop(connection, None)
             transport.close()
 
-    def _handshake(self, transport: TSocket, protocol: Any) -> bool:
+    def _handshake(self, connection: socket.socket) -> bool:
+        deadline = Deadline.after(self._clock, HELLO_SECONDS)
         handler = _HelloHandler(self._credentials)
-        transport.setTimeout(HELLO_TIMEOUT_MS)
-        Handshake.Processor(handler).process(protocol, protocol)
-        transport.setTimeout(None)
+        protocol = make_protocol(_DeadlineSocket(connection, deadline), MAX_HELLO_BYTES)
+        try:
+            Handshake.Processor(handler).process(protocol, protocol)
+        except (TException, OSError, EOFError):
+            self._count_refusal("handshake")
+            raise
+        with self._lock:
+            self._handshakes.pop(connection, None)
+        connection.settimeout(None)
         return handler.accepted
 
+    def _count_refusal(self, reason: str) -> None:
+        if self._metrics is not None:
+            self._metrics.count("clients_refused", server="peers", reason=reason)
+        logging.log_every_n_seconds(
+            logging.INFO, "peer connection refused: %s", LOG_SECONDS, reason
+        )
+
 
 def _shut_down(connection: socket.socket) -> None:
     try:
--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -301,12 +301,12 @@
         ]
         for line in lines:
             _, calls = self.serve([b"HTTP/1.1 200 OK\r\n" + line])
-            with mock.patch("berthline.http_calls.MAX_ANSWER_BYTES", len(rest) - 1):
+            with mock.patch("berthline.answer_reader.MAX_ANSWER_BYTES", len(rest) - 1):
                 result = self.call(calls)
             self.assertEqual((0, {}, True), (result.status, result.tree, result.sent))
 
     def test_an_answer_of_the_largest_length_is_read(self):
         _, calls = self.serve([CHUNKED_ANSWER, ANSWER, LAST_ANSWER])
-        with mock.patch("berthline.http_calls.MAX_ANSWER_BYTES", 9):
+        with mock.patch("berthline.answer_reader.MAX_ANSWER_BYTES", 9):
             trees = [self.call(calls).tree for _ in range(3)]
         self.assertEqual([{"ok": 2}, {"ok": 1}, {"ok": 1}], trees)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,8 @@
 from berthline import settings
 from testtools import TestCase
 
+from arbutuscleat.core import ClientLimits
+
 TEXT = """
 node-name = "core-1"
 ip = "10.1.0.12"
@@ -40,6 +42,25 @@
         self.assertEqual(2, cfg.tolerated_losses)
         self.assertIsNone(cfg.callers)
 
+    def test_client_limits_come_from_an_optional_table(self):
+        self.assertEqual(ClientLimits(), self.load(TEXT).client_limits)
+        table = "[client-limits]\nbody-ms = 1500\nconnections = 64\nnew = 1\n"
+        expected = ClientLimits(body_seconds=1.5, connections=64)
+        self.assertEqual(expected, self.load(TEXT + table).client_limits)
+
+    def test_invalid_client_limits_are_value_errors(self):
+        for line in (
+            "connections = 7",
+            "connections = 1.5",
+            "header-ms = 0",
+            "header-ms = nan",
+            "header-ms = '1'",
+            "trailer-lines = true",
+            "framing-bytes = -1",
+        ):
+            text = f"{TEXT}[client-limits]\n{line}\n"
+            self.assertRaises(ValueError, self.load, text)
+
     def test_one_loss_is_tolerated_where_no_number_is_set(self):
         text = TEXT.replace("machines = 2", "")
         self.assertEqual(1, self.load(text).tolerated_losses)
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -4,7 +4,13 @@
 from returns.result import Failure
 from testtools import TestCase
 
-from arbutuscleat.settings import ControlSettings, EntrySettings, load_settings
+from arbutuscleat.core import ClientLimits
+from arbutuscleat.settings import (
+    ClientLimitSettings,
+    ControlSettings,
+    EntrySettings,
+    load_settings,
+)
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
 
@@ -21,6 +27,7 @@
         "65535",
     ),
     ("http_threads: 32", "http_threads: 1", "http_threads", "2"),
+    ("connections: 1024", "connections: 7", "client_limits.connections", "8"),
     ("election_ms: 1500", "election_ms: 600", "consensus", "twice"),
     ("election_ms: 1500", 'election_ms: "1.5 s"', "consensus.election_ms", "integer"),
     ("a-long-shared-key-of-16-or-more", "short", "shared_key", "16"),
@@ -45,6 +52,11 @@
         for name, model in [("control", ControlSettings), ("entry", EntrySettings)]:
             load_settings(EXAMPLES / f"{name}.json5", model).unwrap()
 
+    def test_the_examples_and_the_defaults_are_the_documented_client_limits(self):
+        cfg = load_settings(EXAMPLES / "entry.json5", EntrySettings).unwrap()
+        self.assertEqual(ClientLimits(), cfg.client_limits.limits())
+        self.assertEqual(ClientLimits(), ClientLimitSettings().limits())
+
     def test_each_error_is_one_line_with_its_path(self):
         text = (EXAMPLES / "control.json5").read_text()
         for old, new, path, word in INVALID:
