--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -13,6 +13,7 @@
 from .checks.jobs import CutCheck, JobCheck
 from .checks.machines import MachineCheck
 from .checks.runs import RunCheck
+from .clients import CLIENT_FAULTS
 from .faults import DISK_FAULTS, RESTART_FAULTS, Injector, Scene, inject
 from .fleet import Fleet
 from .operator import Operator
@@ -35,6 +36,9 @@
 MEAN_RESTART_PAUSE = 10.0
 """Mean time between two restarts of workers in place, in seconds."""
 
+MEAN_CROWD_PAUSE = 4.0
+"""Mean time between two crowds of clients that nobody controls, in seconds."""
+
 LASTING_JOBS = 3
 MAX_QUESTIONS = 8
 MAX_LASTING_TASKS = 4
@@ -75,6 +79,7 @@
             Injector(scene, MEAN_PAUSE),
             Injector(scene, MEAN_DISK_PAUSE, DISK_FAULTS, "disk fault"),
             Injector(scene, MEAN_RESTART_PAUSE, RESTART_FAULTS, "restart"),
+            Injector(scene, MEAN_CROWD_PAUSE, CLIENT_FAULTS, "crowd"),
         ]
 
     def run(self, seconds: float) -> Report:
