HTTP server: the read buffer grows only for headers that arrive in parts

Cause: the buffer was as large as the headers may be, so that a server that allows 1 MiB of them (the workers' stand-in) read each request into a buffer of that size. Change: it grows by 8 KiB at a time while headers are incomplete.

--- a/arbutuscleat/web/connection.py
+++ b/arbutuscleat/web/connection.py
@@ -60,16 +60,13 @@
     body_began_at: float | None = None
     write_began_at: float | None = None
 
-    def __init__(self, server, sock, *args):
-        self.rbufsize = server.max_request_header_size + LINE_READ_BYTES
-        super().__init__(server, sock, *args)
-
     def communicate(self):
         """Serve requests until none is there; return whether it stays open."""
         if self.last_used is None and not self._has_next_request():
             return True
         while self._has_whole_head():
             self.head_deadline = None
+            self.rfile.buffer_size = self.rbufsize
             keep_open = super().communicate()
             self.body_began_at = self.write_began_at = None
             self.has_answered = True
@@ -159,14 +156,16 @@
 
         It goes on with whole headers, and with headers that it will refuse.
         """
+        max_bytes = self.server.max_request_header_size + LINE_READ_BYTES
         try:
             data = self.rfile.peek(1)
             while HEAD_END not in data:
                 size = len(data)
-                if not data or size >= self.rbufsize or self.is_overdue:
+                if not data or size >= max_bytes or self.is_overdue:
                     return True
                 if not self._has_input(0):
                     return False
+                self.rfile.buffer_size = size + self.rbufsize
                 data = self.rfile.peek(size + 1)
                 if len(data) == size:
                     return True  # The client has closed its side.
