Refusals by team: the one over its rate is refused, not whoever comes last

A flood of one team lengthened the backlog that everybody's wait was reckoned from.

Change: with teams in the configuration, a job within its team's rate (weight x window + slack in any window) is judged against the work within rates and its own team's; one beyond it is accepted while it would meet its objective on the workers that its service has, marked in the log, and otherwise refused. A cap bounds the wait of its own team only. Refusals take consecutive slots, so that callers return in order and not as the next flood. Metrics by team and cause, and log lines limited for each team. Without teams nothing changes.

--- a/arbutuscleat/access/admission_controller.py
+++ b/arbutuscleat/access/admission_controller.py
@@ -10,8 +10,10 @@
 
 from arbutuscleat.core import Clock
 from arbutuscleat.jobs import JobTable, Queue
+from arbutuscleat.metrics import Metrics
 from arbutuscleat.scheduling import (
     FleetCapacity,
+    RateLimit,
     Rejection,
     backlog_cpu_ms,
     check_size,
@@ -19,9 +21,14 @@
 )
 from arbutuscleat.wire.gen_jobs.ttypes import JobRecord
 
+from .team_admission import TeamAdmission
+
 BACKLOG_MAX_AGE_SECONDS = 0.1
 """Maximum age of the cached backlog; even a burst adds only a few jobs in this time."""
 
+MAX_TEAM_LABELS = 100
+"""Teams that the metrics name; further ones count as "other"."""
+
 
 class AdmissionController:
     """Accepts or rejects jobs by the backlog and the capacity of all machines.
@@ -36,6 +43,10 @@
         Spreads the retry times of rejected callers.
     fleet : callable
         Returns the total capacity of all machines, or None while it is unknown.
+    limit : RateLimit, optional
+        The allowance of each team, if the configuration has teams.
+    metrics : Metrics, optional
+        Counts rejected jobs, and jobs accepted beyond the rate of their team.
     """
 
     def __init__(
@@ -44,6 +55,8 @@
         clock: Clock,
         rng: random.Random,
         fleet: Callable[[], FleetCapacity | None],
+        limit: RateLimit | None = None,
+        metrics: Metrics | None = None,
     ):
         self._table = table
         self._clock = clock
@@ -51,6 +64,17 @@
         self._fleet = fleet
         self._submitting: set[str] = set()
         self._backlogs: dict[str, tuple[float, int]] = {}
+        self._teams = TeamAdmission(
+            table,
+            clock,
+            rng,
+            RateLimit() if limit is None else limit,
+            BACKLOG_MAX_AGE_SECONDS,
+        )
+        self._metrics = Metrics() if metrics is None else metrics
+        self._labels: set[str] = set()
+        self._over_rate_ids: set[str] = set()
+        """Jobs beyond the rate of their team that are being committed."""
 
     @contextmanager
     def submitting(self, job_id: str) -> Iterator[None]:
@@ -60,6 +84,7 @@
             yield
         finally:
             self._submitting.discard(job_id)
+            self._over_rate_ids.discard(job_id)
 
     def check(self, record: JobRecord, job_id: str, queue: Queue) -> Rejection | None:
         """Return why a job is rejected, or None if it is accepted.
@@ -67,7 +92,7 @@
         Parameters
         ----------
         record : JobRecord
-            The submitted job.
+            The submitted job, which names its team. `over_rate` is set here.
         job_id : str
             Its id.
         queue : Queue
@@ -80,13 +105,44 @@
         """
         with self._table.lock:
             if job_id in self._table.jobs or job_id in self._submitting:
+                record.over_rate = job_id in self._over_rate_ids or None
                 return None
-            fleet = self._fleet()
-            rejection = check_size(record.steps, fleet)
-            if rejection is not None or record.repeat_count:
-                return rejection
-            backlog = self._backlog(queue.service_name)
-            return check_wait(record.steps, queue, backlog, fleet, self._rng.random())
+            record.over_rate = None
+            rejection = self._check_new(record, job_id, queue)
+            if rejection is not None:
+                label = self._label(record.team)
+                self._metrics.count(
+                    "jobs_refused", cause=rejection.cause.value, team=label
+                )
+            elif record.over_rate:
+                self._over_rate_ids.add(job_id)
+                self._metrics.count(
+                    "jobs_accepted_over_rate", team=self._label(record.team)
+                )
+            return rejection
+
+    def _check_new(
+        self, record: JobRecord, job_id: str, queue: Queue
+    ) -> Rejection | None:
+        fleet = self._fleet()
+        rejection = check_size(record.steps, fleet)
+        if rejection is not None or record.repeat_count:
+            return rejection
+        config = self._table.config
+        if config is not None and config.teams:
+            return self._teams.check(record, job_id, queue, config, fleet)
+        backlog = self._backlog(queue.service_name)
+        return check_wait(record.steps, queue, backlog, fleet, self._rng.random())
+
+    def _label(self, team_name: str | None) -> str:
+        """Return the label of a team in the metrics."""
+        if team_name is None:
+            return "none"
+        if team_name not in self._labels:
+            if len(self._labels) >= MAX_TEAM_LABELS:
+                return "other"
+            self._labels.add(team_name)
+        return team_name
 
     def _backlog(self, service_name: str) -> int:
         """Return the estimated work ahead of a new job of a service.
--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -51,6 +51,7 @@
 
 from .admission_controller import AdmissionController
 from .holder_handlers import COMMIT_SECONDS, HolderHandlers, leader_of
+from .refusal_log import RefusalLog
 
 BARRIER_SECONDS = 1.0
 """Timeout for a quorum to confirm the leadership."""
@@ -110,6 +111,7 @@
         self._table = table
         self._clock = clock
         self._admission = admission
+        self._refusal_log = RefusalLog(clock)
         self._holder_handlers = HolderHandlers(
             replica,
             table,
@@ -391,13 +393,7 @@
     def _reject(
         self, request: SubmitRequest, job_id: str, queue: Queue, rejection: Rejection
     ) -> JobAnswer:
-        logging.info(
-            "job %s of queue %s refused: %s; retry after %d ms",
-            job_id,
-            queue.name,
-            rejection.reason,
-            rejection.retry_after_ms,
-        )
+        self._refusal_log.record(job_id, queue.name, request.job.team, rejection)
         answer = self._job_answer(request, Verdict.REFUSED, detail=rejection.reason)
         answer.retry_after_ms = min(rejection.retry_after_ms, MAX_RETRY_MS)
         return answer
--- a/arbutuscleat/jobs/job_state.py
+++ b/arbutuscleat/jobs/job_state.py
@@ -120,6 +120,11 @@
         self._tasks_by_step(occurrence)
         return self._remaining[occurrence][step] == 0
 
+    def undone_count(self, occurrence: int, step: int) -> int:
+        """Return the number of tasks of a step that are not done."""
+        self._tasks_by_step(occurrence)
+        return self._remaining[occurrence][step]
+
     def is_ready(self, occurrence: int, step: int) -> bool:
         """Return whether all steps that this step depends on are done."""
         after = self.steps[step].after or ()
--- a/arbutuscleat/jsonlogs/rate_limiter.py
+++ b/arbutuscleat/jsonlogs/rate_limiter.py
@@ -1,17 +1,19 @@
-"""Rate limit for log lines, applied to each call site separately."""
+"""Rate limit for log lines, applied to each call site or subject separately."""
 
 from collections import Counter
+from collections.abc import Hashable
+from typing import Generic, TypeVar
 
 LINES_PER_SECOND = 200
 """Limit for each call site.  At peak load the starts of steps log about 100 lines a
 second, so that only abnormal bursts are cut."""
 
-CallSite = tuple[str, int]
-"""File name and line number of a log call."""
+Site = TypeVar("Site", bound=Hashable)
+"""What the lines are counted by, such as file name and line number of a log call."""
 
 
-class LogRateLimiter:
-    """Counts lines by call site in windows of one second.
+class LogRateLimiter(Generic[Site]):
+    """Counts lines by call site, or by subject, in windows of one second.
 
     Parameters
     ----------
@@ -22,26 +24,26 @@
     def __init__(self, lines: int = LINES_PER_SECOND):
         self._max_lines = lines
         self._second = 0
-        self._counts: Counter[CallSite] = Counter()
+        self._counts: Counter[Site] = Counter()
 
-    def admit(self, site: CallSite, now: float) -> tuple[bool, dict[CallSite, int]]:
+    def admit(self, site: Site, now: float) -> tuple[bool, dict[Site, int]]:
         """Return whether a line may be written, and which lines were suppressed.
 
         Parameters
         ----------
-        site : CallSite
-            Where the line is logged.
+        site : Site
+            Where the line is logged, or what it is about.
         now : float
             Seconds of a monotonic clock.
 
         Returns
         -------
         admitted : bool
-        suppressed : dict of CallSite to int
+        suppressed : dict of Site to int
             Number of lines suppressed in the previous window; reported once, on the
             first call of a new window.
         """
-        suppressed: dict[CallSite, int] = {}
+        suppressed: dict[Site, int] = {}
         if int(now) != self._second:
             suppressed = {
                 item: count - self._max_lines
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -43,7 +43,7 @@
 from arbutuscleat.execution.session_manager import MakeClient
 from arbutuscleat.jobs import JobTable, QueueConfig, SessionHolder
 from arbutuscleat.metrics import Metrics
-from arbutuscleat.scheduling import FleetCapacity, Planner
+from arbutuscleat.scheduling import FleetCapacity, Planner, RateLimit
 from arbutuscleat.web import HttpServer
 from arbutuscleat.wire import Address, Credentials, ThriftServer
 from arbutuscleat.wire.gen_jobs import JobControl
@@ -105,6 +105,8 @@
         Time limits of leases and orders.
     tolerated_losses : int, default=1
         Number of control nodes that may be lost at the same time, at least 1.
+    rate_limit : RateLimit, optional
+        The allowance of each team.
     metrics : Address, optional
         Address that serves the metrics; None disables them.
     metrics_path : str
@@ -120,6 +122,7 @@
     cluster: str
     limits: ExecutionLimits
     tolerated_losses: int = 1
+    rate_limit: RateLimit = RateLimit()
     metrics: Address | None = None
     metrics_path: str = ""
 
@@ -182,8 +185,14 @@
             random.Random(),
             make_peer,
         )
+        self.metrics = Metrics()
         admission = AdmissionController(
-            self._table, clock, random.Random(), self._fleet
+            self._table,
+            clock,
+            random.Random(),
+            self._fleet,
+            cfg.rate_limit,
+            self.metrics,
         )
         registry = SessionRegistry(clock)
         service = JobService(self._replica, self._table, clock, admission, registry)
@@ -200,7 +209,6 @@
             service,
             lambda: self._replica.status().leader,
         )
-        self.metrics = Metrics()
         load = LeaderLoad(clock, self.metrics)
         holder = SessionHolder(cfg.host, uuid.uuid4().hex[:PROCESS_ID_LENGTH])
         lease = SessionLease(clock)
--- a/arbutuscleat/scheduling/admission.py
+++ b/arbutuscleat/scheduling/admission.py
@@ -9,11 +9,13 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 
-from arbutuscleat.jobs import JobState, JobTable, Queue, TaskStatus
+from arbutuscleat.jobs import JobTable, Queue
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
 
 from .objective import critical_path_ms
+from .work import remaining_work
 
 EXPIRY_FACTOR = 3
 """A job has a value until this multiple of its objective, by the platform's rules."""
@@ -47,6 +49,22 @@
     max_gpu: int
 
 
+class RejectionCause(Enum):
+    """What a rejected job exceeds."""
+
+    SIZE = "size"
+    """A task is larger than every machine."""
+
+    WAIT = "wait"
+    """The work ahead, on all machines together."""
+
+    CAP = "cap"
+    """The work of its team, within what the team may use at the same time."""
+
+    RATE = "rate"
+    """The rate of its team, while the service has no room for more."""
+
+
 @dataclass(frozen=True, slots=True)
 class Rejection:
     """Reason why a job is rejected, and the delay before a retry.
@@ -57,10 +75,13 @@
         Explanation for the caller.
     retry_after_ms : int
         Time after which the caller should submit the job again, in milliseconds.
+    cause : RejectionCause, default=RejectionCause.WAIT
+        What the job exceeds.
     """
 
     reason: str
     retry_after_ms: int
+    cause: RejectionCause = RejectionCause.WAIT
 
 
 def backlog_cpu_ms(table: JobTable, service_name: str) -> int:
@@ -81,7 +102,7 @@
         Remaining work in thousandths of a core times milliseconds.
     """
     return sum(
-        _remaining_cpu_ms(job)
+        remaining_work(job).cpu
         for job in table.active.values()
         if not job.record.repeat_count
         and not job.has_long_running_step()
@@ -158,16 +179,5 @@
         ):
             if wanted > most:
                 reason = f"a task needs {wanted} {unit}, the largest machine has {most}"
-                return Rejection(reason, SIZE_RETRY_MS)
+                return Rejection(reason, SIZE_RETRY_MS, RejectionCause.SIZE)
     return None
-
-
-def _remaining_cpu_ms(job: JobState) -> int:
-    left = 0
-    for number, step in enumerate(job.steps):
-        if step.fills or job.is_step_done(0, number):
-            continue
-        tasks = job.tasks(0, number)
-        undone = sum(task.status is not TaskStatus.DONE for task in tasks)
-        left += undone * step.cpu * step.estimated_ms
-    return left
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,8 @@
 from berthline import settings
 from testtools import TestCase
 
+from arbutuscleat.scheduling import RateLimit
+
 TEXT = """
 node-name = "core-1"
 ip = "10.1.0.12"
@@ -44,6 +46,12 @@
         text = TEXT.replace("machines = 2", "")
         self.assertEqual(1, self.load(text).tolerated_losses)
 
+    def test_the_allowance_of_teams_is_loaded(self):
+        text = TEXT.replace("[bounds]", "[bounds]\nquota-window-s = 3\nquota-slack = 8")
+        limit = self.load(text).rate_limit
+        self.assertEqual((3.0, 8.0), (limit.window, limit.slack))
+        self.assertEqual(RateLimit(), self.load(TEXT).rate_limit)
+
     def test_errors_name_the_key_or_value(self):
         cases = {
             "node-name": TEXT.replace("node-name", "name"),
