What a team's cap holds back lengthens no other team's wait

The work that a capped team has accepted within its rate counted in full towards the wait of the others, although until their turn it can use its cap at most.

Change: the wait is the time after which the work of all teams, of those with a cap at most what it lets them use until then, leaves room (`wait_ms`). The sums cost the same pass.

--- a/arbutuscleat/scheduling/team_admission.py
+++ b/arbutuscleat/scheduling/team_admission.py
@@ -108,8 +108,8 @@
         return _check_room(
             work, left_ms, queue.service_name, backlog, fleet, arriving_cpu
         )
-    ahead = backlog.ahead_cpu_ms(queue.service_name, team.name if team else None)
-    wait_ms = ahead / fleet.cpu
+    name = None if team is None else team.name
+    wait_ms = backlog.ahead_wait_ms(queue.service_name, name, fleet.cpu)
     if wait_ms <= left_ms:
         return None
     return TeamRejection(
@@ -130,7 +130,7 @@
 ) -> TeamRejection | None:
     """Reject a job beyond its team's rate unless its service has room for it."""
     cpu = backlog.pool_cpu[service_name] or fleet.cpu
-    wait_ms = backlog.total_cpu_ms(service_name) / cpu
+    wait_ms = backlog.total_wait_ms(service_name, cpu)
     if wait_ms <= left_ms:
         return None
     spare_cpu = max(cpu - arriving_cpu, MIN_SPARE_SHARE * cpu)
--- a/arbutuscleat/scheduling/team_backlog.py
+++ b/arbutuscleat/scheduling/team_backlog.py
@@ -3,12 +3,16 @@
 All sums are made in one pass over the active jobs, whatever the number of teams.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Mapping
 
 from arbutuscleat.jobs import JobTable
 
 from .work import Work, remaining_work
 
+TeamWork = Counter[str | None]
+"""Work of each team, in thousandths of a core times milliseconds."""
+
 
 class TeamBacklog:
     """Estimated remaining work of one-off batch jobs, by service and team.
@@ -20,13 +24,18 @@
     pool_cpu : Counter of str
         CPU of the workers that each service has now, in thousandths of a core; workers
         that drain or leave are not counted.
+    caps : dict of str to int
+        CPU that each team with a cap may use, in thousandths of a core.
     """
 
     def __init__(self) -> None:
         self.pool_cpu: Counter[str] = Counter()
-        self._within_rate: Counter[str] = Counter()
-        self._over_rate: Counter[str] = Counter()
-        self._own_over_rate: Counter[tuple[str, str | None]] = Counter()
+        self.caps: dict[str, int] = {}
+        self._within_rate: defaultdict[str, TeamWork] = defaultdict(Counter)
+        self._over_rate: defaultdict[str, TeamWork] = defaultdict(Counter)
+        self._totals: Counter[tuple[str, bool]] = Counter()
+        """Sums over all teams, by service and whether beyond their rates."""
+
         self._own: dict[str, Work] = {}
 
     @classmethod
@@ -45,6 +54,9 @@
         for worker in table.workers.values():
             if not worker.draining and not worker.leaving:
                 backlog.pool_cpu[worker.service_name] += worker.cpu
+        for team in table.config.teams.values() if table.config else ():
+            if team.cap.cpu:
+                backlog.caps[team.name] = team.cap.cpu
         return backlog
 
     def add(
@@ -63,32 +75,83 @@
         work : Work
             Its remaining work.
         """
-        if over_rate:
-            self._over_rate[service_name] += work.cpu
-            self._own_over_rate[service_name, team_name] += work.cpu
-        else:
-            self._within_rate[service_name] += work.cpu
+        part = self._over_rate if over_rate else self._within_rate
+        part[service_name][team_name] += work.cpu
+        self._totals[service_name, over_rate] += work.cpu
         if team_name is not None:
             self._own[team_name] = self.of_team(team_name).plus(work)
 
-    def ahead_cpu_ms(self, service_name: str, team_name: str | None) -> int:
-        """Return the work ahead of a job within its team's rate.
+    def ahead_wait_ms(
+        self, service_name: str, team_name: str | None, cpu: int
+    ) -> float:
+        """Return how long a job within its team's rate waits, in milliseconds.
 
-        That is all work within rates, and what its own team has beyond: tasks of it
-        that already run count towards the team's share.
+        All work within rates goes before it, and what its own team has beyond: tasks of
+        it that already run count towards the team's share.
 
-        Returns
-        -------
-        int
-            Work in thousandths of a core times milliseconds.
+        Parameters
+        ----------
+        service_name : str
+            The service.
+        team_name : str or None
+            The team, if any.
+        cpu : int
+            Thousandths of a core that work on it.
         """
-        own = self._own_over_rate[service_name, team_name]
-        return self._within_rate[service_name] + own
-
-    def total_cpu_ms(self, service_name: str) -> int:
-        """Return all work of a service, in thousandths of a core times milliseconds."""
-        return self._within_rate[service_name] + self._over_rate[service_name]
+        within = self._within_rate[service_name]
+        own = self._over_rate[service_name][team_name]
+        capped = {name: within[name] for name in self.caps}
+        if team_name in capped:
+            capped[team_name] += own
+        total = self._totals[service_name, False] + own
+        return wait_ms(total, capped, self.caps, cpu)
+
+    def total_wait_ms(self, service_name: str, cpu: int) -> float:
+        """Return how long all work of a service takes, in milliseconds."""
+        within = self._within_rate[service_name]
+        beyond = self._over_rate[service_name]
+        capped = {name: within[name] + beyond[name] for name in self.caps}
+        total = self._totals[service_name, False] + self._totals[service_name, True]
+        return wait_ms(total, capped, self.caps, cpu)
 
     def of_team(self, team_name: str) -> Work:
         """Return all work of a team, of any service."""
         return self._own.get(team_name, Work())
+
+
+def wait_ms(
+    total: int, capped: Mapping[str, int], caps: Mapping[str, int], cpu: int
+) -> float:
+    """Return the time after which some CPU is free for a new job.
+
+    Until then a team with a cap uses no more than its cap. What it has left by then
+    delays nobody else.
+
+    Parameters
+    ----------
+    total : int
+        Work of all teams, in thousandths of a core times milliseconds.
+    capped : mapping of str to int
+        The part of it that teams with a cap have.
+    caps : mapping of str to int
+        Their caps in thousandths of a core.
+    cpu : int
+        CPU that does the work, in thousandths of a core.
+
+    Returns
+    -------
+    float
+        Time in milliseconds.
+    """
+    left, free = total, cpu
+    remaining = {name: amount for name, amount in capped.items() if amount}
+    while True:
+        wait = left / free
+        bound = [
+            name for name, amount in remaining.items() if amount > caps[name] * wait
+        ]
+        if not bound:
+            return wait
+        for name in bound:
+            left -= remaining.pop(name)
+            free -= caps[name]
--- a/tests/scheduling/test_team_admission.py
+++ b/tests/scheduling/test_team_admission.py
@@ -13,6 +13,7 @@
     check_team_wait,
     check_wait,
 )
+from arbutuscleat.scheduling.team_backlog import wait_ms
 from tests.fakes.jobs import QUEUE, JobTableHarness, job, run, step, worker
 
 FLEET = FleetCapacity(64_000, 64_000, 131_072, 0)
@@ -117,13 +118,34 @@
     ):
         steps = [step(count), step(1, after=[0])]
         backlog = backlog_of(("b", False, seconds))
-        total = backlog.total_cpu_ms(SERVICE)
+        total = backlog.total_wait_ms(SERVICE, 1)
         without_teams = check_wait(steps, QUEUE, total, FLEET, 0.0)
         found = check(backlog, steps=steps)
         self.assertEqual(without_teams is None, found is None)
 
 
 class TeamBacklogTest(TestCase):
+    def test_what_a_cap_holds_back_delays_no_other_team(self):
+        work = {"a": 100, "b": 60}
+        self.assertEqual(2.1, wait_ms(210, {}, {}, 100))
+        self.assertEqual(1.1, wait_ms(210, work, {"a": 1, "b": 100}, 101))
+        self.assertEqual(1.0, wait_ms(210, work, {"a": 10, "b": 40}, 100))
+        self.assertEqual(0.0, wait_ms(0, {"a": 0}, {"a": 10}, 100))
+
+    @given(
+        st.dictionaries(
+            st.sampled_from("abcde"),
+            st.tuples(st.integers(0, 10**6), st.integers(1, 200)),
+        ),
+        st.integers(0, 10**6),
+    )
+    def test_the_wait_is_what_the_teams_can_use_until_then(self, teams, uncapped):
+        work = {name: amount for name, (amount, _) in teams.items()}
+        caps = {name: cap for name, (_, cap) in teams.items()}
+        wait = wait_ms(uncapped + sum(work.values()), work, caps, 100)
+        used = uncapped + sum(min(work[name], caps[name] * wait) for name in work)
+        self.assertTrue(abs(used - 100 * wait) <= 1e-6 * (1 + used), (used, wait))
+
     def test_the_sums_of_a_table_go_by_service_team_and_mark(self):
         harness = JobTableHarness()
         harness.apply(worker=worker())
@@ -135,8 +157,8 @@
         harness.end(run(), RunOutcome.DONE)
         backlog = TeamBacklog.of_table(harness.table)
         self.assertEqual(64_000, backlog.pool_cpu[SERVICE])
-        self.assertEqual(2_000_000, backlog.ahead_cpu_ms(SERVICE, "a"))
-        self.assertEqual(4_000_000, backlog.ahead_cpu_ms(SERVICE, "b"))
-        self.assertEqual(4_000_000, backlog.total_cpu_ms(SERVICE))
+        self.assertEqual(2_000_000, backlog.ahead_wait_ms(SERVICE, "a", 1))
+        self.assertEqual(4_000_000, backlog.ahead_wait_ms(SERVICE, "b", 1))
+        self.assertEqual(4_000_000, backlog.total_wait_ms(SERVICE, 1))
         self.assertEqual(Work(2_000_000, 200_000, 0), backlog.of_team("a"))
-        self.assertEqual(0, backlog.total_cpu_ms("portal"))
+        self.assertEqual(0, backlog.total_wait_ms("portal", 1))
