--- a/arbutuscleat/access/refusal_log.py
+++ b/arbutuscleat/access/refusal_log.py
@@ -43,7 +43,7 @@
             "job %s of queue %s%s refused: %s; retry after %d ms",
             job_id,
             queue_name,
-            "" if team_name is None else f" and team {team_name}",
+            "" if team_name is None else f", team {team_name}",
             rejection.reason,
             rejection.retry_after_ms,
         )
--- a/tests/access/test_refusal_log.py
+++ b/tests/access/test_refusal_log.py
@@ -32,7 +32,10 @@
         self.record("mills", LINES_PER_SECOND + 57)
         self.record("docks", 1)
         self.assertEqual(LINES_PER_SECOND + 1, len(self.lines))
-        self.assertIn("team docks refused: x; retry after 1000 ms", self.lines[-1])
+        self.assertIn(
+            "queue approvals, team docks refused: x; retry after 1000 ms",
+            self.lines[-1],
+        )
         self.clock.advance(1.0)
         self.record("docks", 1)
         self.assertIn("57 refused jobs of team mills not logged", self.lines)
