--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -52,6 +52,7 @@
 from .admission_controller import AdmissionController
 from .call_target import CallTarget, find_target
 from .holder_handlers import COMMIT_SECONDS, HolderHandlers, leader_of
+from .refusal_log import RefusalLog
 
 BARRIER_SECONDS = 1.0
 """Timeout for a quorum to confirm the leadership."""
@@ -111,6 +112,7 @@
         self._table = table
         self._clock = clock
         self._admission = admission
+        self._refusal_log = RefusalLog(clock)
         self._holder_handlers = HolderHandlers(
             replica,
             table,
@@ -152,17 +154,16 @@
         queue, job_id = target.queue, target.rest
         if not _JOB_ID.fullmatch(job_id):
             return self._job_answer(request, Verdict.INVALID, detail="not a job id")
-        rejection = self._admission.check(request.job, job_id, queue)
+        record = request.job
+        record.team = target.team_name
+        rejection = self._admission.check(record, job_id, queue)
         if rejection is not None:
             return self._reject(request, target, rejection)
-        record = request.job
         record.job_id = job_id
         record.queue = queue.name
         record.host = queue.host
         record.path_prefix = queue.path_prefix
         record.service_name = queue.service_name
-        record.team = target.team_name
-        record.over_rate = None
         record.accepted_at_ms = self._clock.now_ms()
         with self._admission.submitting(job_id):
             result = self._propose(JobCommand(accept=record))
@@ -398,12 +399,8 @@
     def _reject(
         self, request: SubmitRequest, target: CallTarget, rejection: Rejection
     ) -> JobAnswer:
-        logging.info(
-            "job %s of %s refused: %s; retry after %d ms",
-            target.rest,
-            target.describe(),
-            rejection.reason,
-            rejection.retry_after_ms,
+        self._refusal_log.record(
+            target.rest, target.queue.name, target.team_name, rejection
         )
         answer = self._job_answer(request, Verdict.REFUSED, detail=rejection.reason)
         answer.retry_after_ms = min(rejection.retry_after_ms, MAX_RETRY_MS)
