Caps of teams bound what a plan starts

Change: the planner starts nothing that brings a team above its cap. What a team uses is derived from the runs in the job table (stopped, inherited and silent ones count), renewed only where runs have changed. A gang fits completely or holds nothing. What a cap holds back reserves no worker and is no demand for machines; after 2 s smaller finite tasks of the team do not pass it. Starts whose commit is not confirmed count. Wait reason, log lines and gauges by team.

--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -267,7 +267,12 @@
         if self.step_waits.is_due(now):
             with self._load.timed("check of waits"):
                 self.step_waits.check(
-                    self._table, views, self._unlisted(), now, self._clock.now_ms()
+                    self._table,
+                    views,
+                    self._unlisted(),
+                    now,
+                    self._clock.now_ms(),
+                    self._planner.team_caps.held(),
                 )
 
     def _unlisted(self) -> list[TaskKey]:
@@ -289,6 +294,7 @@
         with self._load.timed("commit of starts"):
             result = self._replica.propose(payload, PROPOSE_TIMEOUT_SECONDS)
         if isinstance(result, Success):
+            self._planner.team_caps.confirm_starts()
             _log_starts(runs)
         else:
             logging.warning("commit of %d run starts is not confirmed", len(runs))
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -8,6 +8,8 @@
 from arbutuscleat.jobs import SUSPECT_CRASHES, JobTable
 from arbutuscleat.metrics import labelled
 
+from .team_metrics import team_gauges
+
 
 class ControlMetrics:
     """Gauges that are computed each time the metrics are read.
@@ -52,6 +54,7 @@
         with self._table.lock:
             gauges |= self._table_gauges()
             gauges |= self._wait_gauges()
+            gauges |= team_gauges(self._table, self._executor.step_waits.waits())
             sessions = list(self._executor.sessions.values())
         gauges["worker_sessions"] = len(sessions)
         gauges["worker_sessions_silent"] = sum(
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -9,6 +9,7 @@
 from .service_demand import Demand, Requirement, has_shortage
 from .session_balance import balance_sessions
 from .step_waits import StepWait, StepWaits
+from .team_usage import TeamUsage
 from .unplaced_tasks import UnplacedTasks
 from .wait_reason import WaitReason
 from .wave_planner import WaveMachine, choose_machines
@@ -29,6 +30,7 @@
     "Requirement",
     "StepWait",
     "StepWaits",
+    "TeamUsage",
     "UnplacedTasks",
     "UsageCache",
     "WaitReason",
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -8,6 +8,7 @@
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
 
 from .service_demand import Demand, Requirement
+from .team_caps import TeamCaps
 from .unplaced_tasks import Placement
 from .worker_view import WorkerView
 
@@ -38,14 +39,19 @@
         The demand of each service.
     """
     jobs: dict[str, list[JobState]] = {name: [] for name in service_names}
-    for job in table.active.values():
+    caps = TeamCaps()
+    caps.begin_plan(table, 0.0)
+    active: Iterable[JobState] = table.active.values()
+    if caps.has_teams:  # As in a plan, long-running tasks use the cap first.
+        active = sorted(active, key=lambda job: not job.has_long_running_step())
+    for job in active:
         found = jobs.get(table.service_of(job))
         if found is not None:
             found.append(job)
     demands = {}
     for name, found in jobs.items():
         views = None if workers is None else workers.get(name, ())
-        demands[name] = job_demand(found, now_ms, views)
+        demands[name] = job_demand(found, now_ms, views, caps)
     return demands
 
 
@@ -53,11 +59,13 @@
     jobs: Iterable[JobState],
     now_ms: int,
     workers: Sequence[WorkerView] | None = None,
+    caps: TeamCaps | None = None,
 ) -> Demand:
     """Return the demand of running tasks and of tasks that could start now.
 
     Tasks of steps that wait for other steps are not counted, because those steps free
-    their capacity when they end.
+    their capacity when they end. Nor are tasks that the cap of their team holds back:
+    they would not start on another machine either.
 
     Parameters
     ----------
@@ -67,11 +75,14 @@
         Current Unix time in milliseconds.
     workers : sequence of WorkerView, optional
         The workers that run the jobs; without them, no task counts as unplaced.
+    caps : TeamCaps, optional
+        What the teams use. Waiting tasks that are counted are added.
     """
     placement = None if workers is None else Placement(workers)
     total = _Sum()
     parts: dict[Requirement, _Sum] = {}
     for job in jobs:
+        account = None if caps is None else caps.account_of(job)
         for occurrence in range(job.occurrence_count()):
             if job.record.repeat_count and job.due_at_ms(occurrence) > now_ms:
                 break
@@ -83,6 +94,8 @@
                 tasks = job.tasks(occurrence, number)
                 running = sum(task.status is TaskStatus.RUNNING for task in tasks)
                 waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
+                if account is not None:
+                    waiting = account.take_room(step, waiting)
                 total.add(step, running, waiting)
                 if step.required_label or step.gpu:
                     # Machines with more accelerators than one also run these tasks.
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -22,6 +22,7 @@
 from .full_services import FullServices
 from .objective import critical_path_ms, objective_at_ms
 from .run_times import RunTimes
+from .team_caps import TeamAccount, TeamCaps
 from .worker_view import WorkerView
 
 MAX_STARTS = 64
@@ -89,6 +90,7 @@
         self._run_times = RunTimes()
         self._crash_trials = CrashTrials()
         self._full_services = FullServices()
+        self.team_caps = TeamCaps()
         self._latest_starts: dict[tuple[str, int], _LatestStart] = {}
 
     def seconds_running(self, key: TaskKey, number: int, now: float) -> float:
@@ -124,6 +126,7 @@
         self._run_times.prune(table, now)
         self._crash_trials.observe(table, views, self._run_times, now)
         self._full_services = FullServices()
+        self.team_caps.begin_plan(table, now)
         by_service: dict[str, list[WorkerView]] = {}
         for view in views.values():
             if view.usable:
@@ -242,6 +245,7 @@
         Either the long-running tasks or the finite ones are considered.
         """
         job, occurrence = candidate.job, candidate.occurrence
+        account = self.team_caps.account_of(job)
         max_attempts = None if long_running else table.max_attempts_of(job)
         runs: list[RunRecord] = []
         blocked: list[_Blocked] = []
@@ -258,6 +262,13 @@
                 waiting = [t for t in waiting if not self._is_delayed(t, now)]
             if not waiting:
                 continue
+            if step.gang and len(waiting) < len(tasks):
+                continue
+            if account is not None:
+                group, together = waiting[0].key[:3], len(tasks) if step.gang else 1
+                if not account.admits(step, together, group):
+                    self.team_caps.hold(account, step, group, len(waiting), now)
+                    continue
             suspects = [task for task in waiting if is_suspect(task)]
             trial_workers = workers
             if suspects:
@@ -270,21 +281,22 @@
                     now,
                 )
             if step.gang:
-                if len(waiting) == len(tasks):
-                    found = self._place_gang(
-                        step, waiting, trial_workers, max_attempts, now
-                    )
-                    runs.extend(found)
-                    if not found:
-                        blocked.append((step, waiting))
+                found = self._place_gang(
+                    step, waiting, trial_workers, max_attempts, account, now
+                )
+                runs.extend(found)
+                if not found:
+                    blocked.append((step, waiting))
                 continue
             found, left = self._place_each(
-                step, suspects, trial_workers, max_attempts, now
+                step, suspects, trial_workers, max_attempts, account, now
             )
             runs.extend(found)
             blocked.extend(left)
             others = [task for task in waiting if not is_suspect(task)]
-            found, left = self._place_each(step, others, workers, max_attempts, now)
+            found, left = self._place_each(
+                step, others, workers, max_attempts, account, now
+            )
             runs.extend(found)
             blocked.extend(left)
         return runs, blocked
@@ -292,16 +304,21 @@
     def _place_each(
         self,
         step: StepRecord,
-        waiting: Iterable[TaskState],
+        waiting: Sequence[TaskState],
         workers: Sequence[WorkerView],
         max_attempts: int | None,
+        account: TeamAccount | None,
         now: float,
     ) -> tuple[list[RunRecord], list[_Blocked]]:
         runs = []
         blocked: list[_Blocked] = []
         service = workers[0].record.service_name if workers else ""
         last: WorkerView | None = None
-        for task in waiting:
+        for position, task in enumerate(waiting):
+            if account is not None and not account.admits(step, 1, task.key[:3]):
+                left = len(waiting) - position
+                self.team_caps.hold(account, step, task.key[:3], left, now)
+                break
             view = None
             if not self._full_services.is_full(service, step):
                 view = self._worker_for(step, task, workers, max_attempts, last, now)
@@ -309,7 +326,10 @@
                 view.reserve(step, task.key[:3])
                 self._failed_tasks.record_start(task.key, now)
                 self._crash_trials.record_start(task, view, is_suspect(task))
-                runs.append(task.key.run_record(task.number + 1, view.incarnation))
+                number = task.number + 1
+                if account is not None:
+                    self.team_caps.record_start(account, step, task.key, number, now)
+                runs.append(task.key.run_record(number, view.incarnation))
                 last = view if _is_unproblematic(task) else None
                 continue
             blocked.append((step, [task]))
@@ -398,6 +418,7 @@
         waiting: Sequence[TaskState],
         workers: Sequence[WorkerView],
         max_attempts: int | None,
+        account: TeamAccount | None,
         now: float,
     ) -> list[RunRecord]:
         """Place all tasks of a gang or none, on one rack if possible when requested."""
@@ -423,6 +444,10 @@
                 for task, view in taken:
                     self._failed_tasks.record_start(task.key, now)
                     self._crash_trials.record_start(task, view, is_trial)
+                    if account is not None:
+                        self.team_caps.record_start(
+                            account, step, task.key, number, now
+                        )
                 return [
                     task.key.run_record(number, view.incarnation)
                     for task, view in taken
--- a/arbutuscleat/scheduling/step_waits.py
+++ b/arbutuscleat/scheduling/step_waits.py
@@ -66,6 +66,8 @@
         empty if not compared.
     log_at : float
         Monotonic time in seconds from which the wait is logged again.
+    capped_team : str
+        The team whose cap holds the tasks back; empty if none does.
     """
 
     group: Group
@@ -74,6 +76,7 @@
     task_count: int = 0
     reasons: Counter[WaitReason] = field(default_factory=Counter)
     log_at: float = 0.0
+    capped_team: str = ""
 
     @property
     def reason(self) -> WaitReason | None:
@@ -112,6 +115,7 @@
         unlisted: Iterable[TaskKey],
         now: float,
         now_ms: int,
+        held: Mapping[Group, str] | None = None,
     ) -> None:
         """Update the waits, and log those that last.
 
@@ -128,8 +132,11 @@
             Monotonic time in seconds.
         now_ms : int
             Current Unix time in milliseconds.
+        held : mapping of tuple of str, int and int to str, optional
+            Steps that the latest plan held back by the cap of their team, and its name.
         """
         self._checked_at = now
+        held = held or {}
         waiting = dict(_waiting_tasks(table, now_ms))
         since = dict.fromkeys(waiting, now)
         for task, missing_since in self._missing_runs(table, unlisted, now):
@@ -148,7 +155,10 @@
             tasks = waiting[wait.group]
             wait.task_count = len(tasks)
             wait.reasons = Counter()
-            if position < MAX_EXPLAINED:
+            wait.capped_team = held.get(wait.group, "")
+            if wait.capped_team:
+                wait.reasons = Counter({WaitReason.TEAM_CAP: 1})
+            elif position < MAX_EXPLAINED:
                 service = table.service_of(table.jobs[wait.group[0]])
                 wait.reasons = wait_reasons(
                     _step(table, wait.group), tasks[0], by_service.get(service, ())
@@ -187,7 +197,9 @@
                 "long-running" if wait.is_long_running else "finite",
                 age,
                 wait.task_count,
-                ", ".join(f"{reason}: {count}" for reason, count in reasons),
+                f"held by the cap of team {wait.capped_team}"
+                if wait.capped_team
+                else ", ".join(f"{reason}: {count}" for reason, count in reasons),
             )
 
 
