Room of a full service goes by the teams' weights

Change: `fair_turns` says whose job is next: within the rate before beyond it, not late before late, teams within their fair share (weighted dominant share of the service) before the others, then priority and latest start as before. Within its share a team starts a step completely, beyond it a task at a time. Late jobs of deprived teams come first, and get a reservation after a second. The cap keeps back smaller tasks by the time they were held, not by rank: a gang that had become late was passed for ever. Candidates and their ranks have a module of their own.

--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -7,22 +7,26 @@
 capacity in the same way when its turn comes. Jobs that can still meet their
 objective come next, by the priority of their queue and then by the latest time at which
 they have to start. Jobs that are already late use the remaining capacity. Tasks under
-which workers have crashed start apart from other jobs (see `CrashTrials`).
+which workers have crashed start apart from other jobs (see `CrashTrials`). If the
+configuration has teams, their caps limit what starts (see `TeamCaps`), and their
+weights say whose job comes first (see `fair_turns`).
 """
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from itertools import takewhile
 
-from arbutuscleat.jobs import JobState, JobTable, Queue, TaskKey, TaskState, TaskStatus
+from arbutuscleat.jobs import JobTable, TaskKey, TaskState, TaskStatus
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, StepRecord
 
 from .backfill import ExpectedEnd, reserve_capacity
+from .candidates import Candidate, CandidateFinder
 from .crash_trials import CrashTrials, is_suspect
 from .failed_tasks import FailedTasks
+from .fair_order import RESERVE_AFTER_MS, Shares, Turn, fair_turns, service_shares
 from .full_services import FullServices
-from .objective import critical_path_ms, objective_at_ms
 from .run_times import RunTimes
-from .team_caps import TeamAccount, TeamCaps
+from .team_caps import TeamCaps
 from .worker_view import WorkerView
 
 MAX_STARTS = 64
@@ -39,9 +43,6 @@
 worker where no run has succeeded since: as long as a circuit breaker gives a worker no
 new runs at most. After it the job may fail; before, it is at worst late."""
 
-START_DELAY_MS = 20
-"""Delay of occurrences after their due time, to tolerate small clock differences."""
-
 
 @dataclass(frozen=True)
 class Plan:
@@ -59,22 +60,6 @@
     next_due_ms: int | None = None
 
 
-@dataclass(order=True)
-class _Candidate:
-    rank: tuple[int, int, int, int]
-    job: JobState = field(compare=False)
-    occurrence: int = field(compare=False)
-
-
-@dataclass(frozen=True, slots=True)
-class _LatestStart:
-    """When a job has to start at the latest, from its first step that is not done."""
-
-    queue: Queue | None
-    first: int
-    at_ms: int
-
-
 _Blocked = tuple[StepRecord, Sequence[TaskState]]
 """A task that no worker accepts now, or the tasks of a gang, and their step."""
 
@@ -91,7 +76,7 @@
         self._crash_trials = CrashTrials()
         self._full_services = FullServices()
         self.team_caps = TeamCaps()
-        self._latest_starts: dict[tuple[str, int], _LatestStart] = {}
+        self._candidate_finder = CandidateFinder()
 
     def seconds_running(self, key: TaskKey, number: int, now: float) -> float:
         """Return for how long a run has been running, as far as this planner knows."""
@@ -132,30 +117,52 @@
             if view.usable:
                 service = view.record.service_name
                 by_service.setdefault(service, []).append(view)
-        candidates, next_due_ms = self._candidates(table, by_service, now_ms)
-        candidates.sort()
-        runs = self._start_jobs(table, candidates, by_service, now)
+        candidates, next_due_ms = self._candidate_finder.find(table, by_service, now_ms)
+        shares = self._shares(table, candidates, by_service)
+        runs = self._start_jobs(table, candidates, shares, by_service, now_ms, now)
         for run in runs:
             self._run_times.record_start(TaskKey.of(run), run.number, now)
         return Plan(runs, next_due_ms)
 
+    def _shares(
+        self,
+        table: JobTable,
+        candidates: Iterable[Candidate],
+        by_service: Mapping[str, Sequence[WorkerView]],
+    ) -> Shares:
+        """Return the shares of the teams; empty if the configuration has none."""
+        if table.config is None or not self.team_caps.has_teams:
+            return {}
+        totals = {
+            service: (
+                sum(view.record.cpu for view in views),
+                sum(view.record.mem_mb for view in views),
+                sum(view.record.gpu for view in views),
+            )
+            for service, views in by_service.items()
+        }
+        usage = self.team_caps.usage
+        return service_shares(candidates, usage, table.config.teams, totals)
+
     def _start_jobs(
         self,
         table: JobTable,
-        candidates: Sequence[_Candidate],
+        candidates: Sequence[Candidate],
+        shares: Shares,
         by_service: Mapping[str, Sequence[WorkerView]],
+        now_ms: int,
         now: float,
     ) -> list[RunRecord]:
         runs: list[RunRecord] = []
         blocked: dict[str, list[_Blocked]] = {}
         reserved: set[str] = set()
-        for candidate in candidates:
-            if not candidate.job.has_long_running_step():
-                break
-            service = table.service_of(candidate.job)
-            found, left = self._start_job(
-                table, candidate, by_service[service], True, now
-            )
+        kept_out: set[str] = set()
+        long_running = takewhile(
+            lambda candidate: candidate.job.has_long_running_step(), candidates
+        )
+        for turn in fair_turns(long_running, shares):
+            service = turn.candidate.service
+            found, left = self._start_job(table, turn, by_service[service], True, now)
             runs.extend(found)
             blocked.setdefault(service, []).extend(left)
             if len(runs) >= MAX_STARTS:
@@ -163,12 +170,16 @@
         for service, tasks in blocked.items():
             if tasks and self._reserve_first(tasks, by_service[service], table, now):
                 reserved.add(service)
-        for candidate in candidates:
-            service = table.service_of(candidate.job)
+        for turn in fair_turns(candidates, shares):
+            service = turn.candidate.service
             workers = by_service[service]
-            found, left = self._start_job(table, candidate, workers, False, now)
+            found, left = self._start_job(table, turn, workers, False, now)
             runs.extend(found)
             gangs = [(step, tasks) for step, tasks in left if step.gang]
+            if left and service not in kept_out and turn.is_deprived():
+                if turn.candidate.late_by_ms(now_ms) >= RESERVE_AFTER_MS:
+                    kept_out.add(service)
+                    gangs = left
             if gangs and service not in reserved:
                 if self._reserve_first(gangs, workers, table, now):
                     reserved.add(service)
@@ -176,66 +187,10 @@
                 break
         return runs
 
-    def _candidates(
-        self,
-        table: JobTable,
-        by_service: Mapping[str, Sequence[WorkerView]],
-        now_ms: int,
-    ) -> tuple[list[_Candidate], int | None]:
-        found = []
-        next_due_ms = None
-        former, self._latest_starts = self._latest_starts, {}
-        for job in table.active.values():
-            queue = table.queue_of(job)
-            serves = table.service_of(job) in by_service
-            for occurrence in range(job.occurrence_count()):
-                due_ms = job.due_at_ms(occurrence)
-                if job.record.repeat_count:
-                    due_ms += START_DELAY_MS
-                if due_ms > now_ms and job.record.repeat_count:
-                    if next_due_ms is None or due_ms < next_due_ms:
-                        next_due_ms = due_ms
-                    break
-                if not serves or job.is_occurrence_done(occurrence):
-                    continue
-                rank = self._rank(job, occurrence, queue, now_ms, former)
-                found.append(_Candidate(rank, job, occurrence))
-        return found, next_due_ms
-
-    def _rank(
-        self,
-        job: JobState,
-        occurrence: int,
-        queue: Queue | None,
-        now_ms: int,
-        former: Mapping[tuple[str, int], _LatestStart],
-    ) -> tuple[int, int, int, int]:
-        """Return the rank of a job; `former` are the latest starts of the last plan."""
-        if job.has_long_running_step():
-            return (0, 0, 0, job.record.accepted_at_ms)
-        first = next(
-            (
-                number
-                for number in range(len(job.steps))
-                if not job.is_step_done(occurrence, number)
-            ),
-            0,
-        )
-        key = (job.job_id, occurrence)
-        latest = former.get(key)
-        if latest is None or latest.queue is not queue or latest.first != first:
-            at_ms = objective_at_ms(job, occurrence, queue)
-            at_ms -= critical_path_ms(job.steps, first)
-            latest = _LatestStart(queue, first, at_ms)
-        self._latest_starts[key] = latest
-        late = int(latest.at_ms < now_ms)
-        priority = 0 if queue is None else queue.priority
-        return (1, late, priority, latest.at_ms)
-
     def _start_job(
         self,
         table: JobTable,
-        candidate: _Candidate,
+        turn: Turn,
         workers: Sequence[WorkerView],
         long_running: bool,
         now: float,
@@ -244,7 +199,7 @@
 
         Either the long-running tasks or the finite ones are considered.
         """
-        job, occurrence = candidate.job, candidate.occurrence
+        job, occurrence = turn.candidate.job, turn.candidate.occurrence
         account = self.team_caps.account_of(job)
         max_attempts = None if long_running else table.max_attempts_of(job)
         runs: list[RunRecord] = []
@@ -252,19 +207,21 @@
         for number, step in enumerate(job.steps):
             if bool(step.long_running) is not long_running:
                 continue
+            if turn.is_over(step):
+                break
             if job.is_step_done(occurrence, number):
                 continue
             if not job.is_ready(occurrence, number):
                 continue
             tasks = job.tasks(occurrence, number)
             waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
+            if turn.planned:
+                waiting = [task for task in waiting if task.key not in turn.planned]
             if long_running:
                 waiting = [t for t in waiting if not self._is_delayed(t, now)]
             if not waiting:
                 continue
-            if step.gang and len(waiting) < len(tasks):
-                continue
-            if account is not None:
+            if account is not None and not (step.gang and len(waiting) < len(tasks)):
                 group, together = waiting[0].key[:3], len(tasks) if step.gang else 1
                 if not account.admits(step, together, group):
                     self.team_caps.hold(account, step, group, len(waiting), now)
@@ -281,21 +238,22 @@
                     now,
                 )
             if step.gang:
-                found = self._place_gang(
-                    step, waiting, trial_workers, max_attempts, account, now
-                )
-                runs.extend(found)
-                if not found:
-                    blocked.append((step, waiting))
+                if len(waiting) == len(tasks):
+                    found = self._place_gang(
+                        step, waiting, trial_workers, max_attempts, turn, now
+                    )
+                    runs.extend(found)
+                    if not found:
+                        blocked.append((step, waiting))
                 continue
             found, left = self._place_each(
-                step, suspects, trial_workers, max_attempts, account, now
+                step, suspects, trial_workers, max_attempts, turn, now
             )
             runs.extend(found)
             blocked.extend(left)
             others = [task for task in waiting if not is_suspect(task)]
             found, left = self._place_each(
-                step, others, workers, max_attempts, account, now
+                step, others, workers, max_attempts, turn, now
             )
             runs.extend(found)
             blocked.extend(left)
@@ -307,14 +265,17 @@
         waiting: Sequence[TaskState],
         workers: Sequence[WorkerView],
         max_attempts: int | None,
-        account: TeamAccount | None,
+        turn: Turn,
         now: float,
     ) -> tuple[list[RunRecord], list[_Blocked]]:
         runs = []
         blocked: list[_Blocked] = []
         service = workers[0].record.service_name if workers else ""
         last: WorkerView | None = None
+        account = self.team_caps.account_of(turn.candidate.job)
         for position, task in enumerate(waiting):
+            if turn.is_over(step):
+                break
             if account is not None and not account.admits(step, 1, task.key[:3]):
                 left = len(waiting) - position
                 self.team_caps.hold(account, step, task.key[:3], left, now)
@@ -324,11 +285,10 @@
                 view = self._worker_for(step, task, workers, max_attempts, last, now)
             if view is not None:
                 view.reserve(step, task.key[:3])
-                self._failed_tasks.record_start(task.key, now)
-                self._crash_trials.record_start(task, view, is_suspect(task))
                 number = task.number + 1
-                if account is not None:
-                    self.team_caps.record_start(account, step, task.key, number, now)
+                self._record_start(
+                    turn, step, task, number, view, is_suspect(task), now
+                )
                 runs.append(task.key.run_record(number, view.incarnation))
                 last = view if _is_unproblematic(task) else None
                 continue
@@ -337,6 +297,23 @@
                 break  # The same requirements: the step's other tasks fit nowhere.
         return runs, blocked
 
+    def _record_start(
+        self,
+        turn: Turn,
+        step: StepRecord,
+        task: TaskState,
+        number: int,
+        view: WorkerView,
+        is_trial: bool,
+        now: float,
+    ) -> None:
+        self._failed_tasks.record_start(task.key, now)
+        self._crash_trials.record_start(task, view, is_trial)
+        account = self.team_caps.account_of(turn.candidate.job)
+        if account is not None:
+            self.team_caps.record_start(account, step, task.key, number, now)
+        turn.record_start(step, task.key)
+
     def _worker_for(
         self,
         step: StepRecord,
@@ -418,7 +395,7 @@
         waiting: Sequence[TaskState],
         workers: Sequence[WorkerView],
         max_attempts: int | None,
-        account: TeamAccount | None,
+        turn: Turn,
         now: float,
     ) -> list[RunRecord]:
         """Place all tasks of a gang or none, on one rack if possible when requested."""
@@ -442,12 +419,7 @@
             if len(taken) == len(waiting):
                 is_trial = any(is_suspect(task) for task in waiting)
                 for task, view in taken:
-                    self._failed_tasks.record_start(task.key, now)
-                    self._crash_trials.record_start(task, view, is_trial)
-                    if account is not None:
-                        self.team_caps.record_start(
-                            account, step, task.key, number, now
-                        )
+                    self._record_start(turn, step, task, number, view, is_trial, now)
                 return [
                     task.key.run_record(number, view.incarnation)
                     for task, view in taken
--- a/arbutuscleat/scheduling/team_caps.py
+++ b/arbutuscleat/scheduling/team_caps.py
@@ -8,8 +8,9 @@
 
 A task or gang that its cap holds back keeps no capacity of any worker. Smaller tasks of
 its team may pass it, but no finite ones once it has been held back for `PASS_SECONDS`,
-provided that it fits when the team's finite runs have ended. So it starts within that
-time and the longest of these runs, unless others of the team with a better rank come.
+provided that it fits when the team's finite runs have ended. So the cap admits it
+within that time and the longest of these runs. It loses its place after
+`KEEP_SECONDS`, in case that no worker has room for it.
 """
 
 from collections.abc import Mapping
@@ -27,6 +28,10 @@
 """How long smaller tasks of a team may pass one that the team's cap holds back. It
 spans a short task, so that most tasks start without the others waiting for them."""
 
+KEEP_SECONDS = 5.0
+"""How long the finite tasks of a team wait at most for one that may not be passed. It
+spans the longest runs of most teams."""
+
 UNCONFIRMED_SECONDS = 5.0
 """How long starts count whose commit is not confirmed and that the table does not show.
 A leader without a quorum has lost its leadership by then."""
@@ -121,7 +126,10 @@
         self.usage = TeamUsage()
         self.accounts: dict[str, TeamAccount] = {}
         self._teams: Mapping[str, Team] = {}
-        self._held_since: dict[Group, float] = {}
+        self._held: dict[Group, _Held] = {}
+        self._kept: dict[str, list[_Held]] = {}
+        """What no finite task may pass, by team, the longest held first."""
+
         self._unconfirmed: dict[TaskKey, _Start] = {}
         self._holds: dict[str, _Hold] = {}
 
@@ -140,15 +148,20 @@
         self._teams = {} if table.config is None else table.config.teams
         if not self._teams:
             self.usage.clear()
-            self._held_since.clear()
+            self._held.clear()
             self._unconfirmed.clear()
             return
         self.usage.observe(table)
-        self._held_since = {
-            group: since
-            for group, since in self._held_since.items()
+        self._held = {
+            group: held
+            for group, held in self._held.items()
             if group[0] in table.active
+            and now - held.since < PASS_SECONDS + KEEP_SECONDS
         }
+        self._kept = {}
+        for held in self._held.values():
+            if now - held.since >= PASS_SECONDS:
+                self._kept.setdefault(held.team, []).append(held)
         self._unconfirmed = {
             key: start
             for key, start in self._unconfirmed.items()
@@ -179,6 +192,10 @@
         account = self.accounts.get(name)
         if account is None and name in self._teams:
             account = TeamAccount(self._teams[name], self.usage.of_team(name))
+            for held in self._kept.get(name, ()):
+                if account.admits_beside_long_running(held.step, held.together):
+                    account.kept_for = held.group
+                    break
             self.accounts[name] = account
         return account
 
@@ -211,11 +228,10 @@
             Monotonic time in seconds.
         """
         account.held[group] = waiting
-        since = self._held_since.setdefault(group, now)
-        if account.kept_for is None and now - since >= PASS_SECONDS:
-            count = waiting if step.gang else 1
-            if account.admits_beside_long_running(step, count):
-                account.kept_for = group
+        if group not in self._held:
+            together = waiting if step.gang else 1
+            name = account.team.name
+            self._held[group] = _Held(name, step, group, together, now)
 
     def record_start(
         self,
@@ -227,7 +243,7 @@
     ) -> None:
         """Record that a plan starts run `number` of a task."""
         account.usage.add(step, 1)
-        self._held_since.pop(key[:3], None)
+        self._held.pop(key[:3], None)
         self._unconfirmed[key] = _Start(account.team.name, step, number, now)
 
     def _log_holds(self, now: float) -> None:
@@ -259,6 +275,17 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """A step that a cap has held back, and how many of its tasks start together."""
+
+    team: str
+    step: StepRecord
+    group: Group
+    together: int
+    since: float
+
+
 @dataclass(slots=True)
 class _Hold:
     """Since when a cap holds back tasks of its team, and when to log it again."""
--- a/tests/scheduling/test_team_caps.py
+++ b/tests/scheduling/test_team_caps.py
@@ -6,9 +6,7 @@
 
 from arbutuscleat.jobs import (
     Capacity,
-    QueueConfig,
     RunOutcome,
-    Service,
     TaskKey,
     TaskStatus,
     Team,
@@ -16,56 +14,12 @@
 from arbutuscleat.scheduling import Planner, StepWaits, WaitReason, service_demands
 from arbutuscleat.scheduling.team_caps import PASS_SECONDS, UNCONFIRMED_SECONDS
 from arbutuscleat.scheduling.team_usage import TeamUsage, Usage
-from tests.fakes.jobs import QUEUE, JobTableHarness, job, step, worker
-from tests.fakes.views import views_of
+from tests.fakes.jobs import step, worker
+from tests.fakes.team_fleet import Fleet, views_of
 
 NOW_MS = 1_000
 
 
-class Fleet:
-    """A job table with teams, whose plans are applied at once."""
-
-    def __init__(self, *teams, workers=2, **fields):
-        self.harness = JobTableHarness()
-        self.table = self.harness.table
-        self.configure(*teams)
-        for number in range(workers):
-            self.harness.apply(worker=worker(f"w{number}", **fields))
-        self.planner = Planner()
-        self.now = 0.0
-        self.job_count = 0
-
-    def configure(self, *teams):
-        services = [Service("karachi", True, False)]
-        self.table.config = QueueConfig(2, [QUEUE], services, teams)
-
-    def submit(self, team, *steps, **fields):
-        self.job_count += 1
-        job_id = f"{self.job_count:016x}"
-        self.harness.accept(job(job_id, steps=list(steps), team=team, **fields))
-        return job_id
-
-    def plan(self, seconds=0.0):
-        self.now += seconds
-        views = views_of(self.table)
-        return self.planner.plan(self.table, views, NOW_MS, self.now).runs
-
-    def start(self, seconds=0.0):
-        runs = self.plan(seconds)
-        self.harness.start(*runs)
-        self.planner.team_caps.confirm_starts()
-        return runs
-
-    def end(self, *runs):
-        for run in runs:
-            self.harness.end(run, RunOutcome.DONE)
-
-    def used(self, team, position=0):
-        usage = TeamUsage()
-        usage.observe(self.table)
-        return usage.of_team(team).used[position]
-
-
 def capped(cpu=0, mem_mb=0, gpu=0, name="north"):
     return Team(name, frozenset(), cap=Capacity(cpu, mem_mb, gpu))
 
