At its cap a team keeps its order among jobs of one size

Cause: the step that had been held back longest kept all finite tasks of its team waiting, so with a flood at the cap late jobs came before fresh ones.

Measured: tests of scheduling pass; the new one fails without the change.

--- a/arbutuscleat/scheduling/team_caps.py
+++ b/arbutuscleat/scheduling/team_caps.py
@@ -7,10 +7,7 @@
 tasks do. So a large task does not wait for ever.
 
 A task or gang that its cap holds back keeps no capacity of any worker. Smaller tasks of
-its team may pass it, but no finite ones once it has been held back for `PASS_SECONDS`,
-provided that it fits when the team's finite runs have ended. So the cap admits it
-within that time and the longest of these runs. It loses its place after
-`KEEP_SECONDS`, in case that no worker has room for it.
+its team may pass it for some time (see `HeldSteps`).
 """
 
 from collections.abc import Mapping
@@ -22,15 +19,8 @@
 from arbutuscleat.jobs.task import TaskKey
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
 
-from .team_usage import TeamUsage, Usage, size_of
-
-PASS_SECONDS = 2.0
-"""How long smaller tasks of a team may pass one that the team's cap holds back. It
-spans a short task, so that most tasks start without the others waiting for them."""
-
-KEEP_SECONDS = 5.0
-"""How long the finite tasks of a team wait at most for one that may not be passed. It
-spans the longest runs of most teams."""
+from .held_steps import Group, HeldStep, HeldSteps
+from .team_usage import Amount, TeamUsage, Usage, size_of
 
 UNCONFIRMED_SECONDS = 5.0
 """How long starts count whose commit is not confirmed and that the table does not show.
@@ -40,9 +30,6 @@
 """Duration after which it is logged that a cap holds tasks back, and again each time it
 has doubled. Most waits in a load peak are shorter."""
 
-Group = tuple[str, int, int]
-"""A job, occurrence and step."""
-
 
 @dataclass(slots=True)
 class TeamAccount:
@@ -54,35 +41,41 @@
         The team, as it is configured now.
     usage : Usage
         What runs in the table and starts of the plan use on all workers.
-    kept_for : tuple of str, int and int, or None
-        Held-back step that no finite tasks of the team may pass.
+    kept : HeldStep or None
+        Held-back step that smaller finite tasks of the team may not pass.
     held : dict
         Steps that the cap holds back in this plan, with the number of waiting tasks.
     """
 
     team: Team
     usage: Usage
-    kept_for: Group | None = None
+    kept: HeldStep | None = None
     held: dict[Group, int] = field(default_factory=dict)
 
     def admits(self, step: StepRecord, count: int, group: Group) -> bool:
         """Return whether `count` more tasks of a step may start together."""
-        if self.kept_for not in (None, group) and not step.long_running:
-            return False
+        kept = self.kept
+        if kept is not None and kept.group != group and not step.long_running:
+            if kept.needs_more_than(step, count, self._limits):
+                return False
         return self._is_within_cap(step, count, self.usage.used)
 
-    def admits_beside_long_running(self, step: StepRecord, count: int) -> bool:
-        """Return whether tasks may start once the team's finite runs have ended."""
-        return self._is_within_cap(step, count, self.usage.long_running)
+    def will_admit(self, held: HeldStep) -> bool:
+        """Return whether a step may start once the team's finite runs have ended."""
+        return self._is_within_cap(held.step, held.together, self.usage.long_running)
+
+    @property
+    def _limits(self) -> Amount:
+        cap = self.team.cap
+        return (cap.cpu, cap.mem_mb, cap.gpu)
 
     def describe(self) -> str:
         """Return what is in use of each limited resource, as written in logs."""
-        cap = self.team.cap
         units = ("thousandths of a core", "MB", "accelerators")
         return ", ".join(
             f"{used} of {limit} {unit}"
             for used, limit, unit in zip(
-                self.usage.used, (cap.cpu, cap.mem_mb, cap.gpu), units, strict=True
+                self.usage.used, self._limits, units, strict=True
             )
             if limit
         )
@@ -97,8 +90,7 @@
         return taken
 
     def _is_within_cap(self, step: StepRecord, count: int, used: list[int]) -> bool:
-        cap = self.team.cap
-        limits = (cap.cpu, cap.mem_mb, cap.gpu)
+        limits = self._limits
         lasting = self.usage.long_running
         for position, size in enumerate(size_of(step)):
             limit, in_use, total = limits[position], used[position], count * size
@@ -126,10 +118,8 @@
         self.usage = TeamUsage()
         self.accounts: dict[str, TeamAccount] = {}
         self._teams: Mapping[str, Team] = {}
-        self._held: dict[Group, _Held] = {}
-        self._kept: dict[str, list[_Held]] = {}
-        """What no finite task may pass, by team, the longest held first."""
-
+        self._now = 0.0
+        self._held_steps = HeldSteps()
         self._unconfirmed: dict[TaskKey, _Start] = {}
         self._holds: dict[str, _Hold] = {}
 
@@ -148,20 +138,12 @@
         self._teams = {} if table.config is None else table.config.teams
         if not self._teams:
             self.usage.clear()
-            self._held.clear()
+            self._held_steps = HeldSteps()
             self._unconfirmed.clear()
             return
         self.usage.observe(table)
-        self._held = {
-            group: held
-            for group, held in self._held.items()
-            if group[0] in table.active
-            and now - held.since < PASS_SECONDS + KEEP_SECONDS
-        }
-        self._kept = {}
-        for held in self._held.values():
-            if now - held.since >= PASS_SECONDS:
-                self._kept.setdefault(held.team, []).append(held)
+        self._held_steps.begin_plan(table.active, now)
+        self._now = now
         self._unconfirmed = {
             key: start
             for key, start in self._unconfirmed.items()
@@ -192,10 +174,7 @@
         account = self.accounts.get(name)
         if account is None and name in self._teams:
             account = TeamAccount(self._teams[name], self.usage.of_team(name))
-            for held in self._kept.get(name, ()):
-                if account.admits_beside_long_running(held.step, held.together):
-                    account.kept_for = held.group
-                    break
+            account.kept = self._held_steps.kept(name, account.will_admit, self._now)
             self.accounts[name] = account
         return account
 
@@ -228,10 +207,9 @@
             Monotonic time in seconds.
         """
         account.held[group] = waiting
-        if group not in self._held:
-            together = waiting if step.gang else 1
-            name = account.team.name
-            self._held[group] = _Held(name, step, group, together, now)
+        together = waiting if step.gang else 1
+        held = HeldStep(account.team.name, step, group, together, now)
+        self._held_steps.add(held)
 
     def record_start(
         self,
@@ -243,7 +221,7 @@
     ) -> None:
         """Record that a plan starts run `number` of a task."""
         account.usage.add(step, 1)
-        self._held.pop(key[:3], None)
+        self._held_steps.remove(key[:3], now)
         self._unconfirmed[key] = _Start(account.team.name, step, number, now)
 
     def _log_holds(self, now: float) -> None:
@@ -275,17 +253,6 @@
         }
 
 
-@dataclass(frozen=True, slots=True)
-class _Held:
-    """A step that a cap has held back, and how many of its tasks start together."""
-
-    team: str
-    step: StepRecord
-    group: Group
-    together: int
-    since: float
-
-
 @dataclass(slots=True)
 class _Hold:
     """Since when a cap holds back tasks of its team, and when to log it again."""
--- a/tests/scheduling/test_team_caps.py
+++ b/tests/scheduling/test_team_caps.py
@@ -12,7 +12,8 @@
     Team,
 )
 from arbutuscleat.scheduling import Planner, StepWaits, WaitReason, service_demands
-from arbutuscleat.scheduling.team_caps import PASS_SECONDS, UNCONFIRMED_SECONDS
+from arbutuscleat.scheduling.held_steps import PASS_SECONDS
+from arbutuscleat.scheduling.team_caps import UNCONFIRMED_SECONDS
 from arbutuscleat.scheduling.team_usage import TeamUsage, Usage
 from tests.fakes.jobs import step, worker
 from tests.fakes.team_fleet import Fleet, views_of
@@ -143,6 +144,19 @@
             running += started
             fleet.end(running.pop(0))
 
+    def test_jobs_of_one_size_keep_their_order_at_the_cap(self):
+        """Guards against late jobs that come before fresh ones, as held for longer."""
+        fleet = Fleet(capped(cpu=4_000))
+        fleet.submit("north", step(4))
+        running = fleet.start()
+        late = fleet.submit("north", step(4))
+        fleet.start(0.1)
+        fleet.start(PASS_SECONDS + 2.0)
+        fresh = fleet.submit("north", step(2))
+        fleet.end(*running[:3])
+        started = [run.job_id for run in fleet.start(0.1)]
+        self.assertEqual([fresh, fresh, late], started)
+
     def test_a_team_full_of_lasting_tasks_lets_finite_ones_pass(self):
         fleet = Fleet(capped(cpu=8_000))
         fleet.submit("north", step(5, long_running=True))
