Shares go by whole steps, and late jobs of small teams do not come first

Change: a step starts completely, up to a quarter of the service above the fair share; late jobs of deprived teams come first, with a reservation, 8 s after their latest start. Teams without a weight come last until then.

--- a/arbutuscleat/scheduling/fair_order.py
+++ b/arbutuscleat/scheduling/fair_order.py
@@ -9,26 +9,24 @@
 1. jobs with long-running tasks;
 2. jobs within what their team may expect to be served, before those beyond it;
 3. jobs that can meet their objective, before late ones;
-4. teams whose next task leaves them within their fair share, before the others; these
-   by share over weight;
+4. teams below their fair share, before the others; these by share over weight;
 5. priority of the queue and latest start.
 
-A late job of a team below half of its fair share is compared as one that is not late,
-of a team within its share, so it starts once a run ends that leaves enough room; if
-none does for `RESERVE_AFTER_MS`, the planner reserves room for it. A team that uses
-nothing is compared as if it had sent no more than it may expect. So no team waits for
-ever.
-
-Inside a team the order is 1, 2, 3 and 5. Within its fair share a team starts a step
-completely, as a job is worth nothing before its last task. Beyond it the team gets one
-task or gang at a time, as long as others have jobs to compare. What these leave unused
-is lent: nobody is kept from room that nobody else takes, and no run is ended for
-another team.
+Inside a team the order is 1, 2, 3 and 5. A step starts completely, as a job is worth
+nothing before its last task, but for steps that bring a team above its fair share and
+take more than `MAX_TURN` at once: these continue after the other teams' turns. What
+teams leave unused is lent: nobody is kept from room that nobody else takes, and no run
+is ended for another team.
+
+A job is starved if its team is below half of its fair share and its latest start was
+`STARVED_MS` ago. It is compared as one that is not late, of a team below its share, and
+gets a reservation if no worker has room, so no team waits for ever.
 """
 
 import heapq
 from collections import Counter, deque
 from collections.abc import Iterable, Iterator, Mapping, Sequence
+from math import inf
 
 from arbutuscleat.jobs import TaskKey, Team
 from arbutuscleat.wire.gen_jobs.ttypes import StepRecord
@@ -36,23 +34,17 @@
 from .candidates import Candidate
 from .team_usage import NO_TEAM, Amount, TeamUsage, size_of
 
-MIN_WEIGHT_FRACTION = 0.01
-"""Smallest weight of a team, as part of the largest one. A team without a weight gets
-room last, but a hundredth of it while others want all."""
-
 DEPRIVED = 0.5
 """Part of its fair share below which a team counts as deprived. Teams at their fair
-shares do not fall below it when the largest of their runs end."""
-
-
-RESERVE_AFTER_MS = 1_000
-"""How long after its latest start a job of a deprived team gets a reservation. Before
-that, most runs that end leave enough room, and no reservation is needed."""
+shares do not fall below it when a few of their runs end."""
 
-ROUNDING = 1e-9
-"""Tolerance for rounding when shares are compared."""
+STARVED_MS = 8_000
+"""How long after its latest start a job of a deprived team is starved. Short jobs have
+lost their value by then, so until then jobs that have one come first."""
 
-NOTHING: Amount = (0, 0, 0)
+MAX_TURN = 0.25
+"""Largest part of a service that one turn takes for a team above its fair share.
+Callers expect wider steps to run in waves."""
 
 
 class TeamShare:
@@ -65,42 +57,43 @@
     totals : tuple of three int
         The same of all usable workers of the service.
     fair : float
-        The team's fair share, from 0 to 1.
+        The team's fair share, from 0 to 1. A team without a weight has none.
 
     Attributes
     ----------
-    level : float
-        The dominant share relative to the fair share; 1 where they are the same.
+    dominant : float
+        The largest part of any resource in use.
     """
 
-    __slots__ = ("used", "level", "_totals", "_fair")
+    __slots__ = ("used", "dominant", "_totals", "_fair")
 
     def __init__(self, used: Sequence[int], totals: Amount, fair: float):
         self.used = list(used)
         self._totals = totals
         self._fair = fair
-        self.level = self._level(NOTHING)
+        self._measure()
 
     def record_start(self, step: StepRecord) -> None:
         """Add a task of a step to what is in use."""
         for position, size in enumerate(size_of(step)):
             self.used[position] += size
-        self.level = self._level(NOTHING)
+        self._measure()
 
-    def exceeds(self, step: StepRecord) -> bool:
-        """Return whether one more task of a step is beyond the fair share."""
-        return self.level >= 1.0 or self._level(size_of(step)) > 1.0 + ROUNDING
+    def _measure(self) -> None:
+        self.dominant = max(
+            used / total if total else 0.0
+            for used, total in zip(self.used, self._totals, strict=True)
+        )
 
-    def _level(self, more: Amount) -> float:
-        dominant = 0.0
-        for used, size, total in zip(self.used, more, self._totals, strict=True):
-            if total:
-                dominant = max(dominant, (used + size) / total)
-        return dominant / self._fair
+    @property
+    def level(self) -> float:
+        """The dominant share relative to the fair share; 1 where they are the same."""
+        return self.dominant / self._fair if self._fair else inf
 
     def is_deprived(self) -> bool:
         """Return whether the team is far below its fair share of a shared service."""
-        return self._fair < 1.0 and self.level < DEPRIVED
+        is_idle = not self.dominant
+        return self._fair < 1.0 and (is_idle or self.level < DEPRIVED)
 
 
 Shares = Mapping[tuple[str, str], TeamShare]
@@ -122,13 +115,13 @@
     usage : TeamUsage
         What the runs in the table use.
     teams : mapping of str to Team
-        The configured teams. Jobs without a team count as one with the mean weight.
+        The configured teams. Jobs without a team count as one with the mean weight,
+        those of a removed team have no weight.
     totals : mapping of str to tuple of three int
         CPU, memory and accelerators of the usable workers of each service.
     """
     weights = {name: team.weight for name, team in teams.items()}
     weights[NO_TEAM] = sum(weights.values()) / max(1, len(weights))
-    smallest = MIN_WEIGHT_FRACTION * max(weights.values()) or 1.0
     names: dict[str, set[str]] = {}
     for candidate in candidates:
         names.setdefault(candidate.service, set()).add(candidate.team)
@@ -136,11 +129,10 @@
     for service, found in names.items():
         usages = usage.by_service.get(service, {})
         found |= {name for name, item in usages.items() if any(item.used)}
-        weight_of = {name: max(smallest, weights.get(name, 0.0)) for name in found}
-        total_weight = sum(weight_of.values())
-        for name, weight in weight_of.items():
+        total = sum(weights.get(name, 0.0) for name in found)
+        for name in found:
             used = usages[name].used if name in usages else (0, 0, 0)
-            fair = weight / total_weight
+            fair = weights.get(name, 0.0) / total if total else 1.0 / len(found)
             shares[service, name] = TeamShare(used, totals[service], fair)
     return shares
 
@@ -171,7 +163,7 @@
         "is_interrupted",
         "_share",
         "_is_contested",
-        "_started",
+        "_dominant",
     )
 
     def __init__(
@@ -186,30 +178,34 @@
         self.is_interrupted = False
         self._share = share
         self._is_contested = is_contested
-        self._started = False
+        self._dominant = 0.0 if share is None else share.dominant
 
     def record_start(self, step: StepRecord, key: TaskKey) -> None:
         """Record that a task of a step starts."""
-        self._started = True
         self.planned.add(key)
         if self._share is not None:
             self._share.record_start(step)
 
-    def is_over(self, step: StepRecord) -> bool:
-        """Return whether the next task, of this step, has to wait for other teams.
+    def is_over(self) -> bool:
+        """Return whether the next task has to wait for the turns of other teams.
 
         If so, the candidate has another turn later in the plan.
         """
-        if self._started and self._is_contested and self._share is not None:
-            self.is_interrupted = self._share.exceeds(step)
+        share = self._share
+        if share is not None and self._is_contested and share.level >= 1.0:
+            self.is_interrupted = share.dominant - self._dominant >= MAX_TURN
         return self.is_interrupted
 
-    def is_deprived(self) -> bool:
-        """Return whether the team is far below its fair share of the service."""
-        return self._share is not None and self._share.is_deprived()
+    def is_starved(self, now_ms: int) -> bool:
+        """Return whether the job has waited for so long that it gets a reservation."""
+        return self._share is not None and _is_starved(
+            self.candidate, self._share, now_ms
+        )
 
 
-def fair_turns(candidates: Iterable[Candidate], shares: Shares) -> Iterator[Turn]:
+def fair_turns(
+    candidates: Iterable[Candidate], shares: Shares, now_ms: int
+) -> Iterator[Turn]:
     """Yield the turns of candidates; starts of one turn change who is next.
 
     Parameters
@@ -218,6 +214,8 @@
         The jobs, by rank.
     shares : mapping of tuple of str and str to TeamShare
         Shares by service and team; empty if the configuration has no teams.
+    now_ms : int
+        Current Unix time in milliseconds.
     """
     if not shares:
         for candidate in candidates:
@@ -229,7 +227,9 @@
             candidate
         )
     waiting = Counter(service for service, _ in queues)
-    heap = [(_key(queue[0], shares[name]), name) for name, queue in queues.items()]
+    heap = [
+        (_key(queue[0], shares[name], now_ms), name) for name, queue in queues.items()
+    ]
     heapq.heapify(heap)
     planned: dict[tuple[str, str], set[TaskKey]] = {}
     while heap:
@@ -243,7 +243,7 @@
         else:
             queue.popleft()
         if queue:
-            heapq.heapreplace(heap, (_key(queue[0], shares[name]), name))
+            heapq.heapreplace(heap, (_key(queue[0], shares[name], now_ms), name))
         else:
             heapq.heappop(heap)
             waiting[name[0]] -= 1
@@ -255,29 +255,16 @@
 
 
 def _key(
-    candidate: Candidate, share: TeamShare
-) -> tuple[int, bool, int, bool, float, int, int]:
+    candidate: Candidate, share: TeamShare, now_ms: int
+) -> tuple[int, bool, int, float, int, int]:
     finite, late, priority, latest_ms = candidate.rank
-    level = share.level
-    if late and share.is_deprived():
-        late, exceeds = 0, False
-    else:
-        exceeds = level >= 1.0 or share.exceeds(_next_step(candidate))
-    return (
-        finite,
-        candidate.is_over_rate and level > 0.0,
-        late,
-        exceeds,
-        level if exceeds else 0.0,
-        priority,
-        latest_ms,
-    )
+    level, is_over_rate = share.level, candidate.is_over_rate
+    if late and _is_starved(candidate, share, now_ms):
+        late, level = 0, 0.0
+        is_over_rate = is_over_rate and share.dominant > 0.0
+    level = level if level >= 1.0 else 0.0
+    return (finite, is_over_rate, late, level, priority, latest_ms)
 
 
-def _next_step(candidate: Candidate) -> StepRecord:
-    """Return the first step that is not done; the first one if all are."""
-    job, occurrence = candidate.job, candidate.occurrence
-    for number, step in enumerate(job.steps):
-        if not job.is_step_done(occurrence, number):
-            return step
-    return job.steps[0]
+def _is_starved(candidate: Candidate, share: TeamShare, now_ms: int) -> bool:
+    return candidate.late_by_ms(now_ms) >= STARVED_MS and share.is_deprived()
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -23,7 +23,7 @@
 from .candidates import Candidate, CandidateFinder
 from .crash_trials import CrashTrials, is_suspect
 from .failed_tasks import FailedTasks
-from .fair_order import RESERVE_AFTER_MS, Shares, Turn, fair_turns, service_shares
+from .fair_order import Shares, Turn, fair_turns, service_shares
 from .full_services import FullServices
 from .run_times import RunTimes
 from .team_caps import TeamCaps
@@ -156,11 +156,11 @@
         runs: list[RunRecord] = []
         blocked: dict[str, list[_Blocked]] = {}
         reserved: set[str] = set()
-        kept_out: set[str] = set()
+        starved: set[str] = set()
         long_running = takewhile(
             lambda candidate: candidate.job.has_long_running_step(), candidates
         )
-        for turn in fair_turns(long_running, shares):
+        for turn in fair_turns(long_running, shares, now_ms):
             service = turn.candidate.service
             found, left = self._start_job(table, turn, by_service[service], True, now)
             runs.extend(found)
@@ -170,16 +170,15 @@
         for service, tasks in blocked.items():
             if tasks and self._reserve_first(tasks, by_service[service], table, now):
                 reserved.add(service)
-        for turn in fair_turns(candidates, shares):
+        for turn in fair_turns(candidates, shares, now_ms):
             service = turn.candidate.service
             workers = by_service[service]
             found, left = self._start_job(table, turn, workers, False, now)
             runs.extend(found)
             gangs = [(step, tasks) for step, tasks in left if step.gang]
-            if left and service not in kept_out and turn.is_deprived():
-                if turn.candidate.late_by_ms(now_ms) >= RESERVE_AFTER_MS:
-                    kept_out.add(service)
-                    gangs = left
+            if left and service not in starved and turn.is_starved(now_ms):
+                starved.add(service)
+                gangs = left
             if gangs and service not in reserved:
                 if self._reserve_first(gangs, workers, table, now):
                     reserved.add(service)
@@ -207,7 +206,7 @@
         for number, step in enumerate(job.steps):
             if bool(step.long_running) is not long_running:
                 continue
-            if turn.is_over(step):
+            if turn.is_over():
                 break
             if job.is_step_done(occurrence, number):
                 continue
@@ -274,7 +273,7 @@
         last: WorkerView | None = None
         account = self.team_caps.account_of(turn.candidate.job)
         for position, task in enumerate(waiting):
-            if turn.is_over(step):
+            if turn.is_over():
                 break
             if account is not None and not account.admits(step, 1, task.key[:3]):
                 left = len(waiting) - position
