--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -165,7 +165,8 @@
         """Return the current demand of each service, which has these workers."""
         with self._table.lock:
             now_ms = self._clock.now_ms()
-            return service_demands(self._table, service_names, now_ms, workers)
+            usage = self._planner.team_caps.usage
+            return service_demands(self._table, service_names, now_ms, workers, usage)
 
     def movable_tasks(self, worker_id: str) -> list[tuple[TaskKey, int]]:
         """Return the long-running tasks that may be moved off a worker now.
--- a/arbutuscleat/scheduling/demand.py
+++ b/arbutuscleat/scheduling/demand.py
@@ -9,6 +9,7 @@
 
 from .service_demand import Demand, Requirement
 from .team_caps import TeamCaps
+from .team_usage import TeamUsage
 from .unplaced_tasks import Placement
 from .worker_view import WorkerView
 
@@ -18,6 +19,7 @@
     service_names: Iterable[str],
     now_ms: int,
     workers: Mapping[str, Sequence[WorkerView]] | None = None,
+    usage: TeamUsage | None = None,
 ) -> dict[str, Demand]:
     """Return the current demand of each service.
 
@@ -32,6 +34,8 @@
     workers : mapping of str to sequence of WorkerView, optional
         The workers that each service has or is about to get. Capacity for waiting
         tasks is reserved in them. If not given, no task counts as unplaced.
+    usage : TeamUsage, optional
+        What the teams use; it is brought up to date.
 
     Returns
     -------
@@ -39,7 +43,7 @@
         The demand of each service.
     """
     jobs: dict[str, list[JobState]] = {name: [] for name in service_names}
-    caps = TeamCaps()
+    caps = TeamCaps(usage)
     caps.begin_plan(table, 0.0)
     active: Iterable[JobState] = table.active.values()
     if caps.has_teams:  # As in a plan, long-running tasks use the cap first.
--- a/arbutuscleat/scheduling/team_caps.py
+++ b/arbutuscleat/scheduling/team_caps.py
@@ -106,16 +106,21 @@
 class TeamCaps:
     """Accounts of the teams for one plan after another; not thread-safe.
 
+    Parameters
+    ----------
+    usage : TeamUsage, optional
+        What the runs in the table use, to be brought up to date.
+
     Attributes
     ----------
     usage : TeamUsage
-        What the runs in the table use.
+        The same.
     accounts : dict of str to TeamAccount
         Accounts of the teams that the plan has looked at so far, by name.
     """
 
-    def __init__(self) -> None:
-        self.usage = TeamUsage()
+    def __init__(self, usage: TeamUsage | None = None) -> None:
+        self.usage = TeamUsage() if usage is None else usage
         self.accounts: dict[str, TeamAccount] = {}
         self._teams: Mapping[str, Team] = {}
         self._now = 0.0
