--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -21,6 +21,7 @@
 from .team_admission import TeamRejection, check_team_wait
 from .team_backlog import TeamBacklog
 from .team_rates import RateLimit, TeamRates
+from .team_usage import TeamUsage
 from .unplaced_tasks import UnplacedTasks
 from .wait_reason import WaitReason
 from .wave_planner import WaveMachine, choose_machines
@@ -50,6 +51,7 @@
     "TeamBacklog",
     "TeamRates",
     "TeamRejection",
+    "TeamUsage",
     "UnplacedTasks",
     "UsageCache",
     "WaitReason",
