--- a/arbutuscleat/nodes/metrics_server.py
+++ b/arbutuscleat/nodes/metrics_server.py
@@ -24,7 +24,7 @@
         Path of the metrics; any other path is answered with 404.
     metrics : Metrics
         The metrics that are served.
-    limits : ClientLimits
+    limits : ClientLimits, optional
         Limits on clients.
     """
 
@@ -33,7 +33,7 @@
         address: Address | None,
         path: str,
         metrics: Metrics,
-        limits: ClientLimits,
+        limits: ClientLimits | None = None,
     ):
         self._path = path
         self._metrics = metrics
