--- a/arbutuscleat/nodes/metrics_server.py
+++ b/arbutuscleat/nodes/metrics_server.py
@@ -33,7 +33,7 @@
         address: Address | None,
         path: str,
         metrics: Metrics,
-        limits: ClientLimits = ClientLimits(),
+        limits: ClientLimits | None = None,
     ):
         self._path = path
         self._metrics = metrics
