--- a/arbutuscleat/execution/machine_controller.py
+++ b/arbutuscleat/execution/machine_controller.py
@@ -140,6 +140,9 @@
         self.fleet: FleetCapacity | None = None
         """Capacity of all machines; None before the first list."""
 
+        self._short_services: frozenset[str] | None = None
+        """Services without enough machines, by the latest plan; None before one."""
+
         self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "machine-orders")
         self._thread = threading.Thread(target=self._run, name="machines", daemon=True)
 
@@ -151,6 +154,11 @@
         """Stop the reconcile loop."""
         self._stopping.set()
 
+    def can_grow(self, service_name: str) -> bool:
+        """Return whether a service can get more machines, by the latest plan."""
+        short = self._short_services
+        return short is not None and service_name not in short
+
     def _run(self) -> None:
         run_loop(self.run_once, self._stopping, self._clock, POLL_SECONDS)
         self._order_pool.shutdown(wait=False)
@@ -238,6 +246,7 @@
         self._blocked_since = {}
         self.waits.reset()
         self._demand_history.reset()
+        self._short_services = None
 
     def _restore_upkeep(self) -> None:
         """Treat upkeep that a former leader may have ordered as under way."""
@@ -263,6 +272,7 @@
         for wave in waves:
             in_wave |= self._plan_wave(wave, by_name, shortage)
         plan = self._plan_moves(machines, in_wave, waves, standby, demands)
+        self._short_services = plan.short
         in_wave -= self._needed_machines(plan, in_wave, by_name, views)
         for times in (self._ready_since, self._blocked_since):
             for machine in times.keys() - in_wave:
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -229,7 +229,7 @@
         self._executor = Executor(
             self._replica,
             self._table,
-            Planner(),
+            Planner(self._can_grow),
             clock,
             session_manager,
             registry,
@@ -355,5 +355,9 @@
             None if self._machine_controller is None else self._machine_controller.fleet
         )
 
+    def _can_grow(self, service_name: str) -> bool:
+        controller = self._machine_controller
+        return controller is not None and controller.can_grow(service_name)
+
     def reload(self) -> None:
         """Do nothing: seeds are read on each use, and nothing else may be reloaded."""
--- a/arbutuscleat/scheduling/fair_order.py
+++ b/arbutuscleat/scheduling/fair_order.py
@@ -18,6 +18,9 @@
 teams leave unused is lent: nobody is kept from room that nobody else takes, and no run
 is ended for another team.
 
+While a service can get more machines, its room is not scarce but on its way: shares
+that a growing pool has at the moment decide nothing, and the order is that without 4.
+
 A job is starved if its team is below half of its fair share and its latest start was
 `STARVED_MS` ago. It is compared as one that is not late, of a team below its share, and
 gets a reservation if no worker has room, so no team waits for ever.
@@ -25,7 +28,7 @@
 
 import heapq
 from collections import Counter, deque
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from math import inf
 
 from arbutuscleat.jobs import TaskKey, Team
@@ -105,6 +108,7 @@
     usage: TeamUsage,
     teams: Mapping[str, Team],
     totals: Mapping[str, Amount],
+    can_grow: Callable[[str], bool] = lambda service: False,
 ) -> Shares:
     """Return the share of each team that uses a service or has jobs for it.
 
@@ -119,6 +123,9 @@
         those of a removed team have no weight.
     totals : mapping of str to tuple of three int
         CPU, memory and accelerators of the usable workers of each service.
+    can_grow : callable, optional
+        Returns whether a service can get more machines. Each team's fair share is then
+        all of it.
     """
     weights = {name: team.weight for name, team in teams.items()}
     weights[NO_TEAM] = sum(weights.values()) / max(1, len(weights))
@@ -130,9 +137,11 @@
         usages = usage.by_service.get(service, {})
         found |= {name for name, item in usages.items() if any(item.used)}
         total = sum(weights.get(name, 0.0) for name in found)
+        grows = can_grow(service)
         for name in found:
             used = usages[name].used if name in usages else (0, 0, 0)
             fair = weights.get(name, 0.0) / total if total else 1.0 / len(found)
+            fair = 1.0 if grows else fair
             shares[service, name] = TeamShare(used, totals[service], fair)
     return shares
 
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -12,7 +12,7 @@
 weights say whose job comes first (see `fair_turns`).
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import takewhile
 
@@ -68,9 +68,15 @@
     """Makes plans from the job table and the free capacity of the workers.
 
     A planner remembers since when failed tasks wait and runs run; not thread-safe.
+
+    Parameters
+    ----------
+    can_grow : callable, optional
+        Returns whether a service can get more machines than it has or is about to get.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, can_grow: Callable[[str], bool] = lambda service: False):
+        self._can_grow = can_grow
         self._failed_tasks = FailedTasks()
         self._run_times = RunTimes()
         self._crash_trials = CrashTrials()
@@ -142,7 +148,8 @@
             for service, views in by_service.items()
         }
         usage = self.team_caps.usage
-        return service_shares(candidates, usage, table.config.teams, totals)
+        teams = table.config.teams
+        return service_shares(candidates, usage, teams, totals, self._can_grow)
 
     def _start_jobs(
         self,
--- a/arbutuscleat/scheduling/pool_planner.py
+++ b/arbutuscleat/scheduling/pool_planner.py
@@ -175,10 +175,13 @@
     unmet : list of tuple of str and UnplacedTasks
         Tasks that fit on none of the service's machines nor on one that could be moved
         to it, by name of the service.
+    short : frozenset of str
+        Services that need more machines than there are.
     """
 
     moves: list[Move]
     unmet: list[tuple[str, UnplacedTasks]]
+    short: frozenset[str] = frozenset()
 
 
 class PoolPlanner:
@@ -220,11 +223,13 @@
             found, left = _place(pool, sources)
             moves.extend(found)
             unmet.extend((pool.name, tasks) for tasks in left)
+        short = set()
         for pool in by_urgency:
             for requirement in pool.needed:
                 while pool.lacks(requirement):
                     item = sources.take_for(pool, requirement)
                     if item is None:
+                        short.add(pool.name)
                         pool.give_up(requirement)
                         break
                     pool.add(item)
@@ -237,7 +242,7 @@
             ]
             at_most = max(MIN_PARKED_PER_PLAN, int(len(machines) * MAX_PARKED_FRACTION))
             moves.extend(_park(idle, pools, standby, at_most))
-        return PoolPlan(moves, unmet)
+        return PoolPlan(moves, unmet, frozenset(short))
 
 
 class _Pool:
--- a/tests/scheduling/test_fair_order.py
+++ b/tests/scheduling/test_fair_order.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from arbutuscleat.jobs import TaskKey, TaskStatus, Team
+from arbutuscleat.scheduling import Planner
 from arbutuscleat.scheduling.fair_order import STARVED_MS
 from tests.fakes.jobs import step
 from tests.fakes.team_fleet import Fleet, views_of
@@ -240,3 +241,20 @@
                 fleet.submit("a", step(tasks, **fields))
             plans = [fleet.start(0.2) for fleet in fleets]
             self.assertEqual(*plans)
+
+
+class GrowingPoolTest(TestCase):
+    """A pool that gets more machines: all teams send as usual, and some are larger."""
+
+    def test_the_latest_start_decides_while_a_service_can_grow(self):
+        for grows in (True, False):
+            fleet = SharedFleet(team("large"), team("small"), workers=1, cpu=4_000)
+            fleet.planner = Planner(lambda service, grows=grows: grows)
+            fleet.submit("large", step(3, estimated_ms=RUN_MS))
+            fleet.tick()
+            urgent = fleet.submit("large", step(1, estimated_ms=RUN_MS // 2))
+            other = fleet.submit("small", step(1, estimated_ms=RUN_MS))
+            fleet.tick()
+            first = urgent if grows else other
+            self.assertIn(first, fleet.first_starts)
+            self.assertEqual(1, len({urgent, other} & fleet.first_starts.keys()))
--- a/tests/scheduling/test_pool_planner.py
+++ b/tests/scheduling/test_pool_planner.py
@@ -47,6 +47,13 @@
         # already there. The other service keeps one.
         self.assertEqual(3, sum(service == "billing" for _, service in found))
 
+    def test_a_service_is_short_once_no_machine_is_left(self):
+        machines = [machine("m1", "billing", -1.0), machine("s1", "standby")]
+        for waiting, short in ((SIZE // 4, frozenset()), (SIZE, {"billing"})):
+            demand = Demand(SIZE // 4, waiting, waiting_tasks=1)
+            found = PoolPlanner().plan(machines, {"billing": demand}, "standby")
+            self.assertEqual(short, found.short)
+
     def test_a_shortage_exists_when_one_more_machine_would_be_filled(self):
         for waiting, expected in ((SIZE, False), (SIZE + 1, True)):
             demands = [Demand(), Demand(waiting_cpu=waiting)]
