--- a/arbutuscleat/execution/executor.py
+++ b/arbutuscleat/execution/executor.py
@@ -16,6 +16,7 @@
 from arbutuscleat.core import Clock, run_loop
 from arbutuscleat.jobs import JobTable, TaskKey
 from arbutuscleat.scheduling import (
+    Copies,
     Demand,
     Planner,
     StepWaits,
@@ -112,6 +113,11 @@
         self._run_settler = RunSettler(table, planner, self.propose, clock)
         self._thread = threading.Thread(target=self._run, name="executor", daemon=True)
 
+    @property
+    def copies(self) -> Copies:
+        """The copies that this process has decided on, counted."""
+        return self._planner.copies
+
     @property
     def sessions(self) -> dict[str, WorkerSession]:
         """The open sessions of this process, by worker id."""
@@ -190,7 +196,7 @@
                     for task in other.running
                     if task.percent >= READY_PERCENT
                     and task.key not in pending
-                    and task.key not in self._table.stops_due
+                    and (task.key, task.number) not in self._table.stops_due
                     and not self._is_stop_expected(task.key, task.number)
                 }
             views = self._views()
@@ -238,6 +244,7 @@
         self._term = -1
         with self._table.lock:
             self.step_waits.reset()
+            self._table.done_runs.clear()  # Their times are those of another leader.
 
     def _plan_once(self) -> None:
         with self._table.lock:
--- a/arbutuscleat/execution/run_settler.py
+++ b/arbutuscleat/execution/run_settler.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterable
 
 from arbutuscleat.core import Clock
-from arbutuscleat.jobs import JobTable, TaskState
+from arbutuscleat.jobs import JobTable
+from arbutuscleat.jobs.task import TaskRun
 from arbutuscleat.scheduling import Planner
 from arbutuscleat.wire.gen_jobs.ttypes import JobCommand, SettleRuns
 
@@ -72,11 +73,11 @@
         if runs:
             self._propose(JobCommand(settle=SettleRuns(runs=runs)))
 
-    def _has_lasted(self, task: TaskState, now: float) -> bool:
+    def _has_lasted(self, task: TaskRun, now: float) -> bool:
         seconds = self._planner.seconds_running(task.key, task.number, now)
         return seconds >= SETTLE_SECONDS
 
-    def _long_running(self, condition: WorkerCondition) -> list[TaskState]:
+    def _long_running(self, condition: WorkerCondition) -> list[TaskRun]:
         """Return the tasks with a long-running run that their worker lists."""
         runs = self._table.runs.get(condition.incarnation, {})
         found = []
--- a/arbutuscleat/execution/session_manager.py
+++ b/arbutuscleat/execution/session_manager.py
@@ -118,16 +118,17 @@
     def take_due_stops(self) -> list[DueStop]:
         """Return the stops due in these sessions, once; the table's lock is held."""
         found = []
-        for key in list(self._table.stops_due):
+        for key, number in list(self._table.stops_due):
             job = self._table.jobs.get(key.job_id)
             task = None if job is None else job.task(key)
-            if task is None:
-                self._table.stops_due.discard(key)
+            run = None if task is None else task.run(number)
+            if run is None:
+                self._table.stops_due.discard((key, number))
                 continue
-            session = self.sessions.get(task.incarnation[0])
-            if session is not None and session.incarnation == task.incarnation:
-                self._table.stops_due.discard(key)
-                found.append((session, key, task.number))
+            session = self.sessions.get(run.incarnation[0])
+            if session is not None and session.incarnation == run.incarnation:
+                self._table.stops_due.discard((key, number))
+                found.append((session, key, number))
         return found
 
     def assigned_sessions(self) -> list[tuple[WorkerSession, SessionPermit]]:
--- a/arbutuscleat/execution/worker_condition.py
+++ b/arbutuscleat/execution/worker_condition.py
@@ -43,6 +43,10 @@
     def is_responsive(self) -> bool:
         """Return whether the worker answered the latest hold."""
 
+    def is_known(self) -> bool:
+        """Return whether a session reports the condition; false while none does."""
+        return True
+
     @abstractmethod
     def rejects_starts(self) -> bool:
         """Return whether the worker has rejected several starts in a row just now."""
@@ -110,6 +114,10 @@
         """Return whether the worker answered the latest hold."""
         return self.record is not None and self.record.responsive
 
+    def is_known(self) -> bool:
+        """Return whether the holder of the worker's session has reported."""
+        return self.record is not None
+
     def rejects_starts(self) -> bool:
         """Return whether the worker has rejected several starts in a row just now."""
         return self.record is not None and self.record.rejects_starts
--- a/arbutuscleat/execution/worker_views.py
+++ b/arbutuscleat/execution/worker_views.py
@@ -75,6 +75,7 @@
             view = WorkerView(record, reason is None, condition.grade())
             if reason is not None:
                 view.unusable_because = reason
+            view.is_silent = condition.is_known() and not condition.is_responsive()
             usage = self._usage_cache.usage(self._table, condition.incarnation)
             usage.take_from(view)
             views[worker_id] = view
--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -2,7 +2,7 @@
 
 from .crash_counts import MIN_CRASHES, SUSPECT_CRASHES, CrashCounts
 from .job_state import JobPhase, JobState
-from .job_table import AcceptResult, JobTable
+from .job_table import AcceptResult, JobTable, may_have_copy
 from .queue_config import Queue, QueueConfig, Service
 from .run_outcome import RunOutcome
 from .session_assignments import (
@@ -40,5 +40,6 @@
     "Team",
     "Wave",
     "key_digest",
+    "may_have_copy",
     "shard_of",
 ]
--- a/arbutuscleat/jobs/crash_counts.py
+++ b/arbutuscleat/jobs/crash_counts.py
@@ -27,7 +27,7 @@
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord
 
 from .job_state import JobState
-from .task import TaskKey, TaskState, TaskStatus, WorkerIncarnation
+from .task import TaskKey, TaskRun, TaskState, TaskStatus, WorkerIncarnation
 
 SUSPECT_CRASHES = 2
 """Number of crashes from which on a task is a suspect."""
@@ -63,23 +63,30 @@
         and that is not known to have responded since or to have ended; 0 for a task
         that is over or settled elsewhere, whose run was beside the others."""
 
-    def record_unresponsive(self, task: TaskState) -> bool:
+    def record_unresponsive(self, task: TaskState, run: TaskRun) -> bool:
         """Record that the lease of a task's run has expired on an unresponsive worker.
 
+        Parameters
+        ----------
+        task : TaskState
+            The task.
+        run : TaskRun
+            The run, which may be the task's copy.
+
         Returns
         -------
         bool
             Whether the job of the task is to be given up.
         """
-        if task.settled or task.inherited:
+        if not _counts(run):
             return False
-        self._unresolved.setdefault(task.incarnation, {})[task.key] = task.number
+        self._unresolved.setdefault(run.incarnation, {})[task.key] = run.number
         return self._is_at_limit(task)
 
     def record_end_of_drained(
         self,
         incarnation: WorkerIncarnation,
-        running: Iterable[TaskState],
+        running: Iterable[TaskRun],
         active: Mapping[str, JobState],
     ) -> list[JobState]:
         """Record the end of a draining worker; return the jobs that are to be given up.
@@ -88,8 +95,8 @@
         ----------
         incarnation : WorkerIncarnation
             The worker incarnation that has ended.
-        running : iterable of TaskState
-            The tasks with a current run on it.
+        running : iterable of TaskRun
+            The runs on it.
         active : mapping of str to JobState
             The active jobs by id.
         """
@@ -132,7 +139,7 @@
     def record_crash(
         self,
         incarnation: WorkerIncarnation,
-        running: Iterable[TaskState],
+        running: Iterable[TaskRun],
         active: Mapping[str, JobState],
     ) -> list[JobState]:
         """Count the crash of a worker, and return the jobs that are to be given up.
@@ -141,8 +148,8 @@
         ----------
         incarnation : WorkerIncarnation
             The worker incarnation that has ended.
-        running : iterable of TaskState
-            The tasks with a current run on it.
+        running : iterable of TaskRun
+            The runs on it.
         active : mapping of str to JobState
             The active jobs by id.
         """
@@ -229,9 +236,9 @@
             runs[TaskKey.of(run)] = run.number
 
 
-def _counts(task: TaskState) -> bool:
+def _counts(run: TaskRun) -> bool:
     """Return whether the end of its worker counts as a crash under a running task."""
-    return not task.settled and not task.inherited
+    return not run.settled and not run.inherited
 
 
 def _is_to_blame(task: TaskState, long_running: bool) -> bool:
--- a/arbutuscleat/jobs/job_state.py
+++ b/arbutuscleat/jobs/job_state.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from arbutuscleat.wire.gen_jobs.ttypes import (
+    CopyImage,
     JobImage,
     JobRecord,
     OccurrenceImage,
@@ -16,7 +17,7 @@
     TaskImage,
 )
 
-from .task import TaskKey, TaskState, TaskStatus
+from .task import TaskCopy, TaskKey, TaskState, TaskStatus
 
 
 class JobPhase(Enum):
@@ -184,6 +185,9 @@
                 for index, item in enumerate(images):
                     task = job.tasks(part.occurrence, step)[index]
                     task.number = item.number
+                    task.last_number = item.last_number or item.number
+                    task.copy = _copy_of(task.key, item)
+                    task.ending = bool(item.ending)
                     task.failures = item.failures
                     task.incarnation = (item.worker_id, item.born_ms)
                     task.checkpoint = item.checkpoint
@@ -227,4 +231,24 @@
         uncertain_crashes=task.uncertain_crashes or None,
         settled=task.settled or None,
         inherited=task.inherited or None,
+        copy=None if task.copy is None else _copy_image(task.copy),
+        last_number=task.last_number if task.last_number > task.number else None,
+        ending=task.ending or None,
     )
+
+
+def _copy_image(copy: TaskCopy) -> CopyImage:
+    return CopyImage(
+        number=copy.number,
+        worker_id=copy.incarnation[0],
+        born_ms=copy.incarnation[1],
+        inherited=copy.inherited or None,
+    )
+
+
+def _copy_of(key: TaskKey, image: TaskImage) -> TaskCopy | None:
+    item = image.copy
+    if item is None:
+        return None
+    incarnation = (item.worker_id, item.born_ms)
+    return TaskCopy(key, item.number, incarnation, bool(item.inherited))
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -6,6 +6,7 @@
 """
 
 import threading
+from collections import deque
 from collections.abc import Callable
 from copy import copy
 from enum import Enum
@@ -42,7 +43,7 @@
 from .queue_config import Queue, QueueConfig
 from .run_outcome import RunOutcome
 from .session_assignments import SessionAssignments
-from .task import TaskKey, TaskState, TaskStatus, WorkerIncarnation
+from .task import TaskCopy, TaskKey, TaskRun, TaskState, TaskStatus, WorkerIncarnation
 from .wave import Wave
 from .worker_announcement import is_outdated
 
@@ -60,6 +61,11 @@
 """Number of runs that one log line names."""
 
 
+MAX_DONE_RUNS = 4096
+"""Number of runs kept in `JobTable.done_runs`: more than a plan finds, even after a
+pause of the leader."""
+
+
 class AcceptResult(Enum):
     """Result of submitting a job."""
 
@@ -87,7 +93,7 @@
         self.jobs: dict[str, JobState] = {}
         self.active: dict[str, JobState] = {}
         self.workers: dict[str, WorkerRecord] = {}
-        self.runs: dict[WorkerIncarnation, dict[TaskKey, TaskState]] = {}
+        self.runs: dict[WorkerIncarnation, dict[TaskKey, TaskRun]] = {}
         self.run_versions: dict[WorkerIncarnation, int] = {}
         """Rises for an incarnation with each change of its entry in `runs`."""
 
@@ -96,8 +102,13 @@
         self.machine_holders: dict[str, tuple[str, int]] = {}
         """Latest holder of each machine, and the log index of the holder's entry."""
 
-        self.stops_due: set[TaskKey] = set()
-        """Tasks whose current run is to be stopped by the session with its worker."""
+        self.stops_due: set[tuple[TaskKey, int]] = set()
+        """Runs that are to be stopped by the session with their worker."""
+
+        self.done_runs: deque[tuple[TaskKey, int, WorkerIncarnation]] = deque(
+            maxlen=MAX_DONE_RUNS
+        )
+        """Runs done lately, until the planner takes them; not replicated."""
 
         self.session_assignments = SessionAssignments()
         self.on_start: Callable[[RunRecord], None] | None = None
@@ -170,10 +181,10 @@
                 if not job.is_over():
                     self.active[job.job_id] = job
                 for task in job.all_tasks():
-                    if task.status is TaskStatus.RUNNING:
-                        self._add_run(task)
-                        if job.is_over():
-                            self.stops_due.add(task.key)
+                    for run in task.runs():
+                        self._add_run(run)
+                        if job.is_over() or task.ending:
+                            self.stops_due.add((run.key, run.number))
             for record in self.workers.values():
                 self._stop_if_leaving(record)
             self.crash_counts.restore(
@@ -221,13 +232,13 @@
         )
 
     def is_current_run(self, key: TaskKey, number: int) -> bool:
-        """Return whether a run is the current run of a task of an active job."""
+        """Return whether a run is wanted: of a task, not yet done, of an active job."""
         job = self.jobs.get(key.job_id)
         task = None if job is None or job.is_over() else job.task(key)
         return (
             task is not None
             and task.status is TaskStatus.RUNNING
-            and task.number == number
+            and task.run(number) is not None
         )
 
     # ---- commands ----
@@ -292,7 +303,7 @@
         for job in list(self.jobs.values()):
             if not job.is_over():
                 continue
-            if any(task.status is TaskStatus.RUNNING for task in job.all_tasks()):
+            if any(task.has_run() for task in job.all_tasks()):
                 continue
             if job.ended_at_ms < oldest:
                 del self.jobs[job.job_id]
@@ -317,8 +328,7 @@
         self.active.pop(job.job_id, None)
         for task in job.all_tasks():
             self.crash_counts.discard(task)
-            if task.status is TaskStatus.RUNNING:
-                self.stops_due.add(task.key)
+            self.stops_due.update((run.key, run.number) for run in task.runs())
 
     def _begin_jobs(self, command: BeginJobs) -> None:
         for job_id in command.job_ids:
@@ -341,17 +351,26 @@
         task = None if job is None else job.task(key)
         if job is None or task is None or worker is None:
             return False
-        if task.status is not TaskStatus.WAITING or run.number <= task.number:
+        if run.number <= task.last_number:
             return False
         if worker.draining or worker.leaving or worker.born_ms != run.born_ms:
             return False
-        task.status = TaskStatus.RUNNING
-        task.number = run.number
-        task.incarnation = incarnation
-        task.settled = False
-        task.inherited = False
+        if run.beside:
+            if not may_have_copy(job, task, run.worker_id):
+                return False
+            task.copy = TaskCopy(key, run.number, incarnation)
+            self._add_run(task.copy)
+        else:
+            if task.status is not TaskStatus.WAITING:
+                return False
+            task.status = TaskStatus.RUNNING
+            task.number = run.number
+            task.incarnation = incarnation
+            task.settled = False
+            task.inherited = False
+            self._add_run(task)
+        task.last_number = run.number
         self.crash_counts.record_responsive(incarnation)
-        self._add_run(task)
         if self.on_start is not None:
             self.on_start(run)
         return True
@@ -366,7 +385,7 @@
         outcome = RunOutcome(end.outcome)
         job = self.jobs.get(run.job_id)
         if end.unresponsive and self.is_current_run(key, run.number):
-            self._record_unresponsive(key, at_ms)
+            self._record_unresponsive(key, run.number, at_ms)
         self._end_one(key, run.number, outcome, end.checkpoint)
         if job is not None and not job.is_over():
             self._close_if_ended(job, key, at_ms)
@@ -382,22 +401,40 @@
         task = None if job is None else job.task(key)
         if job is None or task is None:
             return
-        if task.status is not TaskStatus.RUNNING or task.number != number:
+        run = task.run(number)
+        if run is None:
+            return
+        incarnation = run.incarnation
+        self._remove_run(run)
+        if task.ending:
+            task.ending = False  # Another run was done before; this one counts nothing.
             return
-        self._remove_run(task)
+        if run is task.copy:
+            task.copy = None
+        has_other = task.copy is not None or run is not task
+        if run is task and task.copy is not None:
+            self.runs[task.copy.incarnation][key] = task
+            task.adopt_copy()
         if outcome is not RunOutcome.LOST:
             job.started = True
         step = job.steps[key.step]
         if outcome is RunOutcome.DONE and not step.long_running:
+            self.done_runs.append((key, number, incarnation))
             job.mark_done(task)
             self.crash_counts.discard(task)
             if step.gang:
                 self._end_gang(job, key)
+            elif has_other:
+                task.ending = True
+                self.stops_due.add((key, task.number))
             return
-        task.status = TaskStatus.WAITING
+        if not has_other:
+            task.status = TaskStatus.WAITING
+            task.number = task.last_number
         if outcome is RunOutcome.FAILED:
             task.failures += 1
-            task.failed_number = number
+            if not has_other:
+                task.failed_number = task.number
         if checkpoint:
             task.checkpoint = checkpoint
             if step.gang:
@@ -412,22 +449,22 @@
             job.mark_done(member)
             self.crash_counts.discard(member)
 
-    def _add_run(self, task: TaskState) -> None:
-        self.runs.setdefault(task.incarnation, {})[task.key] = task
+    def _add_run(self, run: TaskRun) -> None:
+        self.runs.setdefault(run.incarnation, {})[run.key] = run
         self._run_version += 1
-        self.run_versions[task.incarnation] = self._run_version
+        self.run_versions[run.incarnation] = self._run_version
 
-    def _remove_run(self, task: TaskState) -> None:
-        self.stops_due.discard(task.key)
-        runs = self.runs.get(task.incarnation)
+    def _remove_run(self, run: TaskRun) -> None:
+        self.stops_due.discard((run.key, run.number))
+        runs = self.runs.get(run.incarnation)
         if runs is not None:
-            runs.pop(task.key, None)
+            runs.pop(run.key, None)
             self._run_version += 1
-            self.run_versions[task.incarnation] = self._run_version
+            self.run_versions[run.incarnation] = self._run_version
             if not runs:
-                del self.runs[task.incarnation]
-                del self.run_versions[task.incarnation]
-                self._remove_if_leaving(task.incarnation)
+                del self.runs[run.incarnation]
+                del self.run_versions[run.incarnation]
+                self._remove_if_leaving(run.incarnation)
 
     def _close_if_ended(self, job: JobState, key: TaskKey, now_ms: int) -> None:
         """Close a job if it is complete or if a task has used up its attempts."""
@@ -507,7 +544,8 @@
         Without a drain, the report can be that of a former incarnation.
         """
         if record.leaving and record.draining:
-            self.stops_due.update(self.runs.get((record.worker_id, record.born_ms), ()))
+            runs = self.runs.get((record.worker_id, record.born_ms), {})
+            self.stops_due.update((run.key, run.number) for run in runs.values())
 
     def _remove_if_leaving(self, incarnation: WorkerIncarnation) -> None:
         """Remove a worker that leaves, once it has no runs."""
@@ -523,8 +561,8 @@
         """End the runs of a worker incarnation as lost; count them if it crashed."""
         given_up = self._count_crash(record, unplanned, now_ms)
         incarnation = (record.worker_id, record.born_ms)
-        for task in list(self.runs.get(incarnation, {}).values()):
-            self._end_one(task.key, task.number, RunOutcome.LOST)
+        for run in list(self.runs.get(incarnation, {}).values()):
+            self._end_one(run.key, run.number, RunOutcome.LOST)
         for job in given_up:
             self._fail_job(job, now_ms or 0)
 
@@ -539,14 +577,14 @@
         """
         given_up = self._count_crash(record, True, now_ms)
         incarnation = (record.worker_id, record.born_ms)
-        for task in list(self.runs.get(incarnation, {}).values()):
-            is_stop_due = task.key in self.stops_due
-            self._remove_run(task)
-            task.incarnation = (record.worker_id, born_ms)
-            task.inherited = True
-            self._add_run(task)
+        for run in list(self.runs.get(incarnation, {}).values()):
+            is_stop_due = (run.key, run.number) in self.stops_due
+            self._remove_run(run)
+            run.incarnation = (record.worker_id, born_ms)
+            run.inherited = True
+            self._add_run(run)
             if is_stop_due:
-                self.stops_due.add(task.key)
+                self.stops_due.add((run.key, run.number))
         for job in given_up:
             self._fail_job(job, now_ms or 0)
 
@@ -581,12 +619,13 @@
         job = self.active.get(key.job_id)
         return None if job is None else job.task(key)
 
-    def _record_unresponsive(self, key: TaskKey, now_ms: int) -> None:
+    def _record_unresponsive(self, key: TaskKey, number: int, now_ms: int) -> None:
         task = self._active_task(key)
-        record = None if task is None else self.workers.get(task.incarnation[0])
-        if record is not None and record.leaving:
+        run = None if task is None else task.run(number)
+        record = None if run is None else self.workers.get(run.incarnation[0])
+        if task is None or run is None or (record is not None and record.leaving):
             return
-        if task is not None and self.crash_counts.record_unresponsive(task):
+        if self.crash_counts.record_unresponsive(task, run):
             self._fail_job(self.active[key.job_id], now_ms)
 
     def _settle(self, command: SettleRuns) -> None:
@@ -613,7 +652,7 @@
         for run in command.runs:
             key = TaskKey.of(run)
             if self.is_current_run(key, run.number):
-                self.stops_due.add(key)
+                self.stops_due.add((key, run.number))
 
     def _advance_wave(self, command: AdvanceWave) -> bool:
         wave = self.waves.get(command.wave)
@@ -626,6 +665,22 @@
         return True
 
 
+def may_have_copy(job: JobState, task: TaskState, worker_id: str) -> bool:
+    """Return whether a copy of a task's run may start on a worker.
+
+    Only tasks that end by themselves, by themselves alone, and of steps that permit it.
+    """
+    step = job.steps[task.key.step]
+    return (
+        bool(step.speculative)
+        and not step.gang
+        and not step.long_running
+        and task.status is TaskStatus.RUNNING
+        and task.copy is None
+        and task.incarnation[0] != worker_id
+    )
+
+
 def _have_same_queue(first: JobRecord, second: JobRecord) -> bool:
     """Return whether two jobs were submitted to the same queue.
 
--- a/arbutuscleat/jobs/task.py
+++ b/arbutuscleat/jobs/task.py
@@ -1,10 +1,12 @@
 """Tasks: the smallest units of a job, each run by one worker at a time.
 
 The start of a run is committed to the replicated log before it is sent to the worker.
-From then on the task counts as running until the end of that run is committed, so a
-task never has two runs at the same time.
+From then on the task counts as running until the end of that run is committed. A task
+has one run at a time, unless its step is speculative: then it may have a copy, a second
+run on another worker. The first run that is done ends the task.
 """
 
+from collections.abc import Iterator
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -57,8 +59,41 @@
     DONE = 2
 
 
+class TaskCopy:
+    """The copy beside a task's run, with the attributes that a run has in `TaskState`.
+
+    Parameters
+    ----------
+    key : TaskKey
+        Identifies the task.
+    number : int
+        Number of the run.
+    incarnation : WorkerIncarnation
+        The worker incarnation that the run is assigned to.
+    inherited : bool, default=False
+        Whether it was assigned to a former incarnation of its worker.
+    """
+
+    __slots__ = ("key", "number", "incarnation", "inherited")
+
+    settled = False
+    """Copies are made of finite tasks only, and those do not settle."""
+
+    def __init__(
+        self,
+        key: TaskKey,
+        number: int,
+        incarnation: WorkerIncarnation,
+        inherited: bool = False,
+    ):
+        self.key = key
+        self.number = number
+        self.incarnation = incarnation
+        self.inherited = inherited
+
+
 class TaskState:
-    """The replicated state of one task.
+    """The replicated state of one task, and of its run.
 
     Attributes
     ----------
@@ -67,7 +102,14 @@
     status : TaskStatus
         Current status.
     number : int
-        The highest run number assigned so far; 0 before the first run.
+        Number of the run; the highest one assigned so far while the task waits, 0
+        before the first run.
+    last_number : int
+        The highest run number assigned so far.
+    copy : TaskCopy or None
+        The copy beside the run.
+    ending : bool
+        Whether the task is done and its run may go on, as another one was done first.
     failures : int
         Number of runs that ended with `RunOutcome.FAILED`.
     failed_number : int
@@ -94,6 +136,9 @@
         "key",
         "status",
         "number",
+        "last_number",
+        "copy",
+        "ending",
         "failures",
         "failed_number",
         "incarnation",
@@ -109,6 +154,9 @@
         self.key = key
         self.status = TaskStatus.WAITING
         self.number = 0
+        self.last_number = 0
+        self.copy: TaskCopy | None = None
+        self.ending = False
         self.failures = 0
         self.failed_number = 0
         self.incarnation = NO_WORKER
@@ -119,6 +167,30 @@
         self.settled = False
         self.inherited = False
 
+    def has_run(self) -> bool:
+        """Return whether a run of the task may go on."""
+        return self.status is TaskStatus.RUNNING or self.ending
+
+    def runs(self) -> "Iterator[TaskRun]":
+        """Yield the run of the task and its copy, if it has them."""
+        if self.has_run():
+            yield self
+            if self.copy is not None:
+                yield self.copy
+
+    def run(self, number: int) -> "TaskRun | None":
+        """Return the run or the copy with a number; None if neither has it."""
+        return next((run for run in self.runs() if run.number == number), None)
+
+    def adopt_copy(self) -> None:
+        """Make the copy the run of the task, whose own run has ended."""
+        if self.copy is not None:
+            self.number = self.copy.number
+            self.incarnation = self.copy.incarnation
+            self.inherited = self.copy.inherited
+            self.settled = False
+            self.copy = None
+
     def failed_on(self, worker_id: str) -> bool:
         """Return whether the task has failed and its latest run was on this worker."""
         return self.failures > 0 and self.incarnation[0] == worker_id
@@ -126,3 +198,7 @@
     def has_failed_latest_run(self) -> bool:
         """Return whether the latest run is known to have failed."""
         return 0 < self.failed_number == self.number
+
+
+TaskRun = TaskState | TaskCopy
+"""A run of a task: the state of the task, or its copy."""
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -7,6 +7,7 @@
 from arbutuscleat.execution import Executor, MachineWaits
 from arbutuscleat.jobs import SUSPECT_CRASHES, JobTable
 from arbutuscleat.metrics import labelled
+from arbutuscleat.scheduling import CopyReason
 
 
 class ControlMetrics:
@@ -52,6 +53,7 @@
         with self._table.lock:
             gauges |= self._table_gauges()
             gauges |= self._wait_gauges()
+            gauges |= self._copy_gauges()
             sessions = list(self._executor.sessions.values())
         gauges["worker_sessions"] = len(sessions)
         gauges["worker_sessions_silent"] = sum(
@@ -96,6 +98,18 @@
             gauges[labelled("tasks_running", service=service)] = count
         return gauges
 
+    def _copy_gauges(self) -> dict[str, float]:
+        copies = self._executor.copies
+        return {
+            labelled(name, reason=reason): counts[reason]
+            for name, counts in (
+                ("copies_started", copies.started),
+                ("copies_won", copies.won),
+                ("copies_lost", copies.lost),
+            )
+            for reason in CopyReason
+        }
+
     def _wait_gauges(self) -> dict[str, float]:
         """Return number and longest wait of the steps with waiting tasks."""
         now = self._clock.monotonic()
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling decisions on jobs, workers and machines, without network or threads."""
 
 from .admission import FleetCapacity, Rejection, backlog_cpu_ms, check_size, check_wait
+from .copies import Copies, CopyReason
 from .demand import job_demand, movable_tasks, service_demands
 from .demand_history import DemandHistory
 from .objective import critical_path_ms, objective_at_ms
@@ -16,6 +17,8 @@
 from .worker_view import WorkerView
 
 __all__ = [
+    "Copies",
+    "CopyReason",
     "Demand",
     "DemandHistory",
     "FleetCapacity",
--- a/arbutuscleat/scheduling/crash_trials.py
+++ b/arbutuscleat/scheduling/crash_trials.py
@@ -127,17 +127,16 @@
             {name: int(MAX_ISOLATED_FRACTION * n) for name, n in sizes.items()}
         )
         for key, task in tasks.items():
-            view = views.get(task.incarnation[0])
-            if task.status is not TaskStatus.RUNNING or view is None:
-                continue
-            if view.incarnation != task.incarnation:
-                continue
-            record_run(view, key.job_id)
-            elapsed = run_times.elapsed(key, task.number, now)
-            if is_suspect(task) and elapsed < TRIAL_SECONDS:
-                worker_id = view.record.worker_id
-                self._trials.setdefault(key.job_id, set()).add(worker_id)
-                self._isolate(view, key.job_id, elapsed < LONG_RUNNING_SECONDS)
+            for run in task.runs():
+                view = views.get(run.incarnation[0])
+                if view is None or view.incarnation != run.incarnation:
+                    continue
+                record_run(view, key.job_id)
+                elapsed = run_times.elapsed(key, run.number, now)
+                if is_suspect(task) and elapsed < TRIAL_SECONDS:
+                    worker_id = view.record.worker_id
+                    self._trials.setdefault(key.job_id, set()).add(worker_id)
+                    self._isolate(view, key.job_id, elapsed < LONG_RUNNING_SECONDS)
         by_crashes = sorted(self._waits.items(), key=lambda item: -item[1].crashes)
         for job_id, wait in by_crashes:
             view = views.get(wait.worker_id)
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -17,6 +17,7 @@
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, StepRecord
 
 from .backfill import ExpectedEnd, reserve_capacity
+from .copies import Copies
 from .crash_trials import CrashTrials, is_suspect
 from .failed_tasks import FailedTasks
 from .full_services import FullServices
@@ -82,6 +83,11 @@
     """Makes plans from the job table and the free capacity of the workers.
 
     A planner remembers since when failed tasks wait and runs run; not thread-safe.
+
+    Attributes
+    ----------
+    copies : Copies
+        Decides on second runs, once the waiting tasks have been placed.
     """
 
     def __init__(self) -> None:
@@ -89,6 +95,7 @@
         self._run_times = RunTimes()
         self._crash_trials = CrashTrials()
         self._full_services = FullServices()
+        self.copies = Copies()
         self._latest_starts: dict[tuple[str, int], _LatestStart] = {}
 
     def seconds_running(self, key: TaskKey, number: int, now: float) -> float:
@@ -134,6 +141,10 @@
         runs = self._start_jobs(table, candidates, by_service, now)
         for run in runs:
             self._run_times.record_start(TaskKey.of(run), run.number, now)
+        if len(runs) < MAX_STARTS:
+            runs += self.copies.plan(
+                table, views, by_service, runs, self._run_times, now
+            )
         return Plan(runs, next_due_ms)
 
     def _start_jobs(
@@ -143,6 +154,7 @@
         by_service: Mapping[str, Sequence[WorkerView]],
         now: float,
     ) -> list[RunRecord]:
+        self.copies.begin_plan()
         runs: list[RunRecord] = []
         blocked: dict[str, list[_Blocked]] = {}
         reserved: set[str] = set()
@@ -158,6 +170,9 @@
             if len(runs) >= MAX_STARTS:
                 return runs
         for service, tasks in blocked.items():
+            self.copies.record_waiting(
+                service, (step for step, _ in tasks), by_service[service]
+            )
             if tasks and self._reserve_first(tasks, by_service[service], table, now):
                 reserved.add(service)
         for candidate in candidates:
@@ -165,6 +180,7 @@
             workers = by_service[service]
             found, left = self._start_job(table, candidate, workers, False, now)
             runs.extend(found)
+            self.copies.record_waiting(service, (step for step, _ in left), workers)
             gangs = [(step, tasks) for step, tasks in left if step.gang]
             if gangs and service not in reserved:
                 if self._reserve_first(gangs, workers, table, now):
--- a/arbutuscleat/scheduling/run_times.py
+++ b/arbutuscleat/scheduling/run_times.py
@@ -35,6 +35,11 @@
         """
         return now - self._started.setdefault((key, number), now)
 
+    def known(self, key: TaskKey, number: int, now: float) -> float | None:
+        """Return for how many seconds a run has been running; None if not known."""
+        started = self._started.get((key, number))
+        return None if started is None else now - started
+
     def prune(self, table: JobTable, now: float) -> None:
         """Discard the times of ended runs, if this is due.
 
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -52,6 +52,8 @@
         Number of runs of tasks under which workers have crashed, by job.
     unusable_because : WaitReason
         Why new runs may not be scheduled on a worker that is not usable.
+    is_silent : bool
+        Whether the holder of the worker's session says that it does not answer.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "keeps_out_long_running",
         "crashed_runs",
         "unusable_because",
+        "is_silent",
     )
 
     def __init__(self, record: WorkerRecord, usable: bool, grade: int):
@@ -96,6 +99,7 @@
         self.keeps_out_long_running = False
         self.crashed_runs: dict[str, int] = {}
         self.unusable_because = WaitReason.UNRESPONSIVE
+        self.is_silent = False
 
     @property
     def incarnation(self) -> WorkerIncarnation:
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -570,6 +570,7 @@
      - number
      - worker_id
      - born_ms
+     - beside
 
     """
 
@@ -581,10 +582,11 @@
         'number',
         'worker_id',
         'born_ms',
+        'beside',
     )
 
 
-    def __init__(self, job_id=None, occurrence=None, step=None, index=None, number=None, worker_id=None, born_ms=None,):
+    def __init__(self, job_id=None, occurrence=None, step=None, index=None, number=None, worker_id=None, born_ms=None, beside=None,):
         self.job_id = job_id
         self.occurrence = occurrence
         self.step = step
@@ -592,6 +594,7 @@
         self.number = number
         self.worker_id = worker_id
         self.born_ms = born_ms
+        self.beside = beside
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -637,6 +640,11 @@
                     self.born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.beside = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -675,6 +683,10 @@
             oprot.writeFieldBegin('born_ms', TType.I64, 7)
             oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
+        if self.beside is not None:
+            oprot.writeFieldBegin('beside', TType.BOOL, 8)
+            oprot.writeBool(self.beside)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2751,6 +2763,110 @@
         return not (self == other)
 
 
+class CopyImage(object):
+    """
+    Attributes:
+     - number
+     - worker_id
+     - born_ms
+     - inherited
+
+    """
+
+    __slots__ = (
+        'number',
+        'worker_id',
+        'born_ms',
+        'inherited',
+    )
+
+
+    def __init__(self, number=None, worker_id=None, born_ms=None, inherited=None,):
+        self.number = number
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.inherited = inherited
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.inherited = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyImage')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 1)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 2)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 3)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.inherited is not None:
+            oprot.writeFieldBegin('inherited', TType.BOOL, 4)
+            oprot.writeBool(self.inherited)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TaskImage(object):
     """
     Attributes:
@@ -2765,6 +2881,9 @@
      - settled
      - uncertain_crashes
      - inherited
+     - copy
+     - last_number
+     - ending
 
     """
 
@@ -2780,10 +2899,13 @@
         'settled',
         'uncertain_crashes',
         'inherited',
+        'copy',
+        'last_number',
+        'ending',
     )
 
 
-    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None, uncertain_crashes=None, inherited=None,):
+    def __init__(self, status=None, number=None, failures=None, worker_id=None, born_ms=None, checkpoint=None, crashes=None, lone_crashes=None, settled=None, uncertain_crashes=None, inherited=None, copy=None, last_number=None, ending=None,):
         self.status = status
         self.number = number
         self.failures = failures
@@ -2795,6 +2917,9 @@
         self.settled = settled
         self.uncertain_crashes = uncertain_crashes
         self.inherited = inherited
+        self.copy = copy
+        self.last_number = last_number
+        self.ending = ending
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2860,6 +2985,22 @@
                     self.inherited = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.copy = CopyImage()
+                    self.copy.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.last_number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.ending = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2914,6 +3055,18 @@
             oprot.writeFieldBegin('inherited', TType.BOOL, 11)
             oprot.writeBool(self.inherited)
             oprot.writeFieldEnd()
+        if self.copy is not None:
+            oprot.writeFieldBegin('copy', TType.STRUCT, 12)
+            self.copy.write(oprot)
+            oprot.writeFieldEnd()
+        if self.last_number is not None:
+            oprot.writeFieldBegin('last_number', TType.I32, 13)
+            oprot.writeI32(self.last_number)
+            oprot.writeFieldEnd()
+        if self.ending is not None:
+            oprot.writeFieldBegin('ending', TType.BOOL, 14)
+            oprot.writeBool(self.ending)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5274,6 +5427,7 @@
     (5, TType.I32, 'number', None, None, ),  # 5
     (6, TType.STRING, 'worker_id', 'UTF8', None, ),  # 6
     (7, TType.I64, 'born_ms', None, None, ),  # 7
+    (8, TType.BOOL, 'beside', None, None, ),  # 8
 )
 all_structs.append(EndRecord)
 EndRecord.thrift_spec = (
@@ -5424,6 +5578,14 @@
     (15, TType.BOOL, 'keeps_runs', None, None, ),  # 15
     (16, TType.STRUCT, 'begin_jobs', [BeginJobs, None], None, ),  # 16
 )
+all_structs.append(CopyImage)
+CopyImage.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'worker_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'inherited', None, None, ),  # 4
+)
 all_structs.append(TaskImage)
 TaskImage.thrift_spec = (
     None,  # 0
@@ -5438,6 +5600,9 @@
     (9, TType.BOOL, 'settled', None, None, ),  # 9
     (10, TType.I32, 'uncertain_crashes', None, None, ),  # 10
     (11, TType.BOOL, 'inherited', None, None, ),  # 11
+    (12, TType.STRUCT, 'copy', [CopyImage, None], None, ),  # 12
+    (13, TType.I32, 'last_number', None, None, ),  # 13
+    (14, TType.BOOL, 'ending', None, None, ),  # 14
 )
 all_structs.append(OccurrenceImage)
 OccurrenceImage.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -48,7 +48,7 @@
   13: optional bool over_rate
 }
 
-// One run of one task.
+// One run of one task. `beside`: of a start, a copy beside the run that the task has.
 struct RunRecord {
   1: string job_id
   2: i32 occurrence
@@ -57,6 +57,7 @@
   5: i32 number
   6: string worker_id
   7: i64 born_ms
+  8: optional bool beside
 }
 
 // `unresponsive`: the lease of the worker expired while it did not respond.
@@ -206,6 +207,16 @@
   16: optional BeginJobs begin_jobs
 }
 
+// The copy beside a task's run.
+struct CopyImage {
+  1: i32 number
+  2: string worker_id
+  3: i64 born_ms
+  4: optional bool inherited
+}
+
+// `last_number`: the highest run number, if it is not `number`. `ending`: the task is done,
+// and another run of it may go on.
 struct TaskImage {
   1: i32 status
   2: i32 number
@@ -218,6 +229,9 @@
   9: optional bool settled
   10: optional i32 uncertain_crashes
   11: optional bool inherited
+  12: optional CopyImage copy
+  13: optional i32 last_number
+  14: optional bool ending
 }
 
 struct OccurrenceImage {
--- a/tests/access/test_renamed_queues.py
+++ b/tests/access/test_renamed_queues.py
@@ -105,7 +105,7 @@
         self.configure("renamed")
         self.assertEqual(Verdict.DONE, self.cancel())
         self.assertEqual("cancelled", self.look_up().state)
-        self.assertEqual([JOB], [key.job_id for key in self.table.stops_due])
+        self.assertEqual([JOB], [key.job_id for key, _ in self.table.stops_due])
 
     def test_a_renamed_queue_counts_the_jobs_that_wait_in_it(self):
         """Guards against `pending` of 0 after a change of the name (review/10)."""
--- a/tests/execution/test_random_runs.py
+++ b/tests/execution/test_random_runs.py
@@ -197,7 +197,7 @@
             for worker_id, session in self.sessions.items()
             if worker_id in self.harness.table.workers
         }
-        runs = Planner().plan(self.harness.table, views, 10**9, 0.0).runs
+        runs = self.plan_runs(views)
         accepted_runs = self.harness.apply(starts=RunStarts(runs=runs)) if runs else []
         for run, accepted in zip(runs, accepted_runs, strict=True):
             # Sometimes a leader is lost between the log entry and the order.
@@ -209,6 +209,9 @@
             self.record_done()
         self.clock.advance(STEP_SECONDS)
 
+    def plan_runs(self, views):
+        return Planner().plan(self.harness.table, views, 10**9, 0.0).runs
+
     def inject_fault(self):
         rng, now = self.rng, self.clock.monotonic()
         link = rng.choice(list(self.links.values()))
--- a/tests/jobs/test_job_table.py
+++ b/tests/jobs/test_job_table.py
@@ -165,7 +165,7 @@
     def test_cancelling_a_job_marks_its_runs_to_be_stopped(self):
         self.harness.start(run())
         self.harness.cancel()
-        self.assertEqual({TaskKey(JOB, 0, 0, 0)}, self.harness.table.stops_due)
+        self.assertEqual({(TaskKey(JOB, 0, 0, 0), 1)}, self.harness.table.stops_due)
         self.assertFalse(self.harness.table.is_current_run(TaskKey(JOB, 0, 0, 0), 1))
 
     def test_the_tasks_of_a_lost_worker_can_start_again(self):
@@ -276,9 +276,9 @@
         harness.start(run(), run(OTHER_JOB))
         harness.cancel()
         restored = JobTable(decode_config)
-        restored.stops_due.add(TaskKey(OTHER_JOB, 0, 0, 0))
+        restored.stops_due.add((TaskKey(OTHER_JOB, 0, 0, 0), 1))
         restored.restore(harness.table.image())
-        self.assertEqual({TaskKey(JOB, 0, 0, 0)}, restored.stops_due)
+        self.assertEqual({(TaskKey(JOB, 0, 0, 0), 1)}, restored.stops_due)
 
     def test_a_restored_table_behaves_like_the_original(self):
         harness = JobTableHarness()
--- a/tests/jobs/test_leaving_worker.py
+++ b/tests/jobs/test_leaving_worker.py
@@ -74,10 +74,10 @@
         """Guards against runs that wait for a lease after a planned end."""
         self.announce(sequence=2, draining=True)
         self.leave()
-        self.assertEqual({KEY}, self.table.stops_due)
+        self.assertEqual({(KEY, 1)}, self.table.stops_due)
         restored = JobTable(decode_config)
         restored.restore(self.table.image())
-        self.assertEqual({KEY}, restored.stops_due)
+        self.assertEqual({(KEY, 1)}, restored.stops_due)
 
     def test_a_worker_that_leaves_has_not_crashed(self):
         """Guards against a task that is given up for workers that left."""
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -6,7 +6,7 @@
 
 from arbutuscleat.consensus import Role
 from arbutuscleat.nodes.control_metrics import ControlMetrics
-from arbutuscleat.scheduling import StepWaits
+from arbutuscleat.scheduling import Copies, CopyReason, StepWaits
 from arbutuscleat.wire.gen_jobs.ttypes import BeginJobs
 from tests.fakes import ManualClock
 from tests.fakes.jobs import JOB, OTHER_JOB, JobTableHarness, job, run, step, worker
@@ -30,9 +30,14 @@
         step_waits = StepWaits()
         step_waits.check(harness.table, {}, [], clock.monotonic(), clock.now_ms())
         clock.advance(1.5)
+        copies = Copies()
+        copies.started[CopyReason.SLOW] = 3
+        copies.won[CopyReason.SLOW] = 2
+        copies.lost[CopyReason.SILENT] = 1
         executor = SimpleNamespace(
             sessions={"w1": SimpleNamespace(is_responsive=lambda: False)},
             step_waits=step_waits,
+            copies=copies,
         )
         machine_waits = SimpleNamespace(gauges={"machines_moving": 2})
         gauges = ControlMetrics(
@@ -59,4 +64,13 @@
             'steps_waiting{kind="finite",reason="no worker"}': 2,
             'steps_waiting_oldest_seconds{kind="finite",reason="no worker"}': 1.5,
         }
+        copied = {
+            ("started", "slow run"): 3,
+            ("won", "slow run"): 2,
+            ("lost", "silent worker"): 1,
+        }
+        for name in ("started", "won", "lost"):
+            for reason in ("silent worker", "slow worker", "slow run"):
+                gauge = f'copies_{name}{{reason="{reason}"}}'
+                expected[gauge] = copied.get((name, reason), 0)
         self.assertEqual(expected, gauges)
