--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -1,7 +1,8 @@
 """Scheduling decisions on jobs, workers and machines, without network or threads."""
 
 from .admission import FleetCapacity, Rejection, backlog_cpu_ms, check_size, check_wait
-from .copies import Copies, CopyReason
+from .copies import Copies
+from .copy_cases import CopyReason
 from .demand import job_demand, movable_tasks, service_demands
 from .demand_history import DemandHistory
 from .objective import critical_path_ms, objective_at_ms
--- a/arbutuscleat/scheduling/run_ratios.py
+++ b/arbutuscleat/scheduling/run_ratios.py
@@ -91,6 +91,10 @@
             found = self._medians[kind] = median(history)
         return found
 
+    def slowness(self, worker_id: str) -> float:
+        """Return how long the latest runs on a worker took, relative to the usual."""
+        return self._workers.get(worker_id, 1.0)
+
     def is_slow(self, worker_id: str) -> bool:
         """Return whether the latest runs on a worker took longer than is usual."""
-        return self._workers.get(worker_id, 1.0) >= SLOW_WORKER
+        return self.slowness(worker_id) >= SLOW_WORKER
--- a/arbutuscleat/scheduling/worker_view.py
+++ b/arbutuscleat/scheduling/worker_view.py
@@ -53,7 +53,7 @@
     unusable_because : WaitReason
         Why new runs may not be scheduled on a worker that is not usable.
     is_silent : bool
-        Whether the holder of the worker's session says that it does not answer.
+        Whether the holder of the worker's session reports that it does not answer.
     """
 
     __slots__ = (
--- a/tests/scheduling/test_copies.py
+++ b/tests/scheduling/test_copies.py
@@ -7,9 +7,8 @@
 from arbutuscleat.scheduling.copies import (
     MAX_CREDIT,
     MAX_SILENT_SHARE,
-    SILENT_SECONDS,
-    SLOW_FACTOR,
 )
+from arbutuscleat.scheduling.copy_cases import SILENT_SECONDS, SLOW_FACTOR
 from arbutuscleat.scheduling.run_ratios import HISTORY, MIN_RUNS, RunRatios
 from tests.fakes.jobs import JOB, JobTableHarness, job, run, step, worker
 
@@ -162,6 +161,35 @@
         copied = self.plan_after(0.5)
         self.assertEqual([FULL_JOB], [record.job_id for record in copied])
 
+    def test_a_run_whose_worker_did_not_answer_for_a_time_is_not_slow(self):
+        """Guards against copies of all runs after a holder of sessions was cut off."""
+        self.finish(MIN_RUNS)
+        self.accept(FULL_JOB)
+        self.silent.add(self.place(FULL_JOB))
+        self.plan_after(SILENT_SECONDS / 2)
+        self.silent.clear()
+        self.assertEqual([], self.plan_after(SLOW_FACTOR + 1.0))
+
+    def test_a_run_is_not_slow_if_most_of_its_step_takes_as_long(self):
+        self.finish(MIN_RUNS)
+        started = self.accept(FULL_JOB, count=3)
+        self.assertEqual([], self.plan_after(SLOW_FACTOR + 0.5))
+        self.harness.end(started[0], RunOutcome.DONE)
+        copied = self.plan_after(0.5)
+        self.assertEqual([1, 2], sorted(record.index for record in copied))
+
+    def test_a_run_on_a_slow_worker_gets_a_copy_if_that_saves_time(self):
+        """Tasks of one and of four seconds on a worker that takes three times that."""
+        for seconds, expected in ((1.0, 0), (4.0, 1)):
+            self.begin(estimated_ms=round(1000 * seconds))
+            ratios = self.planner.copies._cases.ratios
+            for number in range(20):
+                ratios.record(("approvals", 0, False), f"x{number}", 1.0, 1.0)
+            for _ in range(5):
+                ratios.record(("approvals", 0, False), self.place(), 3.0, 1.0)
+            copied = self.plan_after(seconds + 0.31)
+            self.assertEqual(expected, len(copied), seconds)
+
     def test_estimates_alone_make_no_run_slow(self):
         """The first runs of a kind, and a kind whose estimates are three times low."""
         self.assertEqual([], self.plan_after(9.0))
