Copies: runs of plans that are cut short are watched as well; seeds that make copies

The planner's last step observed runs only after plans that had reached all jobs, so runs of the longest plans could never count as slow. tests/execution/test_copies.py: its seeds now assert that copies were made.

--- a/arbutuscleat/scheduling/copies.py
+++ b/arbutuscleat/scheduling/copies.py
@@ -105,11 +105,10 @@
         table: JobTable,
         views: Mapping[str, WorkerView],
         by_service: Mapping[str, Sequence[WorkerView]],
-        planned: Sequence[RunRecord],
         run_times: RunTimes,
         now: float,
     ) -> list[RunRecord]:
-        """Return the copies to start now.
+        """Return the copies to start now, after a plan that has reached all jobs.
 
         Parameters
         ----------
@@ -119,15 +118,11 @@
             All workers by id. Capacity for the copies is reserved in them.
         by_service : mapping of str to sequence of WorkerView
             The usable workers of each service.
-        planned : sequence of RunRecord
-            The other runs of this plan.
         run_times : RunTimes
             Start times of runs.
         now : float
             Monotonic time in seconds.
         """
-        self._learn(table, views, run_times, now)
-        self._cases.watch(table, planned)
         cases = self._cases.find(table, views, self._waiting, run_times, now)
         runs: list[RunRecord] = []
         refused: Counter[str] = Counter()
@@ -147,14 +142,29 @@
 
     # ---- what has ended ----
 
-    def _learn(
+    def observe(
         self,
         table: JobTable,
         views: Mapping[str, WorkerView],
+        planned: Iterable[RunRecord],
         run_times: RunTimes,
         now: float,
     ) -> None:
-        """Take the runs that were done since the last plan."""
+        """Take the runs that were done since the last plan, and watch those it starts.
+
+        Parameters
+        ----------
+        table : JobTable
+            The job table; the caller holds its lock.
+        views : mapping of str to WorkerView
+            All workers by id.
+        planned : iterable of RunRecord
+            The runs of the plan, without copies.
+        run_times : RunTimes
+            Start times of runs.
+        now : float
+            Monotonic time in seconds.
+        """
         earned = (now - self._credit_at) / CREDIT_SECONDS
         self._credit = min(MAX_CREDIT, self._credit + max(0.0, earned))
         self._credit_at = now
@@ -169,6 +179,7 @@
                 del self._copies[key]
                 self.lost[copy.reason] += 1
         self._cases.prune(table, now)
+        self._cases.watch(table, planned)
         self._tries = {
             run: n for run, n in self._tries.items() if table.is_current_run(*run)
         }
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -141,10 +141,10 @@
         runs = self._start_jobs(table, candidates, by_service, now)
         for run in runs:
             self._run_times.record_start(TaskKey.of(run), run.number, now)
-        if len(runs) < MAX_STARTS:
-            runs += self.copies.plan(
-                table, views, by_service, runs, self._run_times, now
-            )
+        is_complete = len(runs) < MAX_STARTS
+        self.copies.observe(table, views, runs, self._run_times, now)
+        if is_complete:
+            runs += self.copies.plan(table, views, by_service, self._run_times, now)
         return Plan(runs, next_due_ms)
 
     def _start_jobs(
--- a/tests/execution/test_copies.py
+++ b/tests/execution/test_copies.py
@@ -28,7 +28,8 @@
 KEY = TaskKey(JOB, 0, 0, 0)
 STEP_SECONDS = 0.1
 RANDOM_SEEDS = range(20)
-LEADER_SEEDS = range(4)
+LEADER_SEEDS = (0, 6, 9, 11)
+"""Seeds in which some workers fall silent with speculative tasks on them."""
 
 
 class SilentModel(WorkerModel):
@@ -164,7 +165,7 @@
         for job_state in self.harness.table.active.values():
             for task in job_state.all_tasks():
                 view = self.choices.choice(list(views.values()))
-                if task.has_run() and view.usable and self.choices.random() < 0.1:
+                if task.has_run() and view.usable and self.choices.random() < 0.3:
                     run = task.key.run_record(task.last_number + 1, view.incarnation)
                     run.beside = True  # The table has to reject what is not permitted.
                     runs.append(run)
@@ -205,6 +206,8 @@
 class SpeculativeSimulation(LeaderSimulation):
     """Leaders, sessions and faults; half of the small jobs are speculative."""
 
+    copy_count = 0
+
     def accept(self, job_id, steps):
         for asked in steps:
             asked.speculative = not asked.long_running and int(job_id, 16) % 2 == 1
@@ -215,6 +218,9 @@
             super().check_single_run(model, key)
             return
         models = [link.model for link in self.links.values() if link.model is not None]
+        self.copy_count += (
+            self.harness.table.jobs[key.job_id].task(key).copy is not None
+        )
         if sum(key in other.running() for other in models) > 2:
             self.violations.append(f"{key} runs more than twice")
 
@@ -223,6 +229,7 @@
 def test_leaders_make_copies_of_speculative_tasks_only(seed):
     simulation = SpeculativeSimulation(seed)
     simulation.run()
+    assert simulation.copy_count
     assert not simulation.violations, "\n".join(
         simulation.violations + simulation.events
     )
