--- a/arbutuscleat/scheduling/copies.py
+++ b/arbutuscleat/scheduling/copies.py
@@ -20,19 +20,10 @@
 from arbutuscleat.wire.gen_jobs.ttypes import RunRecord, StepRecord
 
 from .copy_cases import CopyCase, CopyCases, CopyReason
+from .copy_room import MAX_COMPARED, CopyRoom
 from .run_times import RunTimes
 from .worker_view import WorkerView
 
-MAX_SILENT_SHARE = 0.25
-"""Largest share of a service's room that copies may have if they are of silent runs:
-about that of a rack or a small data centre, whose runs are likely to be lost."""
-
-MAX_SLOW_SHARE = 0.1
-"""The same for copies of slow runs, which mostly cost work that is done anyway."""
-
-MIN_IDLE_SHARE = 0.1
-"""Share of a service's room that copies leave idle, for the jobs that arrive next."""
-
 MAX_COPIES = 16
 """Number of copies in one plan."""
 
@@ -84,6 +75,8 @@
         self._waiting: set[str] = set()
         self._credit = MAX_CREDIT
         self._credit_at = 0.0
+        self._first = 0
+        """Position of the first worker that the next plan compares."""
 
     def begin_plan(self) -> None:
         """Begin a plan: no task is known to wait."""
@@ -126,13 +119,17 @@
         cases = self._cases.find(table, views, self._waiting, run_times, now)
         runs: list[RunRecord] = []
         refused: Counter[str] = Counter()
+        rooms: dict[str, CopyRoom] = {}
         for case in cases:
             if len(runs) >= MAX_COPIES:
                 break
             service = table.service_of(case.job)
             if refused[service] >= MAX_REFUSED or not self._may_try(case):
                 continue
-            found = self._place(case, by_service.get(service, ()), views, service)
+            if service not in rooms:
+                rooms[service] = self._room(service, by_service.get(service, ()))
+            former = views.get(case.task.incarnation[0])
+            found = self._place(case, rooms[service], former, service)
             if found is None:
                 refused[service] += 1
             else:
@@ -209,21 +206,27 @@
             return False
         return case.reason is not CopyReason.SLOW or self._credit >= 1.0
 
+    def _room(self, service: str, workers: Sequence[WorkerView]) -> CopyRoom:
+        copied = [c.step for c in self._copies.values() if c.service == service]
+        self._first += MAX_COMPARED
+        return CopyRoom(workers, copied, self._cases.ratios, self._first)
+
     def _place(
         self,
         case: CopyCase,
-        workers: Sequence[WorkerView],
-        views: Mapping[str, WorkerView],
+        room: CopyRoom,
+        former: WorkerView | None,
         service: str,
     ) -> RunRecord | None:
+        """Return the copy of a run on the worker `former`; None if there is no room."""
         task, key = case.task, case.task.key
         step = case.job.steps[key.step]
-        if not self._has_room(step, case.reason, workers, service):
+        if not room.permits(step, case.reason):
             return None
-        view = self._worker_for(case, step, workers, views.get(task.incarnation[0]))
+        view = room.worker_for(case, step, former)
         if view is None or not may_have_copy(case.job, task, view.record.worker_id):
             return None
-        view.reserve(step, key[:3])
+        room.take(step, view, key[:3])
         if case.reason is CopyReason.SLOW:
             self._credit -= 1.0
         run = key.run_record(task.last_number + 1, view.incarnation)
@@ -247,72 +250,3 @@
             case.reason,
         )
         return run
-
-    def _has_room(
-        self,
-        step: StepRecord,
-        reason: CopyReason,
-        workers: Sequence[WorkerView],
-        service: str,
-    ) -> bool:
-        """Return whether the idle room of a service is enough for one more copy."""
-        share = MAX_SILENT_SHARE if reason is CopyReason.SILENT else MAX_SLOW_SHARE
-        copied = [
-            copy.step for copy in self._copies.values() if copy.service == service
-        ]
-        for asked, used, idle, room in (
-            (
-                step.cpu,
-                sum(other.cpu for other in copied),
-                sum(max(0, view.cpu) for view in workers),
-                sum(view.record.cpu for view in workers),
-            ),
-            (
-                step.mem_mb,
-                sum(other.mem_mb for other in copied),
-                sum(max(0, view.mem_mb) for view in workers),
-                sum(view.record.mem_mb for view in workers),
-            ),
-            (
-                step.gpu,
-                sum(other.gpu for other in copied),
-                sum(max(0, view.gpu) for view in workers),
-                sum(view.record.gpu for view in workers),
-            ),
-        ):
-            if asked and used + asked > share * room:
-                return False
-            if asked and idle - asked < MIN_IDLE_SHARE * room:
-                return False
-        return True
-
-    def _worker_for(
-        self,
-        case: CopyCase,
-        step: StepRecord,
-        workers: Sequence[WorkerView],
-        former: WorkerView | None,
-    ) -> WorkerView | None:
-        """Return a sound worker for a copy: on another rack if one accepts it."""
-        group = case.task.key[:3]
-        rack = former.rack if former is not None else ""
-        found = [
-            view
-            for view in workers
-            if view.record.worker_id != case.task.incarnation[0]
-            and not view.grade
-            and view.max_new_runs is None
-            and not view.isolated_for
-            and not self._cases.ratios.is_slow(view.record.worker_id)
-            and view.accepts(step, group)
-        ]
-        return min(
-            found,
-            key=lambda view: (
-                bool(rack) and view.rack == rack,
-                bool(step.data_rack) and view.rack != step.data_rack,
-                view.cpu,
-                view.record.worker_id,
-            ),
-            default=None,
-        )
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -39,11 +39,33 @@
 
 
 CONSENSUS = "tests/consensus"
+JOBS = "tests/jobs"
 MEMBERSHIP = "tests/membership"
 MAINTENANCE = "tests/maintenance"
 ROUTING = "tests/routing"
 
 BREAKS = [
+    Break(
+        "a task runs once at a time: any step gets copies",
+        "jobs/job_table.py",
+        "        bool(step.speculative)\n        and not step.gang\n",
+        "        not step.gang\n",
+        JOBS,
+    ),
+    Break(
+        "a task runs once at a time: a late start counts as one of a copy",
+        "jobs/job_table.py",
+        "        if run.beside:\n",
+        "        if run.beside or task.status is TaskStatus.RUNNING:\n",
+        JOBS,
+    ),
+    Break(
+        "capacity: the run that was not done first takes no room",
+        "jobs/job_table.py",
+        "                task.ending = True\n",
+        "                self._remove_run(task)\n",
+        JOBS,
+    ),
     Break(
         "one vote per term: the vote is not synced to disk",
         "consensus/elections.py",
--- a/tests/scheduling/test_copies.py
+++ b/tests/scheduling/test_copies.py
@@ -4,11 +4,9 @@
 
 from arbutuscleat.jobs import Capacity, RunOutcome, Team
 from arbutuscleat.scheduling import Planner, WorkerView
-from arbutuscleat.scheduling.copies import (
-    MAX_CREDIT,
-    MAX_SILENT_SHARE,
-)
+from arbutuscleat.scheduling.copies import MAX_CREDIT
 from arbutuscleat.scheduling.copy_cases import SILENT_SECONDS, SLOW_FACTOR
+from arbutuscleat.scheduling.copy_room import MAX_SILENT_SHARE
 from arbutuscleat.scheduling.run_ratios import HISTORY, MIN_RUNS, RunRatios
 from tests.fakes.jobs import JOB, JobTableHarness, job, run, step, worker
 
