Merge: copies of tasks of speculative steps

Reviewed by who did not write it: at most one copy, checked again when the entry is applied; both runs stay in the table until their ends are proven, so caps and capacity count both.

--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -9,6 +9,8 @@
     check_wait,
 )
 from .arrival_meter import ArrivalMeter
+from .copies import Copies
+from .copy_cases import CopyReason
 from .demand import job_demand, movable_tasks, service_demands
 from .demand_history import DemandHistory
 from .objective import critical_path_ms, objective_at_ms
@@ -31,6 +33,8 @@
 
 __all__ = [
     "ArrivalMeter",
+    "Copies",
+    "CopyReason",
     "Demand",
     "DemandHistory",
     "FleetCapacity",
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -21,6 +21,7 @@
 
 from .backfill import ExpectedEnd, reserve_capacity
 from .candidates import Candidate, CandidateFinder
+from .copies import Copies
 from .crash_trials import CrashTrials, is_suspect
 from .failed_tasks import FailedTasks
 from .fair_order import Shares, Turn, fair_turns, service_shares
@@ -73,6 +74,11 @@
     ----------
     can_grow : callable, optional
         Returns whether a service can get more machines than it has or is about to get.
+
+    Attributes
+    ----------
+    copies : Copies
+        Decides on second runs, once the waiting tasks have been placed.
     """
 
     def __init__(self, can_grow: Callable[[str], bool] = lambda service: False):
@@ -83,6 +89,7 @@
         self._full_services = FullServices()
         self.team_caps = TeamCaps()
         self._candidate_finder = CandidateFinder()
+        self.copies = Copies()
 
     def seconds_running(self, key: TaskKey, number: int, now: float) -> float:
         """Return for how long a run has been running, as far as this planner knows."""
@@ -128,6 +135,10 @@
         runs = self._start_jobs(table, candidates, shares, by_service, now_ms, now)
         for run in runs:
             self._run_times.record_start(TaskKey.of(run), run.number, now)
+        is_complete = len(runs) < MAX_STARTS
+        self.copies.observe(table, views, runs, self._run_times, now)
+        if is_complete:
+            runs += self.copies.plan(table, views, by_service, self._run_times, now)
         return Plan(runs, next_due_ms)
 
     def _shares(
@@ -160,6 +171,7 @@
         now_ms: int,
         now: float,
     ) -> list[RunRecord]:
+        self.copies.begin_plan()
         runs: list[RunRecord] = []
         blocked: dict[str, list[_Blocked]] = {}
         reserved: set[str] = set()
@@ -175,6 +187,9 @@
             if len(runs) >= MAX_STARTS:
                 return runs
         for service, tasks in blocked.items():
+            self.copies.record_waiting(
+                service, (step for step, _ in tasks), by_service[service]
+            )
             if tasks and self._reserve_first(tasks, by_service[service], table, now):
                 reserved.add(service)
         for turn in fair_turns(candidates, shares, now_ms):
@@ -182,6 +197,7 @@
             workers = by_service[service]
             found, left = self._start_job(table, turn, workers, False, now)
             runs.extend(found)
+            self.copies.record_waiting(service, (step for step, _ in left), workers)
             gangs = [(step, tasks) for step, tasks in left if step.gang]
             if left and service not in starved and turn.is_starved(now_ms):
                 starved.add(service)
