Test of the longest idle connection: it waits until the others are idle

Cause: a connection counts as idle once a thread has looked at it. Change: it waits until all others are idle, closed or refused, and now demands that exactly one is closed.

--- a/tests/web/test_client_limits.py
+++ b/tests/web/test_client_limits.py
@@ -218,9 +218,20 @@
     server, app, metrics = served()
     idle = [connect(server) for _ in range(LIMITS.connections)]
     hosts = [connect(server, b"", "127.0.0.2") for _ in range(LIMITS.connections)]
+    # Until a thread has looked at it, a new connection does not count as idle.
+    selector = server._server._connections._selector
+    deadline = time.monotonic() + WAIT_SECONDS
+    counts = lambda: [
+        metrics.counter("clients_refused", server="test", reason=reason)
+        for reason in ("idle", "connections")
+    ]
+    while sum(counts()) + len(selector) - 1 < len(idle + hosts):
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    before, _ = counts()
     with connect(server, ORDINARY, host) as sock:
         assert status(sock.recv(65_536)) == 200
     assert app.bodies == [b"body"]
-    assert metrics.counter("clients_refused", server="test", reason="idle") > 0
+    assert counts()[0] == before + 1
     for sock in idle + hosts:
         sock.close()
