--- a/arbutuscleat/scheduling/fair_order.py
+++ b/arbutuscleat/scheduling/fair_order.py
@@ -222,12 +222,12 @@
     candidates : iterable of Candidate
         The jobs, by rank.
     shares : mapping of tuple of str and str to TeamShare
-        Shares by service and team; empty if the configuration has no teams.
+        Shares by service and team; empty if the order does not depend on them.
     now_ms : int
         Current Unix time in milliseconds.
     """
     if not shares:
-        for candidate in candidates:
+        for candidate in sorted(candidates, key=_rank_in_team):
             yield Turn(candidate)
         return
     queues: dict[tuple[str, str], deque[Candidate]] = {}
--- a/arbutuscleat/scheduling/planner.py
+++ b/arbutuscleat/scheduling/planner.py
@@ -147,9 +147,14 @@
         candidates: Iterable[Candidate],
         by_service: Mapping[str, Sequence[WorkerView]],
     ) -> Shares:
-        """Return the shares of the teams; empty if the configuration has none."""
+        """Return the shares of the teams.
+
+        They are empty if the configuration has none, or if they decide nothing.
+        """
         if table.config is None or not self.team_caps.has_teams:
             return {}
+        if all(self._can_grow(service) for service in by_service):
+            return {}
         totals = {
             service: (
                 sum(view.record.cpu for view in views),
