--- a/arbutuscleat/web/chunked_body.py
+++ b/arbutuscleat/web/chunked_body.py
@@ -89,7 +89,7 @@
             body += chunk
             self._add_framing(_LINE_END)
             if self._reader.read(len(_LINE_END)) != _LINE_END:
-                raise FramingError("a chunk does not end where its size says")
+                raise FramingError("a chunk is longer than its size")
         return bytes(body)
 
     def _read_length(self) -> int:
