--- a/arbutuscleat/jobs/team.py
+++ b/arbutuscleat/jobs/team.py
@@ -46,7 +46,7 @@
         Most that the tasks of the team may use at the same time on all workers
         together; 0 means no limit.
     priority : int
-        Priority of the team; 0 is the highest.
+        Priority of the team; 0 is the highest. No decision uses it yet.
     """
 
     name: str
