Requests arrive without a thread, within the memory of the machine

Cause: a body was read by a thread, 24 at an entry and 12 at a control instance, each for 1.5 s; and the kernel kept 128 KB unread for each of 1,024 connections, whatever the memory of the machine.

Change: a request is collected in its connection's buffer until RequestExtent finds its end; the parser reads and refuses as before. Incomplete requests share `buffer_bytes`; one that finds no room gets 503 with Retry-After, and while more than half is taken, incomplete bodies have `busy_seconds`. `receive_bytes` limits the kernel. Both, and the number of connections, follow from the machine's memory and descriptors (`[limits]` of the platform's settings); readiness and metrics get an eighth of the connections. The interim response of Expect: 100-continue is sent by the connection. A stop waits for incomplete requests for 0.5 s, as a thread did.

Why it works: no thread waits for a client, and what is kept of all clients is a fixed share of the memory.

--- a/arbutuscleat/core/__init__.py
+++ b/arbutuscleat/core/__init__.py
@@ -12,6 +12,7 @@
 from .instance import Assignment, AssignmentPhase, Instance, InstanceState
 from .labels import Labels, is_name, parse_labels, validate_labels
 from .loops import FAILURE_PAUSE_SECONDS, run_loop, run_step
+from .machine_limits import MachineLimits
 from .maintenance import PHASE_TRANSITIONS, Maintenance, MaintenancePhase
 from .outcome import Outcome
 from .pool import Pool, validate_pool
@@ -32,6 +33,7 @@
     "InstanceState",
     "InvariantError",
     "Labels",
+    "MachineLimits",
     "PHASE_TRANSITIONS",
     "Maintenance",
     "MaintenancePhase",
--- a/arbutuscleat/core/client_limits.py
+++ b/arbutuscleat/core/client_limits.py
@@ -5,11 +5,30 @@
 each server, since they follow from what it serves.
 """
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
+from typing import Any
+
+from .machine_limits import MEBIBYTE, MachineLimits
 
 MIN_CONNECTIONS = 8
 """Fewer connections would not serve a load balancer's checks beside a caller."""
 
+CONNECTIONS_SHARE = 4
+"""Part of the descriptors for the connections of one server: as many are left for
+those to peers, to workers and of the other servers."""
+
+BUFFER_SHARE = 8
+"""Part of the memory for requests that have not arrived in full."""
+
+RECEIVE_SHARE = 4
+"""Part of the memory for what the kernel keeps unread of all connections."""
+
+MIN_RECEIVE_BYTES = 4 * 1_024
+MAX_RECEIVE_BYTES = 64 * 1_024
+CHECKS_SHARE = 8
+CHECKS_RECEIVE_BYTES = 16 * 1_024
+"""As much as the headers of a request may have."""
+
 
 @dataclass(frozen=True)
 class ClientLimits:
@@ -44,6 +63,12 @@
     handshakes : int, default=128
         Connections to the port of peers that are not authenticated yet: an eighth of
         its connections.
+    buffer_bytes : int, default=20971520
+        Requests of one server that have not arrived in full, beside their headers: an
+        eighth of the smallest machine's 160 MB.
+    receive_bytes : int, default=40960
+        What the kernel keeps unread of one connection: a quarter of that machine's
+        memory for all connections.
     """
 
     header_seconds: float = 5.0
@@ -56,6 +81,46 @@
     trailer_lines: int = 64
     framing_bytes: int = 65_536
     handshakes: int = 128
+    buffer_bytes: int = 20 * MEBIBYTE
+    receive_bytes: int = 40 * 1_024
+
+    @classmethod
+    def of_machine(cls, machine: MachineLimits, **values: Any) -> "ClientLimits":
+        """Return the limits for the memory and the descriptors of a machine.
+
+        Parameters
+        ----------
+        machine : MachineLimits
+            What the machine has.
+        **values
+            Limits that are set otherwise.
+
+        Raises
+        ------
+        ValueError
+            If a limit is invalid.
+        """
+        connections = min(cls.connections, machine.max_files // CONNECTIONS_SHARE)
+        connections = max(MIN_CONNECTIONS, connections)
+        receive_bytes = machine.memory_bytes // RECEIVE_SHARE // connections
+        receive_bytes = max(MIN_RECEIVE_BYTES, min(MAX_RECEIVE_BYTES, receive_bytes))
+        defaults = {
+            "connections": connections,
+            "connections_per_address": connections,
+            "buffer_bytes": machine.memory_bytes // BUFFER_SHARE,
+            "receive_bytes": receive_bytes,
+        }
+        return cls(**{**defaults, **values})
+
+    def for_checks(self) -> "ClientLimits":
+        """Return the limits of servers that answer checks, for a few clients."""
+        connections = max(MIN_CONNECTIONS, self.connections // CHECKS_SHARE)
+        return replace(
+            self,
+            connections=connections,
+            connections_per_address=min(connections, self.connections_per_address),
+            receive_bytes=min(self.receive_bytes, CHECKS_RECEIVE_BYTES),
+        )
 
     def __post_init__(self) -> None:
         """Check the values.
--- a/arbutuscleat/core/refusal.py
+++ b/arbutuscleat/core/refusal.py
@@ -17,6 +17,7 @@
     NO_INSTANCE_MATCHES = "no-instance-matches"
     NO_INSTANCE_READY = "no-instance-ready"
     POOL_FULL = "pool-full"
+    OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     DRAINING = "draining"
     NOT_READY = "not-ready"
--- a/arbutuscleat/nodes/entry_node.py
+++ b/arbutuscleat/nodes/entry_node.py
@@ -129,7 +129,7 @@
             READINESS_THREADS,
             MAX_HEADER_BYTES,
             0,
-            cfg.client_limits,
+            cfg.client_limits.for_checks(),
             metrics,
             "readiness",
         )
--- a/arbutuscleat/nodes/metrics_server.py
+++ b/arbutuscleat/nodes/metrics_server.py
@@ -45,7 +45,7 @@
                 METRICS_THREADS,
                 MAX_HEADER_BYTES,
                 0,
-                limits,
+                (limits or ClientLimits()).for_checks(),
                 metrics,
                 "metrics",
             )
--- a/arbutuscleat/web/connection.py
+++ b/arbutuscleat/web/connection.py
@@ -1,20 +1,23 @@
 """Connections of the HTTP server, with limits on time.
 
-No thread waits for the headers of a request: what has arrived is kept, and the
-connection returns to the selector until the rest arrives or the time is over.
+No thread waits for a request: what has arrived is kept, and the connection returns to
+the selector until the rest arrives or the time is over.
 """
 
 import math
 import select
 import socket
 import time
+from contextlib import suppress
 
 from absl import logging
+from cheroot.makefile import StreamReader
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 
 from .http_request import ABANDONED_KEY, CONNECTION_KEY
 from .problem_request import ProblemRequest
+from .request_extent import RequestExtent
 
 NEXT_REQUEST_WAIT_MS = 20
 """How long a thread waits on its connection before it returns it to the selector."""
@@ -26,7 +29,10 @@
 MIN_IDLE_THREADS = 4
 """Threads that must be idle for a thread to wait on its connection."""
 
-HEAD_END = b"\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+BODY_READ_BYTES = 65_536
+"""Most bytes of a body that are read at once."""
+
 LINE_READ_BYTES = 512
 """Space in the buffer beyond the limit of the headers: twice what cheroot reads at once
 of a line, so that it refuses headers beyond the limit without waiting for more."""
@@ -35,6 +41,14 @@
 """Interval of the log lines on clients that are refused or closed."""
 
 
+class RequestReader(StreamReader):
+    """The buffered input of a connection."""
+
+    def release(self):
+        """Free the buffer, which holds nothing to be read."""
+        self._read_buf, self._read_pos = b"", 0
+
+
 class Connection(HTTPConnection):
     """A connection whose thread waits briefly for the next request.
 
@@ -55,35 +69,47 @@
     is_unread = False
     """Whether the client did not read a response in time."""
     has_unread_input = False
-    head_deadline: float | None = None
-    """When headers that have not arrived in full are too late."""
+    is_crowded_out = False
+    """Whether the request finds no more memory beside those of other clients."""
+    has_sent_continue = False
+    """Whether the client has been told to send the body."""
+    input_began_at: float | None = None
+    """When the headers of an incomplete request began to arrive, or its body."""
+    _is_reading_body = False
+    _buffered = 0
     body_began_at: float | None = None
     write_began_at: float | None = None
 
+    def __init__(self, server, sock, makefile):
+        """Initialize the connection; see cheroot."""
+        super().__init__(server, sock, makefile)
+        self.rfile = RequestReader(sock, "rb", self.rbufsize)
+        self._extent = self._new_extent()
+
     def communicate(self):
         """Serve requests until none is there; return whether it stays open."""
         if self.last_used is None and not self._has_next_request():
             return True
-        while self._has_whole_head():
-            self.head_deadline = None
+        while self._has_whole_request():
+            self.input_began_at = None
             self.rfile.buffer_size = self.rbufsize
             keep_open = super().communicate()
             self.body_began_at = self.write_began_at = None
             self.has_answered = True
+            self._extent = self._new_extent()
             if not keep_open:
                 if self.has_unread_input:
                     self._discard_input()
                 return False
+            self._release_buffer()
             if not self._has_next_request():
                 return True
-        if self.head_deadline is None:
-            seconds = self.server.limits.header_seconds
-            self.head_deadline = time.monotonic() + seconds
         return True
 
     def close(self):
         """Close the connection, which then no longer counts as open."""
         super().close()
+        self._buffered = self.server.input_buffers.resize(self._buffered, 0)
         if self.is_admitted:
             self.is_admitted = False
             self.server.open_connections.release(self.remote_addr)
@@ -97,11 +123,33 @@
         if self._is_reading():
             self._shut_down(socket.SHUT_RD)
 
-    def expire_head(self):
-        """Let the parser refuse headers that are too late."""
+    def expire_input(self, now):
+        """Let the parser refuse a request that has not arrived in time.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        bool
+            Whether it is too late.
+        """
+        if self.input_began_at is None:
+            return False
+        limits = self.server.limits
+        seconds, reason = limits.header_seconds, "header_time"
+        if self._extent.has_head:
+            seconds, reason = limits.body_seconds, "body_time"
+            if self.server.input_buffers.is_scarce():
+                seconds = min(seconds, limits.busy_seconds)
+        if now - self.input_began_at <= seconds:
+            return False
         self.is_overdue = True
-        self.count_refusal("header_time")
+        self.count_refusal(reason)
         self._shut_down(socket.SHUT_RD)
+        return True
 
     def check_time(self, now, is_busy):
         """End the reading of a body or the writing of a response that takes too long.
@@ -151,21 +199,31 @@
         except OSError:
             pass  # The client has closed the connection.
 
-    def _has_whole_head(self):
+    def _new_extent(self):
+        server = self.server
+        return RequestExtent(
+            server.max_request_header_size + LINE_READ_BYTES,
+            server.max_request_body_size,
+            server.limits,
+        )
+
+    def _has_whole_request(self):
         """Read what has arrived, and return whether the parser can go on.
 
-        It goes on with whole headers, and with headers that it will refuse.
+        It goes on with whole requests, and with those that it will refuse.
         """
-        max_bytes = self.server.max_request_header_size + LINE_READ_BYTES
+        extent = self._extent
         try:
             data = self.rfile.peek(1)
-            while HEAD_END not in data:
+            while not extent.is_whole(data):
                 size = len(data)
-                if not data or size >= max_bytes or self.is_overdue:
+                if not data or self.is_overdue or self._is_crowded_out(size):
                     return True
+                self._note_progress()
                 if not self._has_input(0):
                     return False
-                self.rfile.buffer_size = size + self.rbufsize
+                block = BODY_READ_BYTES if extent.has_head else self.rbufsize
+                self.rfile.buffer_size = size + block
                 data = self.rfile.peek(size + 1)
                 if len(data) == size:
                     return True  # The client has closed its side.
@@ -173,6 +231,32 @@
             pass  # The parser meets the same error, or the end of the input.
         return True
 
+    def _is_crowded_out(self, size):
+        """Count what is buffered; return whether that is too much for the server."""
+        held = self.server.input_buffers.resize(self._buffered, size)
+        self.is_crowded_out = held is None
+        if held is not None:
+            self._buffered = held
+        return self.is_crowded_out
+
+    def _note_progress(self):
+        """Begin the time for the headers or for the body of an incomplete request."""
+        extent = self._extent
+        if self.input_began_at is None or extent.has_head != self._is_reading_body:
+            self.input_began_at = time.monotonic()
+            self._is_reading_body = extent.has_head
+        if extent.expects_continue and not self.has_sent_continue:
+            self.has_sent_continue = True
+            with suppress(OSError):  # The client reads no responses.
+                self.socket.send(CONTINUE, socket.MSG_DONTWAIT)
+
+    def _release_buffer(self):
+        """Free the memory of the request that has been answered."""
+        self.has_sent_continue = False
+        if not self.rfile.has_data():
+            self.rfile.release()
+        self._buffered = self.server.input_buffers.resize(self._buffered, 0)
+
     def _has_next_request(self):
         if self.rfile.has_data():
             # A client that pipelines takes turns with those that wait for a thread.
--- a/arbutuscleat/web/problem_request.py
+++ b/arbutuscleat/web/problem_request.py
@@ -13,7 +13,15 @@
 from .problem import refuse
 from .strict_headers import StrictHeaderReader
 
-_REASONS = {413: RefusalReason.TOO_LARGE, 414: RefusalReason.TOO_LARGE}
+CROWDED_OUT = "503 Service Unavailable"
+RETRY_AFTER_SECONDS = 2
+"""Longer than incomplete requests may take while memory is scarce."""
+
+_REASONS = {
+    413: RefusalReason.TOO_LARGE,
+    414: RefusalReason.TOO_LARGE,
+    503: RefusalReason.OVERLOADED,
+}
 _COUNTED_AS = {408: "time", 413: "too_large", 414: "too_large"}
 
 
@@ -26,6 +34,9 @@
         """Read the headers; refuse bodies that the server does not take."""
         if not super().read_request_headers():
             return False
+        if self.conn.is_crowded_out:
+            self.simple_response(CROWDED_OUT, "too many requests are arriving")
+            return False
         coding = self.inheaders.get(b"Transfer-Encoding")
         if coding is not None and not self.chunked_read:
             self.simple_response("400 Bad Request", "Transfer-Encoding in HTTP/1.0")
@@ -68,6 +79,8 @@
             return
         if self.conn.is_overdue:
             code, status, msg = 408, "408 Request Timeout", "too slow"
+        elif self.conn.is_crowded_out:
+            self.conn.count_refusal("buffers")
         else:
             self.conn.count_refusal(_COUNTED_AS.get(code, "malformed"))
         detail = msg if isinstance(msg, str) and msg else str(status)[4:]
@@ -76,6 +89,8 @@
         self.close_connection = True
         lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(response.body)}"]
         lines += [f"{name}: {value}" for name, value in response.headers]
+        if code == 503:
+            lines.append(f"Retry-After: {RETRY_AFTER_SECONDS}")
         lines += ["Connection: close", "", ""]
         self.conn.write_began_at = time.monotonic()
         try:
--- a/arbutuscleat/web/server.py
+++ b/arbutuscleat/web/server.py
@@ -6,9 +6,11 @@
 
 import select
 import selectors
+import socket
 import threading
 import time
 from collections.abc import Callable
+from io import DEFAULT_BUFFER_SIZE
 from typing import Any
 
 from absl import logging
@@ -19,6 +21,7 @@
 from arbutuscleat.wire import Address
 
 from .connection import Connection, Gateway
+from .input_buffers import InputBuffers
 from .open_connections import OpenConnections
 
 IDLE_TIMEOUT_SECONDS = 30
@@ -56,6 +59,7 @@
         self.limits = limits
         self.count_refusal = count_refusal
         self.open_connections = OpenConnections(limits)
+        self.input_buffers: InputBuffers  # Set with the limits of size.
         self._checked_at = time.monotonic()
 
     def error_log(self, msg="", level=20, traceback=False):
@@ -65,6 +69,10 @@
     def prepare(self):
         """Bind the port; the time limits are checked with those of idle connections."""
         super().prepare()
+        # Connections inherit it.
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self.limits.receive_bytes
+        )
         expire_idle = self._connections._expire
 
         def expire(threshold):
@@ -85,10 +93,10 @@
 
     def put_conn(self, conn):
         """Return a connection to the selector."""
-        if not self.ready or conn.head_deadline is None:
+        if not self.ready or conn.input_began_at is None:
             super().put_conn(conn)
             return
-        # Its buffer holds part of the headers, and the selector waits for the rest.
+        # Its buffer holds part of a request, and the selector waits for the rest.
         conn.last_used = time.time()
         try:
             self._connections._selector.register(
@@ -97,6 +105,15 @@
         except (OSError, ValueError, KeyError):
             conn.close()  # The server has stopped.
 
+    def wait_for_input(self, seconds: float) -> None:
+        """Wait until no request is incomplete, or for the given time."""
+        deadline = time.monotonic() + seconds
+        while self.ready and time.monotonic() < deadline:
+            conns = [conn for _, conn in self._connections._selector.connections]
+            if not any(getattr(conn, "input_began_at", None) for conn in conns):
+                return
+            time.sleep(UNREAD_CHECK_SECONDS)
+
     def _admit(self, conn) -> bool:
         """Count a new connection, in place of an idle one if there are too many."""
         address = conn.remote_addr
@@ -134,9 +151,8 @@
         if paused:
             return
         for number, conn in list(self._connections._selector.connections):
-            if conn is not self and conn.head_deadline and conn.head_deadline < now:
+            if conn is not self and conn.expire_input(now):
                 self._connections._selector.unregister(number)
-                conn.expire_head()
                 super().process_conn(conn)
         is_busy = self.requests.qsize > 0 and not self.requests.idle
         for worker in list(self.requests._threads):
@@ -192,6 +208,9 @@
         )
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
+        self._server.input_buffers = InputBuffers(
+            self._server.limits.buffer_bytes, max_header_bytes + 2 * DEFAULT_BUFFER_SIZE
+        )
         self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
 
     @property
@@ -207,6 +226,7 @@
 
     def stop(self) -> None:
         """Stop accepting, wait for requests in progress, and close all connections."""
+        self._server.wait_for_input(UNREAD_REQUEST_SECONDS)
         stopped = threading.Event()
         reader_stopper = threading.Thread(
             target=self._stop_reading,
--- a/arbutuscleat/web/strict_headers.py
+++ b/arbutuscleat/web/strict_headers.py
@@ -67,7 +67,8 @@
         return headers
 
     def _allow_header(self, key_name):
-        return b"_" not in key_name
+        # The connection answers the expectation before the parser sees the request.
+        return b"_" not in key_name and key_name.lower() != b"expect"
 
     def _transform_key(self, key_name):
         return _canonical_name(key_name)
--- a/tests/web/test_client_limits.py
+++ b/tests/web/test_client_limits.py
@@ -2,6 +2,8 @@
 
 import socket
 import time
+from contextlib import ExitStack
+from dataclasses import replace
 
 import pytest
 
@@ -23,6 +25,7 @@
 POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 ORDINARY = POST + b"Content-Length: 4\r\n\r\nbody"
+CLOSING = POST + b"Connection: close\r\nContent-Length: 4\r\n\r\nbody"
 ANSWER_BYTES = 256 * 1024
 
 
@@ -235,3 +238,37 @@
     assert counts()[0] == before + 1
     for sock in idle + hosts:
         sock.close()
+
+
+def test_a_slow_body_holds_no_thread(served):
+    server, app, _ = served(limits=replace(LIMITS, body_seconds=WAIT_SECONDS))
+    with ExitStack() as stack:
+        for data in (ORDINARY[:-1], CHUNKED + b"4\r\nbo"):
+            for _ in range(4):
+                stack.enter_context(connect(server, data))
+        assert exchange(server, CLOSING).startswith(b"HTTP/1.1 200")
+    assert app.bodies == [b"body"]
+
+
+def test_bodies_beyond_the_buffers_are_refused_and_small_ones_served(served):
+    limits = replace(LIMITS, body_seconds=WAIT_SECONDS, buffer_bytes=100_000)
+    server, _, metrics = served(max_body=200_000, limits=limits)
+    head = POST + b"Content-Length: 90000\r\n\r\n"
+    with connect(server, head + b"b" * 89_000):
+        answer = exchange(server, head + b"b" * 89_000)
+        assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: " in answer
+        assert exchange(server, CLOSING).startswith(b"HTTP/1.1 200")
+    assert 'reason="buffers"' in metrics.render()
+
+
+def test_an_expected_interim_response_comes_once(served):
+    server, app, _ = served()
+    head = POST + b"Connection: close\r\nExpect: 100-continue\r\n"
+    with connect(server, head + b"Content-Length: 4\r\n\r\n") as sock:
+        assert sock.recv(4_096) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        sock.sendall(b"body")
+        answer = b""
+        while data := sock.recv(4_096):
+            answer += data
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert app.bodies == [b"body"]
