Peers: large frames share a budget, silent connections make room

A control process took 729 MB of 296 after 60 connections with the right handshake had sent 6 of 8 MB of a frame each. Seen in the code besides: from 1,024 connections on, new ones were refused for good, however silent the others were, and each connection kept its latest frame until the next one came.

The longest idle connection of the address with most of them makes room for a new one. A frame is freed once it has been read, at servers and clients.

--- a/arbutuscleat/wire/channel.py
+++ b/arbutuscleat/wire/channel.py
@@ -51,6 +51,7 @@
         self._lock = threading.Lock()
         self._ids = itertools.count(1)
         self._socket: TSocket | None = None
+        self._protocol: Any = None
         self._client: Any = None
         self.peer_incarnation = ""
         """Incarnation that the peer presented in the latest handshake."""
@@ -104,6 +105,7 @@
         except Exception:
             self._disconnect()  # A request that cannot be encoded stays in its buffer.
             raise
+        self._protocol.trans.release()
         if answer.request_id != request.request_id:
             self._disconnect()
             detail = (
@@ -132,6 +134,7 @@
             return CallError(CallErrorKind.REFUSED, detail)
         self.peer_incarnation = answer.incarnation or ""
         self._socket = socket
+        self._protocol = protocol
         self._client = self._client_class(protocol)
         return None
 
--- a/arbutuscleat/wire/server.py
+++ b/arbutuscleat/wire/server.py
@@ -7,6 +7,8 @@
 
 import socket
 import threading
+from collections import Counter
+from dataclasses import dataclass
 from typing import Any
 
 from absl import logging
@@ -18,7 +20,7 @@
 
 from .address import Address
 from .credentials import Credentials
-from .framing import MAX_HELLO_BYTES, make_protocol
+from .framing import MAX_HELLO_BYTES, FrameBudget, make_protocol
 from .gen import Handshake
 from .gen.ttypes import HelloAnswer, HelloRequest
 
@@ -66,6 +68,25 @@
         return super().read(sz)
 
 
+@dataclass
+class _PeerConnection:
+    """An open connection.
+
+    Parameters
+    ----------
+    address : str
+        Address of the peer.
+    used_at : float
+        When its latest call was answered, in monotonic seconds.
+    is_closing : bool, default=False
+        Whether it is being closed in place of another one.
+    """
+
+    address: str
+    used_at: float
+    is_closing: bool = False
+
+
 class ThriftServer:
     """Serves a generated processor on a TCP port.
 
@@ -78,7 +99,8 @@
     credentials : Credentials
         Credentials of this process; the peers must present the same shared key.
     limits : ClientLimits, optional
-        Limits on connections that are not authenticated yet.
+        Limits on connections that are not authenticated yet, and on the memory of
+        large frames.
     metrics : Metrics, optional
         Counts connections that are closed for a limit.
     """
@@ -92,7 +114,9 @@
         metrics: Metrics | None = None,
     ):
         self._processor = processor
-        self._max_handshakes = (limits or ClientLimits()).handshakes
+        limits = limits or ClientLimits()
+        self._max_handshakes = limits.handshakes
+        self._budget = FrameBudget(limits.buffer_bytes)
         self._metrics = metrics
         self._clock: Clock = SystemClock()
         self._credentials = credentials
@@ -100,7 +124,7 @@
             (address.host, address.port), backlog=ACCEPT_BACKLOG
         )
         self._stopping = threading.Event()
-        self._connections: set[socket.socket] = set()
+        self._connections: dict[socket.socket, _PeerConnection] = {}
         self._handshakes: dict[socket.socket, None] = {}  # The oldest comes first.
         self._lock = threading.Lock()
         self._acceptor = threading.Thread(
@@ -131,31 +155,57 @@
 
     def _accept_one(self) -> None:
         try:
-            connection, _ = self._listener.accept()
+            connection, (host, _) = self._listener.accept()
         except OSError:
             if self._stopping.is_set():
                 return
             raise  # For instance for want of file descriptors.
-        self._start_connection(connection)
+        self._start_connection(connection, host)
+
+    def _longest_idle(self) -> socket.socket | None:
+        """Return the connection to close in place of a new one; `_lock` is held.
+
+        It is the longest idle one of the address that has most connections, if not all
+        of these are being closed. Its peer opens another one for its next call.
+        """
+        counts = Counter(item.address for item in self._connections.values())
+        address, _ = counts.most_common(1)[0]
+        found = [
+            (item.used_at, number, connection)
+            for number, (connection, item) in enumerate(self._connections.items())
+            if item.address == address and not item.is_closing
+        ]
+        if not found:
+            return None
+        connection = min(found)[2]
+        self._connections[connection].is_closing = True
+        return connection
 
-    def _start_connection(self, connection: socket.socket) -> None:
+    def _start_connection(self, connection: socket.socket, address: str) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with self._lock:
-            full = len(self._connections) >= MAX_CONNECTIONS
-            crowded = len(self._handshakes) >= self._max_handshakes
-            if not full:
-                self._connections.add(connection)
+            is_crowded = len(self._handshakes) >= self._max_handshakes
+            is_full = len(self._connections) >= MAX_CONNECTIONS
+            # A peer takes milliseconds, so the oldest handshake is none.
+            closed = next(iter(self._handshakes)) if is_crowded else None
+            if closed is not None:
+                del self._handshakes[closed]
+            elif is_full:
+                closed = self._longest_idle()
+            is_admitted = closed is not None or not is_full
+            if closed is not None:
+                _shut_down(closed)
+            if is_admitted:
+                self._connections[connection] = _PeerConnection(
+                    address, self._clock.monotonic()
+                )
                 self._handshakes[connection] = None
-            if crowded and not full:
-                # A peer takes milliseconds, so the oldest one is none.
-                oldest = next(iter(self._handshakes))
-                del self._handshakes[oldest]
-                _shut_down(oldest)
-        if full or crowded:
-            self._count_refusal("connections" if full else "handshakes")
-        if full:
+        if not is_admitted:
+            self._count_refusal("connections")
             connection.close()
             return
+        if closed is not None:
+            self._count_refusal("handshakes" if is_crowded else "idle")
         thread = threading.Thread(
             target=self._serve, args=(connection,), name="thrift-peer", daemon=True
         )
@@ -164,19 +214,25 @@
     def _serve(self, connection: socket.socket) -> None:
         transport = TSocket()
         transport.setHandle(connection)
+        protocol = None
         try:
             if self._handshake(connection):
-                protocol = make_protocol(transport)
+                protocol = make_protocol(transport, budget=self._budget)
+                state = self._connections[connection]
                 while not self._stopping.is_set():
                     self._processor.process(protocol, protocol)
+                    protocol.trans.release()
+                    state.used_at = self._clock.monotonic()
         except (TException, OSError, EOFError):
             pass  # The peer disconnected or does not speak this protocol.
         except Exception:
             logging.exception("thrift handler failed")
         finally:
             with self._lock:
-                self._connections.discard(connection)
+                self._connections.pop(connection, None)
                 self._handshakes.pop(connection, None)
+            if protocol is not None:
+                protocol.trans.release()
             transport.close()
 
     def _handshake(self, connection: socket.socket) -> bool:
