A job that is known is not committed again

Cause: the leader proposed a resubmitted job with its whole body, since the table finds out only when the entry is applied; so a caller without an answer, who sends again, costs as much as a new one.

Change: under the table's lock, the leader answers a known id from the table. A second call with an id that is being committed waits for the first, for as long as a commit may take, and is answered `unknown` (504) after that.

Why it works: a committed job stays in the table for 150 s after its end, so its answer does not change.

--- a/arbutuscleat/access/admission_controller.py
+++ b/arbutuscleat/access/admission_controller.py
@@ -83,8 +83,14 @@
         try:
             yield
         finally:
-            self._submitting.discard(job_id)
-            self._over_rate_ids.discard(job_id)
+            with self._table.lock:
+                self._submitting.pop(job_id, None)
+                self._over_rate_ids.discard(job_id)
+                self._table.changed.notify_all()
+
+    def is_submitting(self, job_id: str) -> bool:
+        """Return whether a job is being committed."""
+        return job_id in self._submitting
 
     def check(self, record: JobRecord, job_id: str, queue: Queue) -> Rejection | None:
         """Return why a job is rejected, or None if it is accepted.
--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -18,7 +18,7 @@
     Replica,
     ReplicaHandlers,
 )
-from arbutuscleat.core import Clock
+from arbutuscleat.core import Clock, Deadline
 from arbutuscleat.execution import SessionRegistry
 from arbutuscleat.jobs import AcceptResult, JobTable
 from arbutuscleat.jobs.job_table import JOB_ID_LENGTH
@@ -155,32 +155,29 @@
         if not _JOB_ID.fullmatch(job_id):
             return self._job_answer(request, Verdict.INVALID, detail="not a job id")
         record = request.job
-        record.team = target.team_name
-        rejection = self._admission.check(record, job_id, queue)
-        if rejection is not None:
-            return self._reject(request, target, rejection)
         record.job_id = job_id
         record.queue = queue.name
         record.host = queue.host
         record.path_prefix = queue.path_prefix
         record.service_name = queue.service_name
+        record.team = target.team_name
         record.accepted_at_ms = self._clock.now_ms()
+        with self._table.lock:
+            if not self._wait_for_commit(job_id):
+                return self._job_answer(request, Verdict.UNKNOWN)
+            known = self._table.find_submitted(record)
+            rejection = None if known else self._admission.check(record, job_id, queue)
+        if known is not None:
+            return self._submit_answer(request, target, known)
+        if rejection is not None:
+            return self._reject(request, target, rejection)
         with self._admission.submitting(job_id):
             result = self._propose(JobCommand(accept=record))
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
         if result.unwrap() is None:
             return self._job_answer(request, Verdict.INVALID, detail="not a job")
-        if result.unwrap() is AcceptResult.CONFLICT:
-            return self._job_answer(
-                request,
-                Verdict.CONFLICT,
-                detail="the id belongs to a job of another queue or team",
-            )
-        logging.info(
-            "job %s of %s: %s", job_id, target.describe(), result.unwrap().value
-        )
-        return self._job_answer(request, Verdict.DONE)
+        return self._submit_answer(request, target, result.unwrap())
 
     def look_up(self, request: JobRequest) -> JobAnswer:
         """Return the state of a job, or the number of waiting jobs of a queue."""
@@ -327,6 +324,31 @@
     def _leave(self, record: WorkerRecord, stored: WorkerRecord) -> int:
         """Commit that a worker leaves; return the verdict.
 
+    def _wait_for_commit(self, job_id: str) -> bool:
+        """Wait while another call commits a job; return False if that takes too long.
+
+        The caller holds the table's lock. To commit the job once more would take its
+        memory again, in the log and in each replica.
+        """
+        deadline = Deadline.after(self._clock, COMMIT_SECONDS)
+        while self._admission.is_submitting(job_id):
+            if deadline.expired():
+                return False
+            self._clock.wait(self._table.changed, deadline.remaining())
+        return True
+
+    def _submit_answer(
+        self, request: SubmitRequest, target: CallTarget, result: AcceptResult
+    ) -> JobAnswer:
+        if result is AcceptResult.CONFLICT:
+            return self._job_answer(
+                request,
+                Verdict.CONFLICT,
+                detail="the id belongs to a job of another queue or team",
+            )
+        logging.info("job %s of %s: %s", target.rest, target.describe(), result.value)
+        return self._job_answer(request, Verdict.DONE)
+
         A worker that drains is answered once its runs have been stopped. The report
         names no incarnation: without a drain, it can be a delayed one of a former
         incarnation, and the runs go on.
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -228,6 +228,20 @@
     def pending(self, queue: Queue) -> int:
         """Return the number of active jobs of a queue that have not begun."""
         return sum(
+    def find_submitted(self, record: JobRecord) -> AcceptResult | None:
+        """Return the result of submitting a job again; None if its id is unknown."""
+        existing = self.jobs.get(record.job_id)
+        if existing is None:
+            return None
+        same = _have_same_queue(existing.record, record)
+        if not same or _have_different_teams(existing.record, record):
+            return AcceptResult.CONFLICT
+        return AcceptResult.EXISTS
+
+    def evictable_bytes(self, now_ms: int) -> int:
+        """Return the memory that becomes free once a job is accepted."""
+        return sum(job_bytes(job.record) for job in self._evictable_jobs(now_ms))
+
             not job.started and queue.holds(job.record) for job in self.active.values()
         )
 
@@ -286,12 +300,9 @@
         return True
 
     def _accept(self, record: JobRecord) -> AcceptResult:
-        existing = self.jobs.get(record.job_id)
-        if existing is not None:
-            same = _have_same_queue(existing.record, record)
-            if not same or _have_different_teams(existing.record, record):
-                return AcceptResult.CONFLICT
-            return AcceptResult.EXISTS
+        known = self.find_submitted(record)
+        if known is not None:
+            return known
         if not record.steps or not all(step.count for step in record.steps):
             raise ValueError(f"job {record.job_id} has no steps, or one without tasks")
         self._evict_ended_jobs(record.accepted_at_ms)
