--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -35,6 +35,11 @@
     kept_entries : int
         Number of entries before a snapshot that stay in the log, for followers that
         lag slightly.
+    snapshot_bytes, kept_bytes : int
+        The same limits in bytes of the entries. A snapshot that is larger than the
+        first is written again only once as many bytes have been applied.
+    max_unapplied_bytes : int
+        Entries that are not applied yet, in bytes; further commands are not taken.
     snapshot_chunk_bytes : int
         Size of the chunks in which a snapshot is sent.
     max_voters : int
@@ -61,6 +66,9 @@
     max_batch_bytes: int = 1024 * 1024
     snapshot_entries: int = 4096
     kept_entries: int = 512
+    snapshot_bytes: int = 8 * 1024 * 1024
+    kept_bytes: int = 2 * 1024 * 1024
+    max_unapplied_bytes: int = 16 * 1024 * 1024
     snapshot_chunk_bytes: int = 256 * 1024
     max_voters: int = 0
     voter_silence_seconds: float = 2.0
--- a/arbutuscleat/consensus/log.py
+++ b/arbutuscleat/consensus/log.py
@@ -108,6 +108,33 @@
             chosen.append(entry)
         return chosen
 
+    def bytes_between(self, first: int, last: int) -> int:
+        """Return the size of the payloads of the entries from `first` to `last`."""
+        start = max(0, first - self._base_index - 1)
+        stop = max(0, last - self._base_index)
+        return sum(len(entry.payload) for entry in self._entries[start:stop])
+
+    def first_within(self, last: int, limit: int, max_bytes: int) -> int:
+        """Return the first of the latest entries up to `last` within two limits.
+
+        Parameters
+        ----------
+        last : int
+            Index of the last entry.
+        limit : int
+            Largest number of entries.
+        max_bytes : int
+            Largest total size of their payloads.
+        """
+        size = 0
+        first = last + 1
+        while first - 1 > self._base_index and last - first + 1 < limit:
+            size += len(self._entries[first - 2 - self._base_index].payload)
+            if size > max_bytes:
+                break
+            first -= 1
+        return first
+
     def append(self, entry: LogEntry) -> None:
         """Append an entry in memory; `Replication.write_unsynced` makes it durable."""
         self._entries.append(entry)
--- a/arbutuscleat/consensus/replica.py
+++ b/arbutuscleat/consensus/replica.py
@@ -188,6 +188,13 @@
                 return Failure(self._error(ProposalErrorKind.NOT_LEADER))
             if not state.leads():
                 return Failure(self._error(ProposalErrorKind.NO_QUORUM))
+            unapplied = state.log.bytes_between(
+                state.applied_index + 1, state.log.last_index
+            )
+            if unapplied + len(payload) > max(
+                state.cfg.max_unapplied_bytes, len(payload)
+            ):
+                return Failure(self._error(ProposalErrorKind.NO_QUORUM))
             entry = state.append(EntryKind.COMMAND, payload)
             pending = PendingProposal(entry.term)
             state.pending_proposals[entry.index] = pending
--- a/arbutuscleat/consensus/replica_state.py
+++ b/arbutuscleat/consensus/replica_state.py
@@ -88,6 +88,8 @@
         self.was_leader = False
         # Whether it has won the election of the latest term.
         self.has_led = False
+        # Payloads of the entries that were applied since the last snapshot.
+        self.applied_bytes = 0
         # When the write of entries in progress began; None if there is none.
         self.write_began_at: float | None = None
         self._load()
@@ -318,6 +320,7 @@
         if entry is None:
             raise InvariantError(f"committed entry {index} is missing from the log")
         result: Any = None
+        self.applied_bytes += len(entry.payload)
         if entry.kind == EntryKind.COMMAND:
             result = self.state_machine.apply(index, entry.payload)
         pending = self.pending_proposals.pop(index, None)
--- a/arbutuscleat/consensus/snapshots.py
+++ b/arbutuscleat/consensus/snapshots.py
@@ -35,7 +35,11 @@
         """Return whether enough entries were applied since the last snapshot."""
         state = self._state
         applied = state.applied_index - state.snapshot.last_index
-        return applied >= state.cfg.snapshot_entries and state.role is not Role.FAILED
+        max_bytes = max(state.cfg.snapshot_bytes, len(state.snapshot.data))
+        is_due = (
+            applied >= state.cfg.snapshot_entries or state.applied_bytes >= max_bytes
+        )
+        return is_due and state.role is not Role.FAILED
 
     def write(self) -> None:
         """Write a snapshot of the applied state and compact the log."""
@@ -54,12 +58,16 @@
             if not self.is_due():
                 return
             record = self._capture()
+            applied_bytes = state.applied_bytes
         try:
             save_snapshot(state.disk, record)
             with state.lock:
                 state.snapshot = record
-                kept_from = record.last_index - state.cfg.kept_entries
-                batch = state.log.compact(max(state.log.base_index, kept_from))
+                state.applied_bytes -= applied_bytes
+                first_kept = state.log.first_within(
+                    record.last_index, state.cfg.kept_entries, state.cfg.kept_bytes
+                )
+                batch = state.log.compact(first_kept - 1)
             state.log.rewrite(batch)
         except OSError as exc:
             with state.lock:
@@ -195,6 +203,7 @@
             batch = state.log.reset(record.last_index, record.last_term)
         state.state_machine.restore(record.data)
         state.snapshot = record
+        state.applied_bytes = 0
         state.membership = MembershipLog(record.replicas, record.last_index)
         state.membership.add(batch.entries)
         state.commit_index = record.last_index
