--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -15,7 +15,7 @@
 from absl import logging
 
 from arbutuscleat.consensus import StateMachine
-from arbutuscleat.wire import decode, encode
+from arbutuscleat.wire import decode, decode_items, encode_items
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AdvanceWave,
     AssignSessions,
@@ -23,6 +23,7 @@
     CancelJob,
     EndRecord,
     JobCommand,
+    JobImage,
     JobRecord,
     JobTableImage,
     MachineHolder,
@@ -135,9 +136,10 @@
     def image(self) -> bytes:
         """Return the whole state in its snapshot format."""
         with self.lock:
-            return encode(
+            return encode_items(
+                (job.to_image() for job in self.jobs.values()),
+                len(self.jobs),
                 JobTableImage(
-                    jobs=[job.to_image() for job in self.jobs.values()],
                     workers=list(self.workers.values()),
                     config_version=self.config.version if self.config else -1,
                     config=self.config_content,
@@ -154,14 +156,16 @@
 
     def restore(self, image: bytes) -> None:
         """Replace the whole state by that of a snapshot."""
-        table = decode(JobTableImage, image)
+        jobs, read_rest = decode_items(JobImage, JobTableImage, image)
+        restored = [JobState.from_image(item) for item in jobs]
+        table = read_rest()
         with self.lock:
             self.config_content = table.config
             self.config = None
             if table.config:
                 self.config = _attempt(
                     "configuration", self._decode_config, table.config
-                )
+                ),
             self.workers = {item.worker_id: item for item in table.workers}
             self.waves = {item.wave: Wave(item) for item in table.waves}
             self.machine_holders = {
@@ -175,8 +179,7 @@
             self.runs = {}
             self.run_versions = {}
             self.stops_due = set()
-            for item in table.jobs:
-                job = JobState.from_image(item)
+            for job in restored:
                 self.jobs[job.job_id] = job
                 if not job.is_over():
                     self.active[job.job_id] = job
--- a/arbutuscleat/wire/__init__.py
+++ b/arbutuscleat/wire/__init__.py
@@ -8,7 +8,7 @@
 from .call_error import CallError, CallErrorKind
 from .channel import Channel
 from .channel_pool import ChannelPool
-from .codec import decode, encode
+from .codec import decode, decode_items, encode, encode_items
 from .credentials import Credentials
 from .server import ThriftServer
 
@@ -21,5 +21,7 @@
     "Credentials",
     "ThriftServer",
     "decode",
+    "decode_items",
     "encode",
+    "encode_items",
 ]
