The memory of all jobs is bounded, and refused before it is taken

A 504 left open whether a job was accepted.

Cause: steps and tasks of a job are bounded one by one, and not over all jobs; ended jobs are held for 150 s. A parsed submission takes many times its bytes at the entry instance and at the leader, for as many threads as callers have.

Change: job_bytes estimates what a job takes with all tasks of all occurrences; the leader holds jobs, and those being committed, up to a third of the machine's memory, and refuses others with 429 and Retry-After, or 400 if they never fit, before anything is proposed. Jobs over 64 KiB leave an eighth to ordinary ones. Ended jobs that the next accepted one evicts are not counted.

Why it works: what is accepted is a share of the memory, whatever its shape, and what is refused was never decoded twice nor logged.

--- a/arbutuscleat/access/__init__.py
+++ b/arbutuscleat/access/__init__.py
@@ -4,6 +4,7 @@
 from .former_members import FormerMembers
 from .job_service import JobService
 from .joiner import Joiner
+from .large_calls import LargeCalls
 from .leader_client import CallOutcome, LeaderClient
 from .leader_proposer import LeaderProposer
 from .session_reporter import SessionReporter
@@ -14,6 +15,7 @@
     "FormerMembers",
     "JobService",
     "Joiner",
+    "LargeCalls",
     "LeaderClient",
     "LeaderProposer",
     "SessionReporter",
--- a/arbutuscleat/access/admission_controller.py
+++ b/arbutuscleat/access/admission_controller.py
@@ -4,6 +4,7 @@
 refused: submitting it again must give the same answer.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -16,6 +17,7 @@
     RateLimit,
     Rejection,
     backlog_cpu_ms,
+    check_memory,
     check_size,
     check_wait,
 )
@@ -58,16 +60,21 @@
         limit: RateLimit | None = None,
         metrics: Metrics | None = None,
     ):
+    machine : MachineLimits, optional
+        What each control instance has; the memory for jobs is part of it.
         self._table = table
         self._clock = clock
         self._rng = rng
         self._fleet = fleet
-        self._submitting: set[str] = set()
+        self._submitting: dict[str, int] = {}
+        """Memory of the jobs that are being committed."""
+
         self._backlogs: dict[str, tuple[float, int]] = {}
         self._teams = TeamAdmission(
             table,
             clock,
             rng,
+        machine: MachineLimits | None = None,
             RateLimit() if limit is None else limit,
             BACKLOG_MAX_AGE_SECONDS,
         )
@@ -79,13 +86,16 @@
     @contextmanager
     def submitting(self, job_id: str) -> Iterator[None]:
         """Mark a job as being committed while the block runs."""
-        self._submitting.add(job_id)
+        self._submitting.setdefault(job_id, 0)
         try:
             yield
         finally:
             with self._table.lock:
                 self._submitting.pop(job_id, None)
                 self._over_rate_ids.discard(job_id)
+        self._evictable = (0, -math.inf, 0)
+        """Memory of all jobs, when it was looked at, and what of it is evictable."""
+
                 self._table.changed.notify_all()
 
     def is_submitting(self, job_id: str) -> bool:
@@ -109,6 +119,8 @@
         Rejection or None
             The reason and when to retry.
         """
+        An accepted job counts as being committed until `submitting` ends.
+
         with self._table.lock:
             if job_id in self._table.jobs or job_id in self._submitting:
                 record.over_rate = job_id in self._over_rate_ids or None
@@ -120,7 +132,8 @@
                 self._metrics.count(
                     "jobs_refused", cause=rejection.cause.value, team=label
                 )
-            elif record.over_rate:
+                return rejection
+            if record.over_rate:
                 self._over_rate_ids.add(job_id)
                 self._metrics.count(
                     "jobs_accepted_over_rate", team=self._label(record.team)
@@ -131,9 +144,10 @@
         self, record: JobRecord, job_id: str, queue: Queue
     ) -> Rejection | None:
         fleet = self._fleet()
-        rejection = check_size(record.steps, fleet)
+        rejection = check_size(record.steps, fleet) or self._check_memory(record)
         if rejection is not None or record.repeat_count:
-            return rejection
+            self._submitting[job_id] = job_bytes(record)
+            return None
         config = self._table.config
         if config is not None and config.teams:
             return self._teams.check(record, job_id, queue, config, fleet)
--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -427,6 +427,8 @@
         answer = self._job_answer(request, Verdict.REFUSED, detail=rejection.reason)
         answer.retry_after_ms = min(rejection.retry_after_ms, MAX_RETRY_MS)
         return answer
+        if rejection.is_final:
+            return self._job_answer(request, Verdict.INVALID, detail=rejection.reason)
 
     def _find_target(
         self, request: SubmitRequest | JobRequest
--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Jobs that callers submit, and the replicated table of jobs, runs and workers."""
 
 from .crash_counts import MIN_CRASHES, SUSPECT_CRASHES, CrashCounts
+from .job_size import job_bytes
 from .job_state import JobPhase, JobState
 from .job_table import AcceptResult, JobTable, may_have_copy
 from .queue_config import Queue, QueueConfig, Service
@@ -39,6 +40,7 @@
     "TaskStatus",
     "Team",
     "Wave",
+    "job_bytes",
     "key_digest",
     "may_have_copy",
     "shard_of",
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -7,7 +7,7 @@
 
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from copy import copy
 from enum import Enum
 from typing import Any
@@ -40,6 +40,7 @@
 )
 
 from .crash_counts import CrashCounts
+from .job_size import job_bytes
 from .job_state import JobState
 from .queue_config import Queue, QueueConfig
 from .run_outcome import RunOutcome
@@ -97,6 +98,9 @@
         self.runs: dict[WorkerIncarnation, dict[TaskKey, TaskRun]] = {}
         self.run_versions: dict[WorkerIncarnation, int] = {}
         """Rises for an incarnation with each change of its entry in `runs`."""
+        self.held_bytes = 0
+        """Memory of all jobs, by the estimate of `job_bytes`."""
+
 
         self._run_version = 0
         self.waves: dict[int, Wave] = {}
@@ -151,7 +155,7 @@
                     unresolved_runs=self.crash_counts.unresolved_runs(),
                     session_assignments=self.session_assignments.records(),
                     last_session_fence=self.session_assignments.last_fence,
-                )
+                ),
             )
 
     def restore(self, image: bytes) -> None:
@@ -165,7 +169,7 @@
             if table.config:
                 self.config = _attempt(
                     "configuration", self._decode_config, table.config
-                ),
+                )
             self.workers = {item.worker_id: item for item in table.workers}
             self.waves = {item.wave: Wave(item) for item in table.waves}
             self.machine_holders = {
@@ -180,11 +184,13 @@
             self.run_versions = {}
             self.stops_due = set()
             for job in restored:
+            self.held_bytes = 0
                 self.jobs[job.job_id] = job
                 if not job.is_over():
                     self.active[job.job_id] = job
                 for task in job.all_tasks():
                     for run in task.runs():
+                self.held_bytes += job_bytes(job.record)
                         self._add_run(run)
                         if job.is_over() or task.ending:
                             self.stops_due.add((run.key, run.number))
@@ -218,19 +224,6 @@
             )
         return job if is_known else None
 
-    def service_of(self, job: JobState) -> str:
-        """Return the name of the service that currently runs a job's tasks."""
-        queue = self.queue_of(job)
-        return job.record.service_name if queue is None else queue.service_name
-
-    def max_attempts_of(self, job: JobState) -> int:
-        """Return the number of failed runs of a task after which a job has failed."""
-        queue = self.queue_of(job)
-        return DEFAULT_MAX_ATTEMPTS if queue is None else queue.max_attempts
-
-    def pending(self, queue: Queue) -> int:
-        """Return the number of active jobs of a queue that have not begun."""
-        return sum(
     def find_submitted(self, record: JobRecord) -> AcceptResult | None:
         """Return the result of submitting a job again; None if its id is unknown."""
         existing = self.jobs.get(record.job_id)
@@ -249,6 +242,19 @@
         )
 
     def is_current_run(self, key: TaskKey, number: int) -> bool:
+    def service_of(self, job: JobState) -> str:
+        """Return the name of the service that currently runs a job's tasks."""
+        queue = self.queue_of(job)
+        return job.record.service_name if queue is None else queue.service_name
+
+    def max_attempts_of(self, job: JobState) -> int:
+        """Return the number of failed runs of a task after which a job has failed."""
+        queue = self.queue_of(job)
+        return DEFAULT_MAX_ATTEMPTS if queue is None else queue.max_attempts
+
+    def pending(self, queue: Queue) -> int:
+        """Return the number of active jobs of a queue that have not begun."""
+        return sum(
         """Return whether a run is wanted: of a task, not yet done, of an active job."""
         job = self.jobs.get(key.job_id)
         task = None if job is None or job.is_over() else job.task(key)
@@ -315,16 +321,22 @@
         return AcceptResult.ACCEPTED
 
     def _evict_ended_jobs(self, now_ms: int) -> None:
+        self.held_bytes += job_bytes(record)
         oldest = now_ms - ENDED_JOBS_KEPT_MS
-        for job in list(self.jobs.values()):
+        for job in self.jobs.values():
             if not job.is_over():
                 continue
+        for job in list(self._evictable_jobs(now_ms)):
+            del self.jobs[job.job_id]
+            self.held_bytes -= job_bytes(job.record)
+
+    def _evictable_jobs(self, now_ms: int) -> Iterator[JobState]:
+        """Yield the ended jobs that the next accepted job evicts."""
             if any(task.has_run() for task in job.all_tasks()):
                 continue
-            if job.ended_at_ms < oldest:
-                del self.jobs[job.job_id]
-            else:
-                break
+            if job.ended_at_ms >= oldest:
+                return
+            yield job
 
     def _cancel(self, command: CancelJob) -> bool:
         job = self.jobs.get(command.job_id)
--- a/arbutuscleat/nodes/control_node.py
+++ b/arbutuscleat/nodes/control_node.py
@@ -26,7 +26,7 @@
     ReplicaConfig,
     ThriftPeer,
 )
-from arbutuscleat.core import ClientLimits, Deadline, SystemClock
+from arbutuscleat.core import ClientLimits, Deadline, MachineLimits, SystemClock
 from arbutuscleat.execution import (
     ExecutionLimits,
     Executor,
@@ -111,6 +111,8 @@
         Address that serves the metrics; None disables them.
     metrics_path : str
         Path of the metrics at that address.
+    machine : MachineLimits, optional
+        Memory and descriptors of the process.
     client_limits : ClientLimits, optional
         Limits on the clients of each server.
     """
@@ -127,6 +129,7 @@
     rate_limit: RateLimit = RateLimit()
     metrics: Address | None = None
     metrics_path: str = ""
+    machine: MachineLimits = MachineLimits()
     client_limits: ClientLimits = ClientLimits()
 
 
@@ -196,6 +199,7 @@
             self._fleet,
             cfg.rate_limit,
             self.metrics,
+            cfg.machine,
         )
         registry = SessionRegistry(clock)
         service = JobService(self._replica, self._table, clock, admission, registry)
--- a/arbutuscleat/scheduling/__init__.py
+++ b/arbutuscleat/scheduling/__init__.py
@@ -5,6 +5,7 @@
     Rejection,
     RejectionCause,
     backlog_cpu_ms,
+    check_memory,
     check_size,
     check_wait,
 )
@@ -65,6 +66,7 @@
     "WorkerView",
     "backlog_cpu_ms",
     "balance_sessions",
+    "check_memory",
     "check_size",
     "check_team_wait",
     "check_wait",
--- a/arbutuscleat/scheduling/admission.py
+++ b/arbutuscleat/scheduling/admission.py
@@ -23,6 +23,15 @@
 MIN_RETRY_MS = 1_000
 """Minimum retry delay: callers read the delay in whole seconds."""
 
+MEMORY_RETRY_MS = 5_000
+"""Least retry delay for want of memory: jobs end, and are forgotten, every second."""
+
+ORDINARY_JOB_BYTES = 64 * 1_024
+"""Jobs up to this size, such as 100 tasks in ten steps, have memory of their own."""
+
+ORDINARY_SHARE = 8
+"""Part of the memory for jobs that is left to ordinary ones."""
+
 SIZE_RETRY_MS = 60_000
 """Retry delay for a job that fits no machine: machines are added manually."""
 
@@ -64,6 +73,9 @@
     RATE = "rate"
     """The rate of its team, while the service has no room for more."""
 
+    MEMORY = "memory"
+    """The memory for jobs of each control instance."""
+
 
 @dataclass(frozen=True, slots=True)
 class Rejection:
@@ -77,11 +89,14 @@
         Time after which the caller should submit the job again, in milliseconds.
     cause : RejectionCause, default=RejectionCause.WAIT
         What the job exceeds.
+    is_final : bool, default=False
+        Whether the job would never be accepted, so that no retry helps.
     """
 
     reason: str
     retry_after_ms: int
     cause: RejectionCause = RejectionCause.WAIT
+    is_final: bool = False
 
 
 def backlog_cpu_ms(table: JobTable, service_name: str) -> int:
@@ -151,6 +166,42 @@
     return Rejection(reason, retry_ms)
 
 
+def check_memory(
+    job_bytes: int, held_bytes: int, max_bytes: int, jitter: float
+) -> Rejection | None:
+    """Reject a job for which the control instances have no memory.
+
+    Part of the memory is left to ordinary jobs, so that a flood of large ones keeps
+    only large ones out.
+
+    Parameters
+    ----------
+    job_bytes : int
+        Memory of the job.
+    held_bytes : int
+        Memory of the jobs that are held, or about to be.
+    max_bytes : int
+        Memory for all jobs.
+    jitter : float
+        Jitter from 0 to 1, as for `check_wait`.
+
+    Returns
+    -------
+    Rejection or None
+        The rejection, or None if there is room for the job.
+    """
+    if job_bytes > ORDINARY_JOB_BYTES:
+        max_bytes -= max_bytes // ORDINARY_SHARE
+    if held_bytes + job_bytes <= max_bytes:
+        return None
+    if job_bytes > max_bytes:
+        reason = f"it needs {job_bytes} bytes of memory, of {max_bytes} for all jobs"
+        return Rejection(reason, 0, RejectionCause.MEMORY, is_final=True)
+    reason = f"it needs {job_bytes} bytes of memory beside {held_bytes} of other jobs"
+    retry_ms = int(MEMORY_RETRY_MS * (1.0 + jitter))
+    return Rejection(reason, retry_ms, RejectionCause.MEMORY)
+
+
 def check_size(
     steps: Sequence[StepRecord], fleet: FleetCapacity | None
 ) -> Rejection | None:
--- a/tests/access/test_job_service.py
+++ b/tests/access/test_job_service.py
@@ -8,12 +8,15 @@
 from arbutuscleat.access import AdmissionController, JobService
 from arbutuscleat.access.job_service import LEAVE_SECONDS, MAX_BORN_AHEAD_MS
 from arbutuscleat.consensus import Role
+from arbutuscleat.core import MachineLimits
 from arbutuscleat.jobs import RunOutcome
+from arbutuscleat.jobs.job_table import ENDED_JOBS_KEPT_MS
 from arbutuscleat.jobs.worker_announcement import MAX_SEQUENCE_LAG
 from arbutuscleat.scheduling import FleetCapacity
 from arbutuscleat.wire import decode, encode
 from arbutuscleat.wire.gen_jobs.ttypes import (
     AnnounceRequest,
+    CancelJob,
     JobAnswer,
     SubmitRequest,
     Verdict,
@@ -82,8 +85,8 @@
         held = []
 
         class LockedTable:
-            lock = table.lock
-            jobs = table.jobs
+            def __getattr__(self, name):
+                return getattr(table, name)
 
             @property
             def config(self):
@@ -115,16 +118,63 @@
     def test_a_job_that_is_being_committed_is_not_refused(self):
         self.submit("1" * 16, LONG)
         self.clock.advance(1.0)
+
+        def commit(condition, timeout):
+            self.harness.accept(job())
+            self.admission._submitting.clear()
+
+        self.clock.wait = commit
         with self.admission.submitting(JOB):
             self.assertEqual(Verdict.DONE, self.submit(JOB).verdict)
 
+    def test_a_job_whose_commit_takes_too_long_is_not_proposed_again(self):
+        index = self.harness.index
+        with self.admission.submitting(JOB):
+            self.assertEqual(Verdict.UNKNOWN, self.submit(JOB).verdict)
+        self.assertEqual(index, self.harness.index)
+
+    def test_an_accepted_job_is_not_proposed_again(self):
+        self.submit(JOB)
+        index = self.harness.index
+        self.assertEqual(Verdict.DONE, self.submit(JOB).verdict)
+        self.assertEqual(index, self.harness.index)
+
+    def test_jobs_beyond_the_memory_for_all_are_refused_and_ordinary_ones_are_not(self):
+        wide = [step(10_000, cpu=0, long_running=True)]
+        verdicts = [self.submit(f"{n:016x}", wide).verdict for n in range(50)]
+        self.assertEqual({Verdict.DONE, Verdict.REFUSED}, set(verdicts))
+        self.assertTrue(
+            self.harness.table.held_bytes <= MachineLimits().memory_bytes / 3
+        )
+        self.assertEqual(Verdict.DONE, self.submit(JOB).verdict)
+        self.assertEqual(Verdict.DONE, self.submit(f"{0:016x}", wide).verdict)
+
+    def test_ended_jobs_make_room_once_their_states_need_not_be_kept(self):
+        """Guards against a table that is full for good, as only new jobs evict."""
+        wide = [step(10_000, cpu=0, long_running=True)]
+        number = 0
+        while self.submit(f"{number:016x}", wide).verdict == Verdict.DONE:
+            number += 1
+        for ended in range(number):
+            self.harness.apply(
+                cancel=CancelJob(job_id=f"{ended:016x}", at_ms=self.clock.now_ms())
+            )
+        self.assertEqual(Verdict.REFUSED, self.submit("f" * 16, wide).verdict)
+        self.clock.advance(ENDED_JOBS_KEPT_MS / 1000 + 1.0)
+        self.assertEqual(Verdict.DONE, self.submit("f" * 16, wide).verdict)
+        self.assertEqual(["f" * 16], list(self.harness.table.jobs))
+
+    def test_a_job_larger_than_the_memory_for_all_is_refused_for_good(self):
+        answer = self.submit(JOB, [step(1_000_000, cpu=0, long_running=True)])
+        self.assertEqual(Verdict.INVALID, answer.verdict)
+        self.assertIn("memory", answer.detail)
+
     def test_the_answer_to_a_job_behind_an_endless_backlog_can_be_sent(self):
         """Guards against a wait that the message to the entry instance cannot hold."""
         most = 2**31 - 1
         large = step(10_000, cpu=64_000, estimated_ms=most)
         for number in range(1, 4):
-            with self.admission.submitting(str(number) * 16):
-                self.submit(str(number) * 16, [large])
+            self.harness.accept(job(str(number) * 16, [large]))
         self.clock.advance(1.0)
         answer = self.submit(JOB)
         self.assertEqual(Verdict.REFUSED, answer.verdict)
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -6,6 +6,7 @@
 from arbutuscleat.scheduling import (
     FleetCapacity,
     backlog_cpu_ms,
+    check_memory,
     check_size,
     check_wait,
 )
@@ -18,6 +19,33 @@
 """Largest backlog behind which a job of one second still has a value."""
 
 
+class MemoryTest(TestCase):
+    MOST = 8_000_000
+    LARGE = 1_000_000
+
+    def check(self, size, held, jitter=0.0):
+        return check_memory(size, held, self.MOST, jitter)
+
+    def test_large_jobs_leave_memory_to_ordinary_ones(self):
+        self.assertIs(None, self.check(self.LARGE, 6_000_000))
+        found = self.check(self.LARGE, 6_000_001)
+        self.assertFalse(found.is_final)
+        self.assertTrue(found.retry_after_ms >= 1_000)
+        self.assertIs(None, self.check(1_000, 7_999_000))
+        self.assertIsNot(None, self.check(1_000, 7_999_001))
+
+    def test_a_job_that_never_fits_is_rejected_for_good(self):
+        self.assertIs(None, self.check(7_000_000, 0))
+        self.assertTrue(self.check(7_000_001, 0).is_final)
+
+    def test_retry_delays_are_spread_by_jitter(self):
+        found = {
+            self.check(self.LARGE, self.MOST, number / 10).retry_after_ms
+            for number in range(10)
+        }
+        self.assertEqual(10, len(found))
+
+
 class WaitTest(TestCase):
     def check(self, backlog, cpu=FLEET, jitter=0.0, **fields):
         fleet = FleetCapacity(cpu, cpu, 131_072, 0)
