Waves that go on are bounded by memory, complete ones forget their machines

Cause: every wave was kept for good with all its machines.

A complete wave keeps its number only, and of over 10,000 waves the oldest complete one is removed.

--- a/arbutuscleat/access/admission_controller.py
+++ b/arbutuscleat/access/admission_controller.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from arbutuscleat.core import Clock
-from arbutuscleat.jobs import JobTable, Queue
+from arbutuscleat.core import Clock, MachineLimits
+from arbutuscleat.jobs import JobTable, Queue, job_bytes, wave_bytes
 from arbutuscleat.metrics import Metrics
 from arbutuscleat.scheduling import (
     FleetCapacity,
@@ -21,13 +21,24 @@
     check_size,
     check_wait,
 )
-from arbutuscleat.wire.gen_jobs.ttypes import JobRecord
+from arbutuscleat.wire.gen_jobs.ttypes import JobRecord, WaveRecord
 
 from .team_admission import TeamAdmission
 
 BACKLOG_MAX_AGE_SECONDS = 0.1
 """Maximum age of the cached backlog; even a burst adds only a few jobs in this time."""
 
+EVICTABLE_MAX_AGE_SECONDS = 0.5
+"""Maximum age of the cached memory of ended jobs, which takes a look at all tasks."""
+
+JOBS_SHARE = 3
+"""Part of the memory for jobs: as much is left for plans and for the snapshot that is
+being written, and for the process itself with its log."""
+
+WAVES_SHARE = 10
+"""Part of the memory for waves that are not complete: 50,000 machines with names of
+ten characters on the smallest machines."""
+
 MAX_TEAM_LABELS = 100
 """Teams that the metrics name; further ones count as "other"."""
 
@@ -49,6 +60,8 @@
         The allowance of each team, if the configuration has teams.
     metrics : Metrics, optional
         Counts rejected jobs, and jobs accepted beyond the rate of their team.
+    machine : MachineLimits, optional
+        What each control instance has; the memory for jobs is part of it.
     """
 
     def __init__(
@@ -59,9 +72,11 @@
         fleet: Callable[[], FleetCapacity | None],
         limit: RateLimit | None = None,
         metrics: Metrics | None = None,
+        machine: MachineLimits | None = None,
     ):
-    machine : MachineLimits, optional
-        What each control instance has; the memory for jobs is part of it.
+        memory_bytes = (machine or MachineLimits()).memory_bytes
+        self._max_job_bytes = memory_bytes // JOBS_SHARE
+        self._max_wave_bytes = memory_bytes // WAVES_SHARE
         self._table = table
         self._clock = clock
         self._rng = rng
@@ -74,11 +89,13 @@
             table,
             clock,
             rng,
-        machine: MachineLimits | None = None,
             RateLimit() if limit is None else limit,
             BACKLOG_MAX_AGE_SECONDS,
         )
         self._metrics = Metrics() if metrics is None else metrics
+        self._evictable = (0, -math.inf, 0)
+        """Memory of all jobs, when it was looked at, and what of it is evictable."""
+
         self._labels: set[str] = set()
         self._over_rate_ids: set[str] = set()
         """Jobs beyond the rate of their team that are being committed."""
@@ -93,9 +110,6 @@
             with self._table.lock:
                 self._submitting.pop(job_id, None)
                 self._over_rate_ids.discard(job_id)
-        self._evictable = (0, -math.inf, 0)
-        """Memory of all jobs, when it was looked at, and what of it is evictable."""
-
                 self._table.changed.notify_all()
 
     def is_submitting(self, job_id: str) -> bool:
@@ -105,6 +119,8 @@
     def check(self, record: JobRecord, job_id: str, queue: Queue) -> Rejection | None:
         """Return why a job is rejected, or None if it is accepted.
 
+        An accepted job counts as being committed until `submitting` ends.
+
         Parameters
         ----------
         record : JobRecord
@@ -119,8 +135,6 @@
         Rejection or None
             The reason and when to retry.
         """
-        An accepted job counts as being committed until `submitting` ends.
-
         with self._table.lock:
             if job_id in self._table.jobs or job_id in self._submitting:
                 record.over_rate = job_id in self._over_rate_ids or None
@@ -138,7 +152,8 @@
                 self._metrics.count(
                     "jobs_accepted_over_rate", team=self._label(record.team)
                 )
-            return rejection
+            self._submitting[job_id] = job_bytes(record)
+            return None
 
     def _check_new(
         self, record: JobRecord, job_id: str, queue: Queue
@@ -146,14 +161,45 @@
         fleet = self._fleet()
         rejection = check_size(record.steps, fleet) or self._check_memory(record)
         if rejection is not None or record.repeat_count:
-            self._submitting[job_id] = job_bytes(record)
-            return None
+            return rejection
         config = self._table.config
         if config is not None and config.teams:
             return self._teams.check(record, job_id, queue, config, fleet)
         backlog = self._backlog(queue.service_name)
         return check_wait(record.steps, queue, backlog, fleet, self._rng.random())
 
+    def admits_wave(self, record: WaveRecord) -> bool:
+        """Return whether there is memory for a wave beside those that go on.
+
+        One that is already stored is always admitted.
+        """
+        with self._table.lock:
+            if record.wave in self._table.waves:
+                return True
+            held = sum(wave.size() for wave in self._table.waves.values())
+        return held + wave_bytes(record.machines) <= self._max_wave_bytes
+
+    def _check_memory(self, record: JobRecord) -> Rejection | None:
+        size = job_bytes(record)
+        held = self._table.held_bytes + sum(self._submitting.values())
+        if check_memory(size, held, self._max_job_bytes, 0.0) is None:
+            return None
+        held -= self._evictable_bytes()
+        return check_memory(size, held, self._max_job_bytes, self._rng.random())
+
+    def _evictable_bytes(self) -> int:
+        """Return the memory of jobs that are evicted with the next accepted one.
+
+        The result is cached while the table holds the same jobs, for up to
+        `EVICTABLE_MAX_AGE_SECONDS`.
+        """
+        now = self._clock.monotonic()
+        held, since, evictable = self._evictable
+        if held != self._table.held_bytes or now - since > EVICTABLE_MAX_AGE_SECONDS:
+            evictable = self._table.evictable_bytes(self._clock.now_ms())
+            self._evictable = (self._table.held_bytes, now, evictable)
+        return evictable
+
     def _label(self, team_name: str | None) -> str:
         """Return the label of a team in the metrics."""
         if team_name is None:
--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -289,6 +289,9 @@
         if not self.leads():
             return self._control_answer(request, Verdict.NOT_LEADER)
         if not request.is_read:
+            if not self._admission.admits_wave(request.wave):
+                logging.warning("wave %d: no memory for it", request.wave.wave)
+                return self._control_answer(request, Verdict.REFUSED)
             result = self._propose(JobCommand(wave=request.wave))
             if isinstance(result, Failure):
                 return self._control_answer(request, _VERDICTS[result.failure().kind])
@@ -321,9 +324,6 @@
 
     # ---- helpers ----
 
-    def _leave(self, record: WorkerRecord, stored: WorkerRecord) -> int:
-        """Commit that a worker leaves; return the verdict.
-
     def _wait_for_commit(self, job_id: str) -> bool:
         """Wait while another call commits a job; return False if that takes too long.
 
@@ -349,6 +349,9 @@
         logging.info("job %s of %s: %s", target.rest, target.describe(), result.value)
         return self._job_answer(request, Verdict.DONE)
 
+    def _leave(self, record: WorkerRecord, stored: WorkerRecord) -> int:
+        """Commit that a worker leaves; return the verdict.
+
         A worker that drains is answered once its runs have been stopped. The report
         names no incarnation: without a drain, it can be a delayed one of a former
         incarnation, and the runs go on.
@@ -424,11 +427,11 @@
         self._refusal_log.record(
             target.rest, target.queue.name, target.team_name, rejection
         )
+        if rejection.is_final:
+            return self._job_answer(request, Verdict.INVALID, detail=rejection.reason)
         answer = self._job_answer(request, Verdict.REFUSED, detail=rejection.reason)
         answer.retry_after_ms = min(rejection.retry_after_ms, MAX_RETRY_MS)
         return answer
-        if rejection.is_final:
-            return self._job_answer(request, Verdict.INVALID, detail=rejection.reason)
 
     def _find_target(
         self, request: SubmitRequest | JobRequest
--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -15,7 +15,7 @@
 )
 from .task import TaskKey, TaskState, TaskStatus
 from .team import Capacity, KeyIndex, Team, key_digest
-from .wave import Wave
+from .wave import Wave, wave_bytes
 
 __all__ = [
     "MIN_CRASHES",
@@ -44,4 +44,5 @@
     "key_digest",
     "may_have_copy",
     "shard_of",
+    "wave_bytes",
 ]
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -68,6 +68,10 @@
 pause of the leader."""
 
 
+MAX_WAVES = 10_000
+"""Number of waves kept, complete ones included: those of many years."""
+
+
 class AcceptResult(Enum):
     """Result of submitting a job."""
 
@@ -94,13 +98,13 @@
         self.config_content = b""
         self.jobs: dict[str, JobState] = {}
         self.active: dict[str, JobState] = {}
+        self.held_bytes = 0
+        """Memory of all jobs, by the estimate of `job_bytes`."""
+
         self.workers: dict[str, WorkerRecord] = {}
         self.runs: dict[WorkerIncarnation, dict[TaskKey, TaskRun]] = {}
         self.run_versions: dict[WorkerIncarnation, int] = {}
         """Rises for an incarnation with each change of its entry in `runs`."""
-        self.held_bytes = 0
-        """Memory of all jobs, by the estimate of `job_bytes`."""
-
 
         self._run_version = 0
         self.waves: dict[int, Wave] = {}
@@ -180,17 +184,17 @@
             )
             self.jobs = {}
             self.active = {}
+            self.held_bytes = 0
             self.runs = {}
             self.run_versions = {}
             self.stops_due = set()
             for job in restored:
-            self.held_bytes = 0
                 self.jobs[job.job_id] = job
+                self.held_bytes += job_bytes(job.record)
                 if not job.is_over():
                     self.active[job.job_id] = job
                 for task in job.all_tasks():
                     for run in task.runs():
-                self.held_bytes += job_bytes(job.record)
                         self._add_run(run)
                         if job.is_over() or task.ending:
                             self.stops_due.add((run.key, run.number))
@@ -238,10 +242,6 @@
         """Return the memory that becomes free once a job is accepted."""
         return sum(job_bytes(job.record) for job in self._evictable_jobs(now_ms))
 
-            not job.started and queue.holds(job.record) for job in self.active.values()
-        )
-
-    def is_current_run(self, key: TaskKey, number: int) -> bool:
     def service_of(self, job: JobState) -> str:
         """Return the name of the service that currently runs a job's tasks."""
         queue = self.queue_of(job)
@@ -255,6 +255,10 @@
     def pending(self, queue: Queue) -> int:
         """Return the number of active jobs of a queue that have not begun."""
         return sum(
+            not job.started and queue.holds(job.record) for job in self.active.values()
+        )
+
+    def is_current_run(self, key: TaskKey, number: int) -> bool:
         """Return whether a run is wanted: of a task, not yet done, of an active job."""
         job = self.jobs.get(key.job_id)
         task = None if job is None or job.is_over() else job.task(key)
@@ -317,21 +321,21 @@
         self._evict_ended_jobs(record.accepted_at_ms)
         job = JobState(record)
         self.jobs[job.job_id] = job
+        self.held_bytes += job_bytes(record)
         self.active[job.job_id] = job
         return AcceptResult.ACCEPTED
 
     def _evict_ended_jobs(self, now_ms: int) -> None:
-        self.held_bytes += job_bytes(record)
-        oldest = now_ms - ENDED_JOBS_KEPT_MS
-        for job in self.jobs.values():
-            if not job.is_over():
-                continue
         for job in list(self._evictable_jobs(now_ms)):
             del self.jobs[job.job_id]
             self.held_bytes -= job_bytes(job.record)
 
     def _evictable_jobs(self, now_ms: int) -> Iterator[JobState]:
         """Yield the ended jobs that the next accepted job evicts."""
+        oldest = now_ms - ENDED_JOBS_KEPT_MS
+        for job in self.jobs.values():
+            if not job.is_over():
+                continue
             if any(task.has_run() for task in job.all_tasks()):
                 continue
             if job.ended_at_ms >= oldest:
@@ -666,6 +670,9 @@
         if record.wave in self.waves:
             return False
         self.waves[record.wave] = Wave(record)
+        if len(self.waves) > MAX_WAVES:
+            complete = (n for n, wave in self.waves.items() if wave.is_complete())
+            self.waves.pop(next(complete, -1), None)
         return True
 
     def _order_machines(self, index: int, command: OrderMachines) -> bool:
@@ -690,6 +697,8 @@
             wave.finished.add(command.machine)
         else:
             wave.ordered.add(command.machine)
+        if wave.is_complete():
+            wave.forget_machines()
         return True
 
 
--- a/arbutuscleat/jobs/wave.py
+++ b/arbutuscleat/jobs/wave.py
@@ -4,8 +4,19 @@
 each order, and its confirmation by the provider, in the replicated log.
 """
 
+from collections.abc import Sequence
+
 from arbutuscleat.wire.gen_jobs.ttypes import WaveRecord
 
+WAVE_BYTES = 1_024
+MACHINE_BYTES = 256
+"""A name, in the list and in the sets of those ordered and finished."""
+
+
+def wave_bytes(machines: Sequence[str]) -> int:
+    """Return the memory that a wave of these machines takes, in bytes."""
+    return WAVE_BYTES + sum(MACHINE_BYTES + len(name) for name in machines)
+
 
 class Wave:
     """The replicated state of one wave.
@@ -49,6 +60,16 @@
         """Return whether every machine of the wave is finished."""
         return self.finished >= set(self.machines)
 
+    def size(self) -> int:
+        """Return the memory that the wave takes, by estimate, in bytes."""
+        return wave_bytes(self.machines)
+
+    def forget_machines(self) -> None:
+        """Free the memory of a complete wave, of which only that is asked."""
+        self.machines = ()
+        self.ordered = set()
+        self.finished = set()
+
     def to_record(self) -> WaveRecord:
         """Return the wave in its snapshot format."""
         return WaveRecord(
