Less of the memory for what has not been read; large operators' requests in turn

Cause: each incomplete body could hold 32 KiB without being counted, which is meant for headers, and the kernel kept 40 KiB unread of each connection. A configuration is held by the connection, the request, the command, the log and its writer at once, for each of 12 threads.

--- a/arbutuscleat/access/large_calls.py
+++ b/arbutuscleat/access/large_calls.py
@@ -1,6 +1,6 @@
-"""Limit on the large submissions that one process passes on at the same time.
+"""Limit on the large requests that one process passes on at the same time.
 
-A parsed submission takes many times its bytes, here and at the leader, which gets them
+A parsed request takes many times its bytes, here and at the leader, which gets them
 from all entry instances.
 """
 
@@ -9,16 +9,16 @@
 from contextlib import contextmanager
 
 LARGE_BYTES = 32 * 1_024
-"""Submissions from this size on are large: those of most jobs are far smaller."""
+"""Requests from this size on are large: those of most jobs are far smaller."""
 
 MAX_AT_ONCE = 2
 MAX_WAITING = 6
 """Further ones wait up to this number; with those in progress, a third of the threads
-that serve callers."""
+that serve callers, and as many as an operator sends at once."""
 
 
 class LargeCalls:
-    """Lets a few large submissions in at the same time; thread-safe."""
+    """Lets a few large requests in at the same time; thread-safe."""
 
     def __init__(self) -> None:
         self._in_progress = threading.Semaphore(MAX_AT_ONCE)
@@ -31,7 +31,7 @@
         Parameters
         ----------
         size : int
-            Size of the submission, in bytes; a small one needs no place.
+            Size of the request, in bytes; a small one needs no place.
         seconds : float
             How long to wait for a place.
 
--- a/arbutuscleat/consensus/config.py
+++ b/arbutuscleat/consensus/config.py
@@ -68,7 +68,7 @@
     kept_entries: int = 512
     snapshot_bytes: int = 8 * 1024 * 1024
     kept_bytes: int = 2 * 1024 * 1024
-    max_unapplied_bytes: int = 16 * 1024 * 1024
+    max_unapplied_bytes: int = 8 * 1024 * 1024
     snapshot_chunk_bytes: int = 256 * 1024
     max_voters: int = 0
     voter_silence_seconds: float = 2.0
--- a/arbutuscleat/core/client_limits.py
+++ b/arbutuscleat/core/client_limits.py
@@ -20,7 +20,7 @@
 BUFFER_SHARE = 8
 """Part of the memory for requests that have not arrived in full."""
 
-RECEIVE_SHARE = 4
+RECEIVE_SHARE = 8
 """Part of the memory for what the kernel keeps unread of all connections."""
 
 MIN_RECEIVE_BYTES = 4 * 1_024
@@ -66,8 +66,8 @@
     buffer_bytes : int, default=20971520
         Requests of one server that have not arrived in full, beside their headers: an
         eighth of the smallest machine's 160 MB.
-    receive_bytes : int, default=40960
-        What the kernel keeps unread of one connection: a quarter of that machine's
+    receive_bytes : int, default=20480
+        What the kernel keeps unread of one connection: an eighth of that machine's
         memory for all connections.
     """
 
@@ -82,7 +82,7 @@
     framing_bytes: int = 65_536
     handshakes: int = 128
     buffer_bytes: int = 20 * MEBIBYTE
-    receive_bytes: int = 40 * 1_024
+    receive_bytes: int = 20 * 1_024
 
     @classmethod
     def of_machine(cls, machine: MachineLimits, **values: Any) -> "ClientLimits":
--- a/arbutuscleat/settings/fields.py
+++ b/arbutuscleat/settings/fields.py
@@ -80,7 +80,7 @@
     framing_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 65_536
     handshakes: Annotated[int, Field(ge=1, le=1_024)] = 128
     buffer_bytes: Annotated[int, Field(ge=65_536)] = 20 * 1024 * 1024
-    receive_bytes: Annotated[int, Field(ge=4_096, le=16 * 1024 * 1024)] = 40 * 1024
+    receive_bytes: Annotated[int, Field(ge=4_096, le=16 * 1024 * 1024)] = 20 * 1024
 
     def limits(self) -> ClientLimits:
         """Return the limits with times in seconds."""
--- a/arbutuscleat/web/connection.py
+++ b/arbutuscleat/web/connection.py
@@ -33,6 +33,10 @@
 BODY_READ_BYTES = 65_536
 """Most bytes of a body that are read at once."""
 
+FREE_BYTES = 4_096
+"""What an incomplete request may hold of its body and headers without being counted:
+more than those of most jobs."""
+
 LINE_READ_BYTES = 512
 """Space in the buffer beyond the limit of the headers: twice what cheroot reads at once
 of a line, so that it refuses headers beyond the limit without waiting for more."""
@@ -109,7 +113,7 @@
     def close(self):
         """Close the connection, which then no longer counts as open."""
         super().close()
-        self._buffered = self.server.input_buffers.resize(self._buffered, 0)
+        self._resize_buffer(0)
         if self.is_admitted:
             self.is_admitted = False
             self.server.open_connections.release(self.remote_addr)
@@ -232,13 +236,22 @@
         return True
 
     def _is_crowded_out(self, size):
-        """Count what is buffered; return whether that is too much for the server."""
-        held = self.server.input_buffers.resize(self._buffered, size)
-        self.is_crowded_out = held is None
-        if held is not None:
-            self._buffered = held
+        """Count what is buffered; return whether that is too much for the server.
+
+        Headers are not counted: their number is that of the connections, and the parser
+        could not refuse a request without them.
+        """
+        if not self._extent.has_head:
+            return False
+        self.is_crowded_out = not self._resize_buffer(max(0, size - FREE_BYTES))
         return self.is_crowded_out
 
+    def _resize_buffer(self, size):
+        has_room = self.server.input_buffers.resize(self._buffered, size)
+        if has_room:
+            self._buffered = size
+        return has_room
+
     def _note_progress(self):
         """Begin the time for the headers or for the body of an incomplete request."""
         extent = self._extent
@@ -255,7 +268,7 @@
         self.has_sent_continue = False
         if not self.rfile.has_data():
             self.rfile.release()
-        self._buffered = self.server.input_buffers.resize(self._buffered, 0)
+        self._resize_buffer(0)
 
     def _has_next_request(self):
         if self.rfile.has_data():
--- a/arbutuscleat/web/server.py
+++ b/arbutuscleat/web/server.py
@@ -10,7 +10,6 @@
 import threading
 import time
 from collections.abc import Callable
-from io import DEFAULT_BUFFER_SIZE
 from typing import Any
 
 from absl import logging
@@ -59,7 +58,7 @@
         self.limits = limits
         self.count_refusal = count_refusal
         self.open_connections = OpenConnections(limits)
-        self.input_buffers: InputBuffers  # Set with the limits of size.
+        self.input_buffers = InputBuffers(limits.buffer_bytes)
         self._checked_at = time.monotonic()
 
     def error_log(self, msg="", level=20, traceback=False):
@@ -208,9 +207,6 @@
         )
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
-        self._server.input_buffers = InputBuffers(
-            self._server.limits.buffer_bytes, max_header_bytes + 2 * DEFAULT_BUFFER_SIZE
-        )
         self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
 
     @property
