--- a/arbutuscleat/web/request_extent.py
+++ b/arbutuscleat/web/request_extent.py
@@ -49,7 +49,7 @@
         """Where the next part of the body begins: a chunk, or a trailer."""
 
         self._end: int | None = None
-        """Where the request ends, if its head says so."""
+        """Where the request ends; None for a chunked body."""
 
         self._in_trailers = False
         self._is_refused = False
