Review: one failed run fails a gang for good (case 11)

Cause: the failures of all members are added up, so a run of the gang in which several members fail counts as several attempts.

--- a/review/third/installation.py
+++ b/review/third/installation.py
@@ -63,7 +63,7 @@
     while True:
         start = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}."
         try:
-            for last in (1, 2, 3, 11, 12):
+            for last in (*range(1, 7), *range(11, 20)):
                 with socket.socket() as sock:
                     sock.bind((f"{start}{last}", METRICS_PORT))
         except OSError:
--- a/review/third/worker.py
+++ b/review/third/worker.py
@@ -70,11 +70,20 @@
         self.cpu = int(spec.get("cpu", 0))
         self.mem_mb = int(spec.get("mem-mb", 0))
         self.gang = int(spec.get("gang", 0))
+        self.fails = bool(spec.get("fails", False))
+        self.saved_characters = int(spec.get("saved-characters", 0))
         self.began_work_at = None if self.gang else time.monotonic()
         self.checkpoint = checkpoint
         self.began_at = time.monotonic()
         self.stopping_at: float | None = None
 
+    def saved(self, now: float) -> str:
+        """Return the latest checkpoint, of which there is one for each second."""
+        seconds = int(now - self.began_at)
+        if not seconds or not self.saved_characters:
+            return self.checkpoint
+        return f"{self.number}/{seconds}/".ljust(self.saved_characters, "0")
+
 
 class Worker:
     """One lifetime of a worker: its HTTP interface, its runs and its pings.
@@ -294,7 +303,7 @@
             "clock-ms": self._now_ms(),
             "born": self.born_ms,
             "running": [
-                [run.name, run.number, run.checkpoint, run_percent(run, now), 0]
+                [run.name, run.number, run.saved(now), run_percent(run, now), 0]
                 for run in self._runs.values()
             ],
             "finished": self._ends[:MAX_ENDS],
@@ -342,7 +351,7 @@
                 elif lapsed:
                     self._end(run, "lapsed")
             elif not run.lasts and now - run.began_work_at >= run.seconds:
-                self._end(run, "done")
+                self._end(run, "failed" if run.fails else "done")
             elif lapsed:
                 self._end(run, "lapsed")
 
@@ -352,7 +361,8 @@
         if run.gang:
             self.gangs.end(run.name, run.number, how)
         self._position += 1
-        self._ends.append([self._position, run.name, run.number, how, ""])
+        saved = "" if how == "done" else run.saved(time.monotonic())
+        self._ends.append([self._position, run.name, run.number, how, saved])
         self.record.write(f"worker {self.worker_id} ends {run.name}#{run.number} {how}")
         self._watch("end", self, run.name, run.number, how)
         self._changed.notify_all()
