Review: a cancelled POST of a frozen entry process runs (case 12)

Cause: a POST that waited in the socket of a frozen process gets a new time limit as it is read, and nobody looks whether its client has left.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,59 +1,66 @@
-"""One worker fails all that it starts; a gang with several members there runs once."""
+"""An entry process is frozen; a client gives its POST up, and cancels the job."""
 
 import random
+import signal
 import time
 from pathlib import Path
 
-from review.third.installation import run_case, trouble
+from review.third.installation import CALLER_HOST, PREFIX, run_case, trouble
+from review.third.worker import call
 
-MAX_ATTEMPTS = 3
-RUN_SECONDS = 4.0
-MEMBERS = 24
-STEP = {
-    "count": MEMBERS, "cpu": 4000, "mem-mb": 1024, "estimated-ms": 4000, "gang": True
-}
-SPEC = f'{{"seconds": {RUN_SECONDS}, "cpu": 4000, "mem-mb": 1024, "gang": {MEMBERS}}}'
+ENTRIES = 7
+FROZEN_SECONDS = 7.0
+DEADLINE_SECONDS = 3.0
+CANCEL_SECONDS = 3.0
+"""`cancel_ms` of the settings."""
+
+STEP = {"count": 4, "cpu": 4000, "mem-mb": 1024, "estimated-ms": 2000}
+SPEC = '{"seconds": 2.0, "cpu": 4000, "mem-mb": 1024}'
 CONTENT = {"spec": SPEC, "steps": [STEP]}
 
 
 def main(installation):
-    """Let a worker fail all starts, run a job of one gang, and ask for its state."""
+    """Hand a job in, cancel it, and watch for starts of its tasks."""
     record = installation.record
-    failed = []
+    starts = []
 
     def note(kind, worker, name, number, how):
-        if kind == "end" and how == "failed":
-            failed.append((name, number))
+        if kind == "start":
+            starts.append((record.seconds(), name))
 
     installation.watchers.append(note)
-    if trouble():
-        worker = installation.workers["m-0"]
-        worker.fails_all = True
-        record.write(f"worker {worker.worker_id} fails all that it starts")
     job_id = f"{random.getrandbits(64):016x}"
-    if not installation.submit(job_id, CONTENT):
-        raise RuntimeError("the job was not accepted")
-    deadline = time.monotonic() + 40.0
-    state = ""
-    while time.monotonic() < deadline and state not in ("completed", "failed"):
-        state = (installation.job("GET", job_id)[1] or {}).get("state", "")
+    entry = installation.processes[installation.entry_hosts[0]]
+    frozen_at = time.monotonic()
+    if trouble():
+        entry.send_signal(signal.SIGSTOP)
+        record.write("entry 0 is frozen")
         time.sleep(0.5)
-    runs = {number for _, number in failed}
-    of_task = {name: sum(n == name for n, _ in failed) for name, _ in failed}
-    most = max(of_task.values(), default=0)
-    record.write(
-        f"the job is {state}; {len(failed)} members ended `failed` in {len(runs)} runs"
-        f" of the gang, no task more than {most} times"
+    headers = {"Host": CALLER_HOST, "X-Arbutuscleat-Deadline-Ms": "3000"}
+    path = PREFIX + job_id
+    answer = call(
+        "POST", installation.entries[0], path, CONTENT, DEADLINE_SECONDS, headers
     )
-    if state == "failed" and max(most, len(runs)) < MAX_ATTEMPTS:
+    record.write(f"POST {job_id} at entry 0, for {DEADLINE_SECONDS} s: {answer}")
+    status = 0
+    while status not in (200, 410):
+        status, _ = installation.job("DELETE", job_id, entry=1)
+    acknowledged_at = record.seconds()
+    record.write(f"the cancelling of {job_id} is acknowledged with {status}")
+    if trouble():
+        time.sleep(max(0.0, frozen_at + FROZEN_SECONDS - time.monotonic()))
+        entry.send_signal(signal.SIGCONT)
+        record.write("entry 0 wakes")
+    time.sleep(10.0)
+    installation.job("GET", job_id, entry=1)
+    late = [item for item in starts if item[0] > acknowledged_at + CANCEL_SECONDS]
+    for at, name in late:
         record.write(
-            f"BROKEN LOST: shown as failed after {len(runs)} of {MAX_ATTEMPTS} attempts"
+            f"BROKEN UNASKED: {name} started {at - acknowledged_at:.3f} s after the "
+            "cancelling of its job was acknowledged"
         )
-        return 1
-    if state not in ("completed", "failed"):
-        raise RuntimeError(f"the job is {state!r}")
-    return 0
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
-    run_case(main, Path(__file__).resolve().parent)
+    run_case(main, Path(__file__).resolve().parent, entries=ENTRIES)
