--- a/arbutuscleat/access/call_target.py
+++ b/arbutuscleat/access/call_target.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from arbutuscleat.jobs import JobState, Queue, QueueConfig, Team
+from arbutuscleat.jobs import JobOwner, JobState, Queue, QueueConfig, Team
 from arbutuscleat.wire.gen_jobs.ttypes import JobRequest, SubmitRequest, Verdict
 
 
@@ -38,6 +38,11 @@
         """Name of the team; None where no key is needed."""
         return None if self.team is None else self.team.name
 
+    @property
+    def owner(self) -> JobOwner:
+        """The owner of the jobs that the caller submits to the queue."""
+        return JobOwner(self.queue.host, self.queue.path_prefix, self.team_name)
+
     def describe(self) -> str:
         """Return the queue and the team, as log lines name them."""
         team = "" if self.team is None else f", team {self.team.name}"
--- a/arbutuscleat/access/job_service.py
+++ b/arbutuscleat/access/job_service.py
@@ -20,7 +20,7 @@
 )
 from arbutuscleat.core import Clock, Deadline
 from arbutuscleat.execution import SessionRegistry
-from arbutuscleat.jobs import AcceptResult, JobTable
+from arbutuscleat.jobs import AcceptResult, CancelResult, JobTable
 from arbutuscleat.jobs.job_table import JOB_ID_LENGTH
 from arbutuscleat.jobs.worker_announcement import is_outdated
 from arbutuscleat.scheduling import Rejection
@@ -196,22 +196,40 @@
         return self._confirmed_answer(request, Verdict.NO_JOB)
 
     def cancel(self, request: JobRequest) -> JobAnswer:
-        """Cancel a job; the cancellation is committed before the answer."""
+        """Cancel a job; the cancellation is committed before the answer.
+
+        So is that of an unknown id, since a submission may still be under way. The
+        order of the two entries in the log decides which of them takes effect.
+        """
         found = self._find_target(request)
         if isinstance(found, Failure):
             return found.failure()
         target = found.unwrap()
+        owner, job_id = target.owner, target.rest
+        if not _JOB_ID.fullmatch(job_id):
+            return self._confirmed_answer(request, Verdict.NO_JOB)
+        now_ms = self._clock.now_ms()
         with self._table.lock:
             job = self._table.find_job(request.host, request.path)
-        if job is None or not target.may_access(job):
-            return self._confirmed_answer(request, Verdict.NO_JOB)
-        job_id = job.job_id
-        command = JobCommand(
-            cancel=CancelJob(job_id=job_id, at_ms=self._clock.now_ms())
+            if job is None or not target.may_access(job):
+                if self._table.cancelled_ids.is_kept(owner, job_id, now_ms):
+                    return self._job_answer(request, Verdict.NO_JOB)
+                if not self._table.cancelled_ids.has_room(owner, job_id, now_ms):
+                    return self._refuse_cancellation(request, now_ms)
+        command = CancelJob(
+            job_id=job_id,
+            at_ms=now_ms,
+            host=owner.host,
+            path_prefix=owner.path_prefix,
+            team=owner.team,
         )
-        result = self._propose(command)
+        result = self._propose(JobCommand(cancel=command))
         if isinstance(result, Failure):
             return self._job_answer(request, _VERDICTS[result.failure().kind])
+        if result.unwrap() is CancelResult.NO_JOB:
+            return self._job_answer(request, Verdict.NO_JOB)
+        if result.unwrap() is CancelResult.NO_ROOM:
+            return self._refuse_cancellation(request, now_ms)
         logging.info("job %s of %s cancelled", job_id, target.describe())
         return self._job_answer(request, Verdict.DONE)
 
@@ -337,6 +355,22 @@
             self._clock.wait(self._table.changed, deadline.remaining())
         return True
 
+    def _refuse_cancellation(self, request: JobRequest, now_ms: int) -> JobAnswer:
+        """Refuse to cancel an unknown id, as too many are kept."""
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "cancellation of %s refused: too many ids without a job are kept",
+            REFUSED_LOG_SECONDS,
+            request.path,
+        )
+        with self._table.lock:
+            wait_ms = self._table.cancelled_ids.retry_after_ms(now_ms)
+        answer = self._job_answer(
+            request, Verdict.REFUSED, detail="too many unknown jobs were cancelled"
+        )
+        answer.retry_after_ms = min(wait_ms, MAX_RETRY_MS)
+        return answer
+
     def _submit_answer(
         self, request: SubmitRequest, target: CallTarget, result: AcceptResult
     ) -> JobAnswer:
@@ -347,6 +381,12 @@
                 detail="the id belongs to a job of another queue or team",
             )
         logging.info("job %s of %s: %s", target.rest, target.describe(), result.value)
+        if result is AcceptResult.CANCELLED:
+            return self._job_answer(
+                request,
+                Verdict.NO_JOB,
+                detail="the job was cancelled before it was submitted",
+            )
         return self._job_answer(request, Verdict.DONE)
 
     def _leave(self, record: WorkerRecord, stored: WorkerRecord) -> int:
--- a/arbutuscleat/access/leader_client.py
+++ b/arbutuscleat/access/leader_client.py
@@ -127,7 +127,8 @@
         sent = False
         tried: set[str] = set()
         while True:
-            if self._is_probed_cut_off:
+            # Also after the pause between two attempts, which a suspension prolongs.
+            if self._is_probed_cut_off or (tried and deadline.expired()):
                 return CallOutcome(None, sent)
             if self._local is not None and self._local.leads():
                 answer = getattr(self._local, method)(request)
--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -1,9 +1,10 @@
 """Jobs that callers submit, and the replicated table of jobs, runs and workers."""
 
+from .cancelled_ids import CancelledIds, JobOwner
 from .crash_counts import MIN_CRASHES, SUSPECT_CRASHES, CrashCounts
 from .job_size import job_bytes
 from .job_state import JobPhase, JobState
-from .job_table import AcceptResult, JobTable, may_have_copy
+from .job_table import AcceptResult, CancelResult, JobTable, may_have_copy
 from .queue_config import Queue, QueueConfig, Service
 from .run_outcome import RunOutcome
 from .session_assignments import (
@@ -22,8 +23,11 @@
     "SHARD_COUNT",
     "SUSPECT_CRASHES",
     "AcceptResult",
+    "CancelResult",
+    "CancelledIds",
     "Capacity",
     "CrashCounts",
+    "JobOwner",
     "JobPhase",
     "JobState",
     "JobTable",
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -39,6 +39,7 @@
     WorkerRecord,
 )
 
+from .cancelled_ids import CancelledIds, JobOwner
 from .crash_counts import CrashCounts
 from .job_size import job_bytes
 from .job_state import JobState
@@ -78,6 +79,20 @@
     ACCEPTED = "accepted"
     EXISTS = "exists"
     CONFLICT = "conflict"
+    CANCELLED = "cancelled before it was submitted"
+
+
+class CancelResult(Enum):
+    """Result of cancelling a job."""
+
+    CANCELLED = "cancelled"
+    """Also that of a job that has ended."""
+
+    NO_JOB = "no job"
+    """No job has the id, and none that is submitted later will be accepted."""
+
+    NO_ROOM = "no room"
+    """No job has the id, but it cannot be kept beside those of other cancellations."""
 
 
 class JobTable(StateMachine):
@@ -101,6 +116,7 @@
         self.held_bytes = 0
         """Memory of all jobs, by the estimate of `job_bytes`."""
 
+        self.cancelled_ids = CancelledIds()
         self.workers: dict[str, WorkerRecord] = {}
         self.runs: dict[WorkerIncarnation, dict[TaskKey, TaskRun]] = {}
         self.run_versions: dict[WorkerIncarnation, int] = {}
@@ -159,6 +175,7 @@
                     unresolved_runs=self.crash_counts.unresolved_runs(),
                     session_assignments=self.session_assignments.records(),
                     last_session_fence=self.session_assignments.last_fence,
+                    cancelled_ids=self.cancelled_ids.to_images(),
                 ),
             )
 
@@ -182,6 +199,7 @@
             self.session_assignments.restore(
                 table.session_assignments or (), table.last_session_fence or 0
             )
+            self.cancelled_ids.restore(table.cancelled_ids or ())
             self.jobs = {}
             self.active = {}
             self.held_bytes = 0
@@ -229,10 +247,11 @@
         return job if is_known else None
 
     def find_submitted(self, record: JobRecord) -> AcceptResult | None:
-        """Return the result of submitting a job again; None if its id is unknown."""
+        """Return the result of submitting a job; None if nothing is known of its id."""
         existing = self.jobs.get(record.job_id)
         if existing is None:
-            return None
+            is_cancelled = self.cancelled_ids.refuses(record)
+            return AcceptResult.CANCELLED if is_cancelled else None
         same = _have_same_queue(existing.record, record)
         if not same or _have_different_teams(existing.record, record):
             return AcceptResult.CONFLICT
@@ -342,14 +361,25 @@
                 return
             yield job
 
-    def _cancel(self, command: CancelJob) -> bool:
-        job = self.jobs.get(command.job_id)
-        if job is None:
-            return False
-        if not job.is_over():
-            self._close_job(job, command.at_ms)
-            job.cancelled = True
-        return True
+    def _cancel(self, command: CancelJob) -> CancelResult:
+        """Cancel a job, or keep the id if its owner has no such job."""
+        if command.host is None:  # An entry of a former version.
+            owner, job = None, self.jobs.get(command.job_id)
+        else:
+            owner = JobOwner(command.host, command.path_prefix, command.team)
+            job = self.find_job(owner.host, owner.path_prefix + command.job_id)
+            if job is not None and not owner.may_access(job.record):
+                job = None
+        if job is not None:
+            if not job.is_over():
+                self._close_job(job, command.at_ms)
+                job.cancelled = True
+            return CancelResult.CANCELLED
+        if owner is None or self.cancelled_ids.add(
+            owner, command.job_id, command.at_ms
+        ):
+            return CancelResult.NO_JOB
+        return CancelResult.NO_ROOM
 
     def _fail_job(self, job: JobState, now_ms: int) -> None:
         self._close_job(job, now_ms)
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -73,6 +73,7 @@
             "configuration_version": table.config.version if table.config else -1,
             "jobs_held": len(table.jobs),
             "jobs_active": len(table.active),
+            "cancelled_ids": len(table.cancelled_ids),
             "workers": len(table.workers),
             "tasks_crashed": len(table.crash_counts.tasks),
             "tasks_suspected": sum(
--- a/arbutuscleat/wire/gen_jobs/ttypes.py
+++ b/arbutuscleat/wire/gen_jobs/ttypes.py
@@ -1452,18 +1452,27 @@
     Attributes:
      - job_id
      - at_ms
+     - host
+     - path_prefix
+     - team
 
     """
 
     __slots__ = (
         'job_id',
         'at_ms',
+        'host',
+        'path_prefix',
+        'team',
     )
 
 
-    def __init__(self, job_id=None, at_ms=None,):
+    def __init__(self, job_id=None, at_ms=None, host=None, path_prefix=None, team=None,):
         self.job_id = job_id
         self.at_ms = at_ms
+        self.host = host
+        self.path_prefix = path_prefix
+        self.team = team
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1484,6 +1493,21 @@
                     self.at_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.path_prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1502,6 +1526,18 @@
             oprot.writeFieldBegin('at_ms', TType.I64, 2)
             oprot.writeI64(self.at_ms)
             oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.path_prefix is not None:
+            oprot.writeFieldBegin('path_prefix', TType.STRING, 4)
+            oprot.writeString(self.path_prefix.encode('utf-8') if sys.version_info[0] == 2 else self.path_prefix)
+            oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 5)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3327,6 +3363,138 @@
         return not (self == other)
 
 
+class CancelledIdsImage(object):
+    """
+    Attributes:
+     - host
+     - path_prefix
+     - team
+     - job_ids
+     - at_ms
+
+    """
+
+    __slots__ = (
+        'host',
+        'path_prefix',
+        'team',
+        'job_ids',
+        'at_ms',
+    )
+
+
+    def __init__(self, host=None, path_prefix=None, team=None, job_ids=None, at_ms=None,):
+        self.host = host
+        self.path_prefix = path_prefix
+        self.team = team
+        self.job_ids = job_ids
+        self.at_ms = at_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.path_prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.job_ids = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.job_ids.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.at_ms = []
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readI64()
+                        self.at_ms.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CancelledIdsImage')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.path_prefix is not None:
+            oprot.writeFieldBegin('path_prefix', TType.STRING, 2)
+            oprot.writeString(self.path_prefix.encode('utf-8') if sys.version_info[0] == 2 else self.path_prefix)
+            oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 3)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.job_ids is not None:
+            oprot.writeFieldBegin('job_ids', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.job_ids))
+            for iter124 in self.job_ids:
+                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.at_ms))
+            for iter125 in self.at_ms:
+                oprot.writeI64(iter125)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class JobTableImage(object):
     """
     Attributes:
@@ -3339,6 +3507,7 @@
      - unresolved_runs
      - session_assignments
      - last_session_fence
+     - cancelled_ids
 
     """
 
@@ -3352,10 +3521,11 @@
         'unresolved_runs',
         'session_assignments',
         'last_session_fence',
+        'cancelled_ids',
     )
 
 
-    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None, machine_holders=None, unresolved_runs=None, session_assignments=None, last_session_fence=None,):
+    def __init__(self, jobs=None, workers=None, config_version=None, config=None, waves=None, machine_holders=None, unresolved_runs=None, session_assignments=None, last_session_fence=None, cancelled_ids=None,):
         self.jobs = jobs
         self.workers = workers
         self.config_version = config_version
@@ -3365,6 +3535,7 @@
         self.unresolved_runs = unresolved_runs
         self.session_assignments = session_assignments
         self.last_session_fence = last_session_fence
+        self.cancelled_ids = cancelled_ids
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3378,22 +3549,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = JobImage()
-                        _elem117.read(iprot)
-                        self.jobs.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = JobImage()
+                        _elem131.read(iprot)
+                        self.jobs.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = WorkerRecord()
-                        _elem123.read(iprot)
-                        self.workers.append(_elem123)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = WorkerRecord()
+                        _elem137.read(iprot)
+                        self.workers.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3410,44 +3581,44 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.waves = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = WaveRecord()
-                        _elem129.read(iprot)
-                        self.waves.append(_elem129)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = WaveRecord()
+                        _elem143.read(iprot)
+                        self.waves.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.machine_holders = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = MachineHolder()
-                        _elem135.read(iprot)
-                        self.machine_holders.append(_elem135)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = MachineHolder()
+                        _elem149.read(iprot)
+                        self.machine_holders.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.unresolved_runs = []
-                    (_etype139, _size136) = iprot.readListBegin()
-                    for _i140 in range(_size136):
-                        _elem141 = RunRecord()
-                        _elem141.read(iprot)
-                        self.unresolved_runs.append(_elem141)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = RunRecord()
+                        _elem155.read(iprot)
+                        self.unresolved_runs.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.session_assignments = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = SessionAssignmentRecord()
-                        _elem147.read(iprot)
-                        self.session_assignments.append(_elem147)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = SessionAssignmentRecord()
+                        _elem161.read(iprot)
+                        self.session_assignments.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3456,6 +3627,17 @@
                     self.last_session_fence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.cancelled_ids = []
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = CancelledIdsImage()
+                        _elem167.read(iprot)
+                        self.cancelled_ids.append(_elem167)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3469,15 +3651,15 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter148 in self.jobs:
-                iter148.write(oprot)
+            for iter168 in self.jobs:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter149 in self.workers:
-                iter149.write(oprot)
+            for iter169 in self.workers:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -3491,35 +3673,42 @@
         if self.waves is not None:
             oprot.writeFieldBegin('waves', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.waves))
-            for iter150 in self.waves:
-                iter150.write(oprot)
+            for iter170 in self.waves:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.machine_holders is not None:
             oprot.writeFieldBegin('machine_holders', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.machine_holders))
-            for iter151 in self.machine_holders:
-                iter151.write(oprot)
+            for iter171 in self.machine_holders:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unresolved_runs is not None:
             oprot.writeFieldBegin('unresolved_runs', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.unresolved_runs))
-            for iter152 in self.unresolved_runs:
-                iter152.write(oprot)
+            for iter172 in self.unresolved_runs:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session_assignments is not None:
             oprot.writeFieldBegin('session_assignments', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.session_assignments))
-            for iter153 in self.session_assignments:
-                iter153.write(oprot)
+            for iter173 in self.session_assignments:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last_session_fence is not None:
             oprot.writeFieldBegin('last_session_fence', TType.I64, 9)
             oprot.writeI64(self.last_session_fence)
             oprot.writeFieldEnd()
+        if self.cancelled_ids is not None:
+            oprot.writeFieldBegin('cancelled_ids', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.cancelled_ids))
+            for iter174 in self.cancelled_ids:
+                iter174.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3656,10 +3845,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem159)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3684,8 +3873,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter160 in self.members:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter181 in self.members:
+                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4856,11 +5045,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.long_running = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = ListedRun()
-                        _elem166.read(iprot)
-                        self.long_running.append(_elem166)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = ListedRun()
+                        _elem187.read(iprot)
+                        self.long_running.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4913,8 +5102,8 @@
         if self.long_running is not None:
             oprot.writeFieldBegin('long_running', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.long_running))
-            for iter167 in self.long_running:
-                iter167.write(oprot)
+            for iter188 in self.long_running:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5018,11 +5207,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.conditions = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = WorkerConditionRecord()
-                        _elem173.read(iprot)
-                        self.conditions.append(_elem173)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = WorkerConditionRecord()
+                        _elem194.read(iprot)
+                        self.conditions.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5063,8 +5252,8 @@
         if self.conditions is not None:
             oprot.writeFieldBegin('conditions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.conditions))
-            for iter174 in self.conditions:
-                iter174.write(oprot)
+            for iter195 in self.conditions:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5487,6 +5676,9 @@
     None,  # 0
     (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'at_ms', None, None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'team', 'UTF8', None, ),  # 5
 )
 all_structs.append(RemoveWorker)
 RemoveWorker.thrift_spec = (
@@ -5620,6 +5812,15 @@
     (5, TType.LIST, 'occurrences', (TType.STRUCT, [OccurrenceImage, None], False), None, ),  # 5
     (6, TType.BOOL, 'started', None, None, ),  # 6
 )
+all_structs.append(CancelledIdsImage)
+CancelledIdsImage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'team', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'job_ids', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.LIST, 'at_ms', (TType.I64, None, False), None, ),  # 5
+)
 all_structs.append(JobTableImage)
 JobTableImage.thrift_spec = (
     None,  # 0
@@ -5632,6 +5833,7 @@
     (7, TType.LIST, 'unresolved_runs', (TType.STRUCT, [RunRecord, None], False), None, ),  # 7
     (8, TType.LIST, 'session_assignments', (TType.STRUCT, [SessionAssignmentRecord, None], False), None, ),  # 8
     (9, TType.I64, 'last_session_fence', None, None, ),  # 9
+    (10, TType.LIST, 'cancelled_ids', (TType.STRUCT, [CancelledIdsImage, None], False), None, ),  # 10
 )
 all_structs.append(LocateRequest)
 LocateRequest.thrift_spec = (
--- a/arbutuscleat/wire/jobs.thrift
+++ b/arbutuscleat/wire/jobs.thrift
@@ -110,9 +110,14 @@
   2: i64 at_ms
 }
 
+// `host`, `path_prefix`: of the queue to which the call came. Entries of former versions
+// have none, and concern only a job that is known. `team`: the one whose key came with it.
 struct CancelJob {
   1: string job_id
   2: i64 at_ms
+  3: optional string host
+  4: optional string path_prefix
+  5: optional string team
 }
 
 // `unplanned`: the incarnation has ended although nobody announced or ordered it.
@@ -248,6 +253,15 @@
   6: optional bool started
 }
 
+// The ids that a team has cancelled at a queue while no job had them, and when.
+struct CancelledIdsImage {
+  1: string host
+  2: string path_prefix
+  3: optional string team
+  4: list<string> job_ids
+  5: list<i64> at_ms
+}
+
 struct JobTableImage {
   1: list<JobImage> jobs
   2: list<WorkerRecord> workers
@@ -258,6 +272,7 @@
   7: optional list<RunRecord> unresolved_runs
   8: optional list<SessionAssignmentRecord> session_assignments
   9: optional i64 last_session_fence
+  10: optional list<CancelledIdsImage> cancelled_ids
 }
 
 // ---- between entry and control instances -----------------------------------
--- a/tests/access/test_leader_client.py
+++ b/tests/access/test_leader_client.py
@@ -109,6 +109,21 @@
         outcome = self.call()
         self.assertEqual((Verdict.DONE, True), (outcome.answer.verdict, outcome.sent))
 
+    def test_no_attempt_is_made_after_the_time_is_over(self):
+        """Guards against a call that a suspended process sends when it wakes."""
+        client = self.control.make_client()
+        self.control.leader = ""
+        sleep = self.control.clock.sleep
+
+        def sleep_suspended(event, seconds):
+            self.control.clock.advance(60.0)
+            return sleep(event, seconds)
+
+        self.control.clock.sleep = sleep_suspended
+        outcome = client.call("submit", JobRequest(), 1.0)
+        self.assertIsNone(outcome.answer)
+        self.assertEqual(1, len(self.control.called_hosts))
+
     def test_the_leader_hint_is_called_first(self):
         self.client = self.control.make_client(leader_hint=lambda: HOSTS[1])
         self.call()
--- a/tests/access/test_renamed_queues.py
+++ b/tests/access/test_renamed_queues.py
@@ -107,6 +107,21 @@
         self.assertEqual("cancelled", self.look_up().state)
         self.assertEqual([JOB], [key.job_id for key, _ in self.table.stops_due])
 
+    def test_a_renamed_queue_knows_what_was_cancelled_before_it_was_submitted(self):
+        """Guards against a job that runs after its cancelling (review/12)."""
+        self.assertEqual(Verdict.NO_JOB, self.cancel())
+        self.configure("renamed")
+        self.assertEqual(Verdict.NO_JOB, self.submit())
+
+    def test_a_removed_queue_that_comes_back_knows_what_was_cancelled(self):
+        """Guards against a job that runs after its cancelling (review/12)."""
+        self.assertEqual(Verdict.NO_JOB, self.cancel())
+        self.configure("removed")
+        self.assertEqual(Verdict.NO_QUEUE, self.submit())
+        self.configure("name used elsewhere")
+        self.assertEqual(Verdict.NO_JOB, self.submit())
+        self.assertEqual(Verdict.DONE, self.submit("/invoices/" + JOB))
+
     def test_a_renamed_queue_counts_the_jobs_that_wait_in_it(self):
         """Guards against `pending` of 0 after a change of the name (review/10)."""
         self.submit()
--- a/tests/access/test_team_keys.py
+++ b/tests/access/test_team_keys.py
@@ -179,9 +179,13 @@
 class AnyOrderTest(TestCase):
     @given(st.lists(STEPS, min_size=5, max_size=25))
     def test_a_call_reaches_a_job_only_with_a_key_that_its_team_has_now(self, steps):
-        """Checks each verdict against a model: teams by key, and the job's owner."""
+        """Checks each verdict against a model.
+
+        That are the teams by key, the job's owner, and who cancelled the unknown id.
+        """
         calls = TeamService()
         teams, owner = {"k0": "x", "k1": "y", "k2": "x"}, None
+        cancelled_by = set()
         calls.configure({"x": ["k0", "k2"], "y": ["k1"]})
         for action, value in steps:
             if action == "configure":
@@ -197,9 +201,13 @@
                 verdict = getattr(calls, action)(value)
                 if team is None:
                     expected = UNAUTHORIZED
+                elif action == "submit" and not owner and team in cancelled_by:
+                    expected = NO_JOB
                 elif action == "submit":
                     owner = owner or team
                     expected = DONE if team == owner else CONFLICT
                 else:
                     expected = DONE if team == owner else NO_JOB
+                    if action == "cancel" and team != owner:
+                        cancelled_by.add(team)
                 self.assertEqual(expected, verdict)
--- a/tests/fakes/teams.py
+++ b/tests/fakes/teams.py
@@ -64,7 +64,8 @@
         self.harness = JobTableHarness(config=False)
         self.table = self.harness.table = JobTable(decode_teams)
         self.replica = ConfirmedReplica(self.harness)
-        self.service = service_of(self.replica, self.table, ManualClock())
+        self.clock = ManualClock()
+        self.service = service_of(self.replica, self.table, self.clock)
         self.version = 0
         self.harness.apply(worker=worker())
 
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -52,6 +52,7 @@
             "configuration_version": 1,
             "jobs_held": 2,
             "jobs_active": 2,
+            "cancelled_ids": 0,
             "workers": 1,
             "tasks_crashed": 2,
             "tasks_suspected": 1,
--- a/tests/platform/test_fronts.py
+++ b/tests/platform/test_fronts.py
@@ -10,8 +10,10 @@
 from testtools import TestCase
 
 from arbutuscleat.access import CallOutcome
+from arbutuscleat.core import SystemClock
 from arbutuscleat.jobs import key_digest
 from arbutuscleat.metrics import Metrics
+from arbutuscleat.web.http_request import ABANDONED_KEY, WAITS_SINCE_KEY
 from arbutuscleat.wire import decode, encode
 from arbutuscleat.wire.gen_jobs.ttypes import SubmitRequest, Verdict, WaveRequest
 from examples.berthline import CONFIG
@@ -218,6 +220,25 @@
             seconds = self.leader.calls[-1][2]
             self.assertTrue(0.0 < seconds <= CALL_SECONDS, (text[:9], seconds))
 
+    def test_a_job_whose_caller_has_left_is_not_passed_on(self):
+        """Guards against a job that runs after its caller cancelled it (review/12)."""
+        body = json.dumps(JOB).encode()
+        left = {ABANDONED_KEY: lambda: True}
+        self.assertEqual(503, self.send(self.callers, "POST", "/a/1", body, **left))
+        self.assertEqual([], self.leader.calls)
+
+    def test_a_request_that_waited_beyond_its_deadline_is_not_passed_on(self):
+        """Guards against a time limit that begins when a paused process wakes."""
+        body = json.dumps(JOB).encode()
+        for seconds, status in ((1.0, 200), (2.5, 200), (3.5, 503)):
+            waited = {WAITS_SINCE_KEY: SystemClock().monotonic() - seconds}
+            for method in ("POST", "GET", "DELETE"):
+                found = self.send(self.callers, method, "/a/1", body, **waited)
+                self.assertEqual(status, found, (method, seconds))
+        self.assertEqual(6, len(self.leader.calls))
+        count = self.metrics.counter("clients_refused", server="callers", reason="late")
+        self.assertEqual(3, count)
+
     def test_the_methods_of_callers_do_not_fill_the_metrics(self):
         for number in range(50):
             self.assertEqual(405, self.send(self.callers, f"M{number}", "/a/1"))
