--- a/arbutuscleat/execution/__init__.py
+++ b/arbutuscleat/execution/__init__.py
@@ -14,6 +14,8 @@
 from .session_registry import SessionRegistry
 from .session_reports import SessionReports
 from .worker_client import (
+    NO_POSITION,
+    UNKNOWN_PROGRESS,
     FinishedRun,
     HoldAnswer,
     HoldOrder,
@@ -26,6 +28,8 @@
 )
 
 __all__ = [
+    "NO_POSITION",
+    "UNKNOWN_PROGRESS",
     "EndBatcher",
     "ExecutionLimits",
     "Executor",
--- a/arbutuscleat/execution/end_batcher.py
+++ b/arbutuscleat/execution/end_batcher.py
@@ -17,6 +17,10 @@
 MAX_ENDS = 1_000
 """Number of ends from which on a batch accepts no further ones: about 100 kB."""
 
+MAX_BATCH_BYTES = 1024 * 1024
+"""Checkpoints, in characters, from which on a batch accepts no further ends. The ends
+of one answer, 500 with 4,000 bytes each, can be twice as many."""
+
 CHECK_SECONDS = 0.1
 """Interval at which a waiting thread checks again whether its batch is due or done."""
 
@@ -26,10 +30,23 @@
 
     def __init__(self) -> None:
         self.ends = RunEnds(ends=[], at_ms=0)
+        self._checkpoint_size = 0
         self.is_committed = False
         self.may_propose = threading.Event()
         self.is_finished = threading.Event()
 
+    def add(self, ends: RunEnds) -> None:
+        """Add ends; the caller holds the lock of the batcher."""
+        self.ends.ends.extend(ends.ends)
+        self.ends.at_ms = max(self.ends.at_ms, ends.at_ms)
+        self._checkpoint_size += sum(len(end.checkpoint) for end in ends.ends)
+
+    def is_full(self) -> bool:
+        """Return whether it accepts no further ends."""
+        return (
+            len(self.ends.ends) >= MAX_ENDS or self._checkpoint_size >= MAX_BATCH_BYTES
+        )
+
 
 class EndBatcher:
     """Proposes run ends to the replicated log, one entry at a time.
@@ -74,14 +91,11 @@
     def _add(self, ends: RunEnds) -> tuple[_Batch, bool]:
         """Add ends to the latest batch; return it, and whether they are its first."""
         with self._lock:
-            is_first = not self._waiting
-            if not is_first:
-                is_first = len(self._waiting[-1].ends.ends) >= MAX_ENDS
+            is_first = not self._waiting or self._waiting[-1].is_full()
             if is_first:
                 self._waiting.append(_Batch())
             batch = self._waiting[-1]
-            batch.ends.ends.extend(ends.ends)
-            batch.ends.at_ms = max(batch.ends.at_ms, ends.at_ms)
+            batch.add(ends)
             if not self._is_proposing:
                 self._is_proposing = True
                 self._waiting.popleft().may_propose.set()
--- a/arbutuscleat/execution/session.py
+++ b/arbutuscleat/execution/session.py
@@ -7,7 +7,8 @@
 
 A run whose start is in the log counts as running until its end is in the log. If the
 worker does not list such a run, the session sends a stop; once the stop has been
-answered, the run can never start and is recorded as lost. A run that was ordered
+answered, the run can never start and is recorded as lost, or with the end that the
+worker lists at a position which cannot be acknowledged. A run that was ordered
 before the session began needs no stop: the worker has seen a higher fencing token. An
 answer whose list of ends is full shows nothing about runs that it does not list. If
 the worker is unresponsive, the session waits until its lease is certain to have
@@ -36,6 +37,8 @@
 from .run_end_recorder import Propose, RunEndRecorder
 from .stall_detector import StallDetector
 from .worker_client import (
+    NO_POSITION,
+    FinishedRun,
     HoldAnswer,
     HoldOrder,
     OrderOutcome,
@@ -354,7 +357,7 @@
         ended = {
             (end.key, end.number)
             for end in answer.finished
-            if end.position <= self._acknowledged
+            if NO_POSITION < end.position <= self._acknowledged
         }
         listed = {(task.key, task.number) for task in answer.running}
         self._handle_listed(answer.running)
@@ -363,14 +366,21 @@
         if answer.lists_all_ends:
             known = listed | ended
             missing = [run for run in expected_runs.items() if run not in known]
-            self._handle_missing(missing, stopped)
+            self._handle_missing(missing, stopped, answer.finished)
             self._inherited = {}
         self._begin_recorder.record_if_due()
         if is_first:
             self._notify_table()
 
-    def _handle_missing(self, missing: list[Run], stopped: dict[TaskKey, int]) -> None:
-        """Record runs that are not on the worker as lost, once they can start no more.
+    def _handle_missing(
+        self,
+        missing: list[Run],
+        stopped: dict[TaskKey, int],
+        finished: tuple[FinishedRun, ...],
+    ) -> None:
+        """Record the ends of runs that are not on the worker and can start no more.
+
+        They are lost, unless the worker lists an end at an implausible position.
 
         Parameters
         ----------
@@ -378,16 +388,25 @@
             The expected runs that a complete answer does not list.
         stopped : dict of TaskKey to int
             The runs whose stop had been answered before that answer was requested.
+        finished : tuple of FinishedRun
+            All ends that the answer lists.
         """
-        lost = []
+        listed = {(end.key, end.number): end for end in finished}
+        reported, lost = [], []
         for key, number in missing:
             # A run that was ordered before the session began has a lower token, which
             # the worker rejects now.
             if number in (stopped.get(key), self._inherited.get(key)):
-                lost.append((key, number))
+                end = listed.get((key, number))
+                if end is None:
+                    lost.append((key, number))
+                else:
+                    reported.append(end)
             else:
                 self._has_missing_runs = True
                 self.order_stop(key, number)
+        if reported:
+            self._commit_ends(reported)
         self._record_lost(lost, "it is not on its worker and can start no more")
 
     def _record_ends(self, answer: HoldAnswer) -> bool:
@@ -395,13 +414,19 @@
         first = self._acknowledged or min((end.position for end in listed), default=0)
         new_ends = [end for end in listed if end.position <= first + MAX_POSITION_STEP]
         if not new_ends:
-            if listed or answer.skipped_ends:
+            if answer.finished or answer.skipped_ends:
                 # It cannot be acknowledged, so the worker will answer at once.
                 self._clock.sleep(self._closed, RETRY_SECONDS)
             return True
-        if not self._end_recorder.record_reported(new_ends):
+        if not self._commit_ends(new_ends):
             return False
         self._acknowledged = max(end.position for end in new_ends)
+        return True
+
+    def _commit_ends(self, new_ends: list[FinishedRun]) -> bool:
+        """Commit reported ends; return False if that is not confirmed."""
+        if not self._end_recorder.record_reported(new_ends):
+            return False
         self._note_ended([(end.key, end.number) for end in new_ends])
         for end in new_ends:
             if end.outcome is RunOutcome.DONE:
--- a/arbutuscleat/execution/stall_detector.py
+++ b/arbutuscleat/execution/stall_detector.py
@@ -10,7 +10,7 @@
 
 from arbutuscleat.jobs import TaskKey
 
-from .worker_client import RunningTask
+from .worker_client import UNKNOWN_PROGRESS, RunningTask
 
 STALL_SECONDS = 2.0
 """Minimum time without progress after which a task counts as stalled. Three times as
@@ -54,6 +54,8 @@
         found = []
         seen = {}
         for task, estimate_ms in running:
+            if task.percent == UNKNOWN_PROGRESS:
+                continue
             run = (task.key, task.number)
             percent, since, observations = self._seen.get(run, (-1, now, 0))
             if task.percent != percent:
--- a/arbutuscleat/execution/worker_client.py
+++ b/arbutuscleat/execution/worker_client.py
@@ -17,6 +17,12 @@
 
 from arbutuscleat.jobs import RunOutcome, TaskKey
 
+UNKNOWN_PROGRESS = -1
+"""Progress of a run whose worker gives none that can be read."""
+
+NO_POSITION = 0
+"""Position of an end that cannot be acknowledged; positions begin at 1."""
+
 
 class OrderOutcome(Enum):
     """How a worker responded to a call."""
@@ -148,7 +154,8 @@
     number : int
         Number of the run.
     percent : int
-        Progress in percent; 100 for a long-running task that is ready.
+        Progress in percent; 100 for a long-running task that is ready, and
+        `UNKNOWN_PROGRESS` if it is not known.
     load : int
         For a task that serves requests, the tail latency in milliseconds; otherwise
         the CPU in use in thousandths of a core. Measured over the last half second.
@@ -167,7 +174,7 @@
     Parameters
     ----------
     position : int
-        Sequence number of the end within the worker's incarnation.
+        Sequence number of the end within the worker's incarnation, or `NO_POSITION`.
     key : TaskKey
         The task.
     number : int
@@ -175,7 +182,7 @@
     outcome : RunOutcome
         How the run ended.
     checkpoint : str
-        Last checkpoint of the run; empty if there is none.
+        Last checkpoint of the run; empty if there is none that can be kept.
     """
 
     position: int
@@ -202,7 +209,7 @@
     finished : tuple of FinishedRun
         The ended runs that have not been acknowledged.
     skipped_ends : int
-        Number of listed ends that are invalid, and not in `finished`.
+        Number of listed ends that name no run, and are not in `finished`.
     lists_all_ends : bool
         Whether every end that has not been acknowledged is listed. A worker lists a
         limited number of them in one answer.
--- a/arbutuscleat/jobs/__init__.py
+++ b/arbutuscleat/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Jobs that callers submit, and the replicated table of jobs, runs and workers."""
 
 from .cancelled_ids import CancelledIds, JobOwner
+from .checkpoints import MAX_CHECKPOINT_BYTES, Checkpoints
 from .crash_counts import MIN_CRASHES, SUSPECT_CRASHES, CrashCounts
 from .job_size import job_bytes
 from .job_state import JobPhase, JobState
@@ -19,6 +20,7 @@
 from .wave import Wave, wave_bytes
 
 __all__ = [
+    "MAX_CHECKPOINT_BYTES",
     "MIN_CRASHES",
     "SHARD_COUNT",
     "SUSPECT_CRASHES",
@@ -26,6 +28,7 @@
     "CancelResult",
     "CancelledIds",
     "Capacity",
+    "Checkpoints",
     "CrashCounts",
     "JobOwner",
     "JobPhase",
--- a/arbutuscleat/jobs/job_size.py
+++ b/arbutuscleat/jobs/job_size.py
@@ -33,7 +33,7 @@
     tasks = sum(step.count for step in record.steps)
     state = OCCURRENCE_BYTES + len(record.steps) * STEP_STATE_BYTES + tasks * TASK_BYTES
     steps = sum(_step_bytes(step) for step in record.steps)
-    return JOB_BYTES + _text_bytes(record.spec) + steps + occurrences * state
+    return JOB_BYTES + text_bytes(record.spec) + steps + occurrences * state
 
 
 def _step_bytes(step: StepRecord) -> int:
@@ -41,11 +41,11 @@
     return (
         STEP_BYTES
         + DEPENDENCY_BYTES * len(step.after or ())
-        + sum(_text_bytes(text) for text in texts)
+        + sum(text_bytes(text) for text in texts)
     )
 
 
-def _text_bytes(text: str | None) -> int:
+def text_bytes(text: str | None) -> int:
     """Return the memory of a text and of its copy in the snapshot.
 
     Records of former versions can be without one.
--- a/arbutuscleat/jobs/job_table.py
+++ b/arbutuscleat/jobs/job_table.py
@@ -40,6 +40,7 @@
 )
 
 from .cancelled_ids import CancelledIds, JobOwner
+from .checkpoints import Checkpoints
 from .crash_counts import CrashCounts
 from .job_size import job_bytes
 from .job_state import JobState
@@ -117,6 +118,7 @@
         """Memory of all jobs, by the estimate of `job_bytes`."""
 
         self.cancelled_ids = CancelledIds()
+        self.checkpoints = Checkpoints()
         self.workers: dict[str, WorkerRecord] = {}
         self.runs: dict[WorkerIncarnation, dict[TaskKey, TaskRun]] = {}
         self.run_versions: dict[WorkerIncarnation, int] = {}
@@ -212,12 +214,17 @@
                 if not job.is_over():
                     self.active[job.job_id] = job
                 for task in job.all_tasks():
+                    if job.is_over() or task.status is TaskStatus.DONE:
+                        task.checkpoint = ""  # Former versions keep it.
                     for run in task.runs():
                         self._add_run(run)
                         if job.is_over() or task.ending:
                             self.stops_due.add((run.key, run.number))
             for record in self.workers.values():
                 self._stop_if_leaving(record)
+            self.checkpoints.restore(
+                task for job in restored for task in job.all_tasks()
+            )
             self.crash_counts.restore(
                 (task for job in self.active.values() for task in job.all_tasks()),
                 table.unresolved_runs or (),
@@ -390,6 +397,7 @@
         self.active.pop(job.job_id, None)
         for task in job.all_tasks():
             self.crash_counts.discard(task)
+            self.checkpoints.discard(task)
             self.stops_due.update((run.key, run.number) for run in task.runs())
 
     def _begin_jobs(self, command: BeginJobs) -> None:
@@ -484,6 +492,7 @@
             self.done_runs.append((key, number, incarnation))
             job.mark_done(task)
             self.crash_counts.discard(task)
+            self.checkpoints.discard(task)
             if step.gang:
                 self._end_gang(job, key)
             elif has_other:
@@ -497,11 +506,9 @@
             task.failures += 1
             if not has_other:
                 task.failed_number = task.number
-        if checkpoint:
-            task.checkpoint = checkpoint
-            if step.gang:
-                for member in job.tasks(key.occurrence, key.step):
-                    member.checkpoint = checkpoint
+        if checkpoint and not job.is_over():
+            resumes = job.tasks(key.occurrence, key.step) if step.gang else [task]
+            self.checkpoints.keep(resumes, checkpoint)
 
     def _end_gang(self, job: JobState, key: TaskKey) -> None:
         """Mark all members of a gang as done once one of them is."""
@@ -510,6 +517,7 @@
                 self._remove_run(member)
             job.mark_done(member)
             self.crash_counts.discard(member)
+            self.checkpoints.discard(member)
 
     def _add_run(self, run: TaskRun) -> None:
         self.runs.setdefault(run.incarnation, {})[run.key] = run
--- a/arbutuscleat/nodes/control_metrics.py
+++ b/arbutuscleat/nodes/control_metrics.py
@@ -74,6 +74,7 @@
             "jobs_held": len(table.jobs),
             "jobs_active": len(table.active),
             "cancelled_ids": len(table.cancelled_ids),
+            "checkpoint_bytes": table.checkpoints.held_bytes,
             "workers": len(table.workers),
             "tasks_crashed": len(table.crash_counts.tasks),
             "tasks_suspected": sum(
--- a/tests/execution/test_stall_detector.py
+++ b/tests/execution/test_stall_detector.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from arbutuscleat.execution import RunningTask
+from arbutuscleat.execution import UNKNOWN_PROGRESS, RunningTask
 from arbutuscleat.execution.stall_detector import STALL_SECONDS, StallDetector
 from arbutuscleat.jobs import TaskKey
 from tests.fakes.jobs import JOB
@@ -38,3 +38,7 @@
 
     def test_a_task_at_full_progress_is_not_stalled(self):
         self.assertIs(None, self.stalled_at([100] * 40))
+
+    def test_a_task_whose_progress_is_not_known_is_not_stalled(self):
+        """Guards against the stop of a sound run because of a field (review/13)."""
+        self.assertIs(None, self.stalled_at([UNKNOWN_PROGRESS] * 40))
--- a/tests/nodes/test_control_metrics.py
+++ b/tests/nodes/test_control_metrics.py
@@ -53,6 +53,7 @@
             "jobs_held": 2,
             "jobs_active": 2,
             "cancelled_ids": 0,
+            "checkpoint_bytes": 0,
             "workers": 1,
             "tasks_crashed": 2,
             "tasks_suspected": 1,
