--- a/arbutuscleat/web/http_request.py
+++ b/arbutuscleat/web/http_request.py
@@ -18,6 +18,7 @@
 ORDINARY_WAIT_SECONDS = 2.0
 """Four times the interval at which the server looks for input. A request that may have
 waited for longer has met a pause of this process, or too few threads."""
+
 _HEADER_PREFIX = "HTTP_"
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that the HTTP libraries
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,9 @@
 MAX_OPEN_JOBS = 12
 """Jobs under way at which a caller submits no more."""
 
+GIVE_UP_SHARE = 0.5
+"""Part of the jobs without an acceptance that their callers cancel at once."""
+
 
 def call(address: Address, method: str, path: str, content=None) -> tuple[int, dict]:
     """Call over a connection of its own; the status is 0 without an answer."""
@@ -93,6 +96,8 @@
                 job.accepted_at = time.monotonic()
             job.statuses.append(status)
             job.open_attempts -= 1
+            if status == 410 and job.cancelled_at is not None:
+                return
             if status not in (0, 200, 429, 503, 504):
                 self.fail("CONFIG", job.path, f"a valid job got {status}")
             if status not in (0, 429, 503, 504):
@@ -115,17 +120,19 @@
         job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
         for _ in range(1 + RETRIES):
             status = self._request("DELETE", job.path)[0]
-            if status == 200 and job.cancelled_at is None:
-                job.cancelled_at = time.monotonic()
             if status in (200, 410):
+                job.cancelled_at = job.cancelled_at or time.monotonic()
                 return
 
     def _act(self) -> None:
         rng, chance = self._rng, self._rng.random()
         open_jobs = [job for job in self._own if job.ended_at is None]
         if chance < 0.35 and len(open_jobs) < MAX_OPEN_JOBS:
-            self._own.append(self.world.workload.short_job(rng.choice([*QUEUES])))
-            self.submit(self._own[-1])
+            job = self.world.workload.short_job(rng.choice([*QUEUES]))
+            self._own.append(job)
+            self.submit(job)
+            if job.accepted_at is None and rng.random() < GIVE_UP_SHARE:
+                self.cancel(job)
         elif chance < 0.42 and self._own:
             self.submit(rng.choice(self._own))
         elif chance < 0.5 and open_jobs:
