--- a/arbutuscleat/web/connection.py
+++ b/arbutuscleat/web/connection.py
@@ -15,7 +15,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 
-from .http_request import ABANDONED_KEY, CLOCK, CONNECTION_KEY, WAITS_SINCE_KEY
+from .http_request import ABANDONED_KEY, CONNECTION_KEY
 from .problem_request import ProblemRequest
 from .request_extent import RequestExtent
 
@@ -83,18 +83,10 @@
     _buffered = 0
     body_began_at: float | None = None
     write_began_at: float | None = None
-    waits_since: float
-    """When there was no input last: none that has been read since came earlier. This
-    and the next two are in monotonic seconds of `CLOCK`."""
-    answered_at: float
-    """When the latest response began."""
-    returned_at: float
-    """When the connection was returned to the selector."""
 
     def __init__(self, server, sock, makefile):
         """Initialize the connection; see cheroot."""
         super().__init__(server, sock, makefile)
-        self.waits_since = self.answered_at = self.returned_at = CLOCK.monotonic()
         self.rfile = RequestReader(sock, "rb", self.rbufsize)
         self._extent = self._new_extent()
 
@@ -106,8 +98,6 @@
             self.input_began_at = None
             self.rfile.buffer_size = self.rbufsize
             keep_open = super().communicate()
-            if not self.rfile.has_data():
-                self.waits_since = self.answered_at
             self.body_began_at = self.write_began_at = None
             self.has_answered = True
             self._extent = self._new_extent()
@@ -289,13 +279,9 @@
         return self._has_input(NEXT_REQUEST_WAIT_MS)
 
     def _has_input(self, wait_ms):
-        began_at = CLOCK.monotonic()
         poll = select.poll()
         poll.register(self.socket, select.POLLIN)
-        if poll.poll(wait_ms):
-            return True
-        self.waits_since = began_at
-        return False
+        return bool(poll.poll(wait_ms))
 
     def _discard_input(self):
         """Read and discard what a refused client still sends, up to limits.
@@ -335,7 +321,6 @@
         environ = super().get_environ()
         conn = self.req.conn
         environ[CONNECTION_KEY] = conn
-        environ[WAITS_SINCE_KEY] = conn.waits_since
         environ[ABANDONED_KEY] = lambda: _is_disconnected(conn.socket)
         return environ
 
--- a/arbutuscleat/web/http_request.py
+++ b/arbutuscleat/web/http_request.py
@@ -8,17 +8,8 @@
 from dataclasses import dataclass, field
 from urllib.parse import unquote
 
-from arbutuscleat.core import SystemClock
-
 from .chunked_body import TooLargeError
 
-CLOCK = SystemClock()
-"""Measures how long requests wait, the time in which the machine is suspended too."""
-
-ORDINARY_WAIT_SECONDS = 2.0
-"""Four times the interval at which the server looks for input. A request that may have
-waited for longer has met a pause of this process, or too few threads."""
-
 _HEADER_PREFIX = "HTTP_"
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that the HTTP libraries
@@ -46,9 +37,6 @@
 CONNECTION_KEY = "arbutuscleat.connection"
 """WSGI environment key of the connection, which counts refusals."""
 
-WAITS_SINCE_KEY = "arbutuscleat.waits_since"
-"""WSGI environment key of the earliest time at which the request can have arrived."""
-
 
 class BodyError(Exception):
     """A request body that ended early, could not be read, or is too large.
@@ -82,9 +70,6 @@
         The complete body.
     is_abandoned : callable
         Returns whether the client has closed the connection.
-    waits_since : float
-        The earliest time at which the last bytes of the request can have arrived, in
-        monotonic seconds of `SystemClock`.
     """
 
     method: str
@@ -92,7 +77,6 @@
     headers: dict[str, str]
     body: bytes
     is_abandoned: Callable[[], bool] = field(default=lambda: False, compare=False)
-    waits_since: float = field(default_factory=CLOCK.monotonic, compare=False)
 
     @property
     def segments(self) -> list[str]:
@@ -100,11 +84,6 @@
         path = self.target.partition("?")[0]
         return [unquote(part) for part in path.split("/") if part]
 
-    def seconds_waited(self) -> float:
-        """Return how long the request may have waited, 0 if that is ordinary."""
-        seconds = CLOCK.monotonic() - self.waits_since
-        return seconds if seconds > ORDINARY_WAIT_SECONDS else 0.0
-
     def end_to_end_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers that a proxy forwards."""
         connection_options = self.headers.get("connection", "").lower()
@@ -147,7 +126,6 @@
         headers=headers,
         body=_read_body(environ),
         is_abandoned=environ.get(ABANDONED_KEY, _never_abandoned),
-        waits_since=environ.get(WAITS_SINCE_KEY, CLOCK.monotonic()),
     )
 
 
--- a/arbutuscleat/web/problem_request.py
+++ b/arbutuscleat/web/problem_request.py
@@ -10,7 +10,6 @@
 from arbutuscleat.core import RefusalReason
 
 from .chunked_body import ChunkedBody
-from .http_request import CLOCK
 from .problem import refuse
 from .strict_headers import StrictHeaderReader
 
@@ -70,7 +69,6 @@
             self.close_connection = True
             self.conn.has_unread_input = True
         self.conn.write_began_at = time.monotonic()
-        self.conn.answered_at = CLOCK.monotonic()
         super().send_headers()
 
     def simple_response(self, status, msg=""):
--- a/arbutuscleat/web/server.py
+++ b/arbutuscleat/web/server.py
@@ -4,7 +4,6 @@
 too large, are answered with problem details as well.
 """
 
-import math
 import select
 import selectors
 import socket
@@ -21,7 +20,6 @@
 from arbutuscleat.wire import Address
 
 from .connection import Connection, Gateway
-from .http_request import CLOCK, ORDINARY_WAIT_SECONDS
 from .input_buffers import InputBuffers
 from .open_connections import OpenConnections
 
@@ -36,9 +34,6 @@
 """Time between two checks of the time limits, four times the usual one, after which
 this process has paused rather than its clients."""
 
-MAX_WAITING_CONNECTIONS = LISTEN_BACKLOG + 1
-"""Connections that the kernel keeps until they are accepted."""
-
 
 class _LimitedServer(Server):
     """Limits open connections and the time that clients may take.
@@ -65,10 +60,6 @@
         self.open_connections = OpenConnections(limits)
         self.input_buffers = InputBuffers(limits.buffer_bytes)
         self._checked_at = time.monotonic()
-        self._select_began_at = CLOCK.monotonic()
-        self._pause_began_at = self._select_began_at
-        self._accepted_late = 0
-        """How many of the next new connections may have come during the pause."""
 
     def error_log(self, msg="", level=20, traceback=False):
         """Write cheroot's own messages to the structured log."""
@@ -88,50 +79,10 @@
             self._check_times()
 
         self._connections._expire = expire
-        select_readable = self._connections._selector.select
-
-        def select_noted(timeout=None):
-            former_began_at = self._select_began_at
-            self._select_began_at = CLOCK.monotonic()
-            found = list(select_readable(timeout=timeout))
-            self._note_readable([conn for _, conn in found], former_began_at)
-            return found
-
-        self._connections._selector.select = select_noted
-
-    def _note_readable(self, found, former_began_at):
-        """Note since when the input of connections may have been waiting.
-
-        What can be read now could not be read when the former call of the selector
-        ended, if it was in the selector already. The call began earlier, so that a
-        pause of this process is never left out.
-
-        Parameters
-        ----------
-        found : list of Connection
-            The connections that can be read, and this server if there is a new one.
-        former_began_at : float
-            When the former call of the selector began, in monotonic seconds.
-        """
-        if CLOCK.monotonic() - former_began_at > ORDINARY_WAIT_SECONDS:
-            self._pause_began_at = former_began_at
-            self._accepted_late = MAX_WAITING_CONNECTIONS
-        if self not in found:
-            self._accepted_late = 0
-        for conn in found:
-            if conn is not self and conn.returned_at < former_began_at:
-                conn.waits_since = max(conn.waits_since, former_began_at)
-
-    def _note_accepted(self, conn):
-        """Note whether a new connection may have waited for the end of a pause."""
-        if self._accepted_late > 0:
-            self._accepted_late -= 1
-            conn.waits_since = self._pause_began_at
 
     def process_conn(self, conn):
         """Pass a connection that can be read, or a new one, to a thread."""
         if not conn.is_admitted:
-            self._note_accepted(conn)
             if not self._admit(conn):
                 conn.count_refusal("connections")
                 conn.close()
@@ -141,19 +92,17 @@
 
     def put_conn(self, conn):
         """Return a connection to the selector."""
-        conn.returned_at = math.inf
         if not self.ready or conn.input_began_at is None:
             super().put_conn(conn)
-        else:
-            # Its buffer holds part of a request, and the selector waits for the rest.
-            conn.last_used = time.time()
-            try:
-                self._connections._selector.register(
-                    conn.socket.fileno(), selectors.EVENT_READ, data=conn
-                )
-            except (OSError, ValueError, KeyError):
-                conn.close()  # The server has stopped.
-        conn.returned_at = CLOCK.monotonic()
+            return
+        # Its buffer holds part of a request, and the selector waits for the rest.
+        conn.last_used = time.time()
+        try:
+            self._connections._selector.register(
+                conn.socket.fileno(), selectors.EVENT_READ, data=conn
+            )
+        except (OSError, ValueError, KeyError):
+            conn.close()  # The server has stopped.
 
     def wait_for_input(self, seconds: float) -> None:
         """Wait until no request is incomplete, or for the given time."""
